--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,122 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"zincloft.example/zincloft/rules"
+)
+
+// missingError names a figure that a rule needs and the settings lack.
+type missingError string
+
+func (e missingError) Error() string { return fmt.Sprintf("the settings lack %s", string(e)) }
+
+type lane struct {
+	Name       string        `json:"name"`
+	Aim        time.Duration `json:"aim"`
+	Deadline   time.Duration `json:"deadline"`
+	Effect     string        `json:"effect"`
+	Group      string        `json:"group"`
+	Importance float64       `json:"importance"`
+	LateWorth  float64       `json:"lateWorth"`
+	Window     time.Duration `json:"window"`
+}
+
+type info struct {
+	Balancers  int      `json:"balancers"`
+	Discovery  string   `json:"discovery"`
+	Lanes      []lane   `json:"lanes"`
+	MyZone     int      `json:"myZone"`
+	Zones      []string `json:"zones"`
+	FamilyInfo struct {
+		Bare         *time.Duration `json:"bare"`
+		ClassWrites  []bool         `json:"classWrites"`
+		FirstWait    float64        `json:"firstWait"`
+		HomeOnly     []bool         `json:"homeOnly"`
+		Interval     *time.Duration `json:"interval"`
+		LevelKind    string         `json:"levelKind"`
+		LinesPerS    *float64       `json:"linesPerS"`
+		PerMessage   *float64       `json:"perMessage"`
+		PushDelayMax time.Duration  `json:"pushDelayMax"`
+		QueueCap     *float64       `json:"queueCap"`
+		ReloadSpan   *time.Duration `json:"reloadSpan"`
+		Slices       int            `json:"slices"`
+		UpdateCap    int            `json:"updateCap"`
+	} `json:"familyInfo"`
+	Guarantees struct {
+		AskWithin         *time.Duration `json:"askWithin"`
+		ColdFrom          *float64       `json:"coldFrom"`
+		FallMultiple      *float64       `json:"fallMultiple"`
+		OverloadFor       *time.Duration `json:"overloadFor"`
+		StopSendingWithin *time.Duration `json:"stopSendingWithin"`
+		WarmAfter         *time.Duration `json:"warmAfter"`
+	} `json:"guarantees"`
+	Permissions struct {
+		Probing bool `json:"probing"`
+	} `json:"permissions"`
+	Report struct {
+		Fields []string `json:"fields"`
+	} `json:"report"`
+}
+
+// readSettings puts the site's settings into the words of package rules; it also returns the names of the load
+// figures. Keys that it does not know are passed over.
+func readSettings(text []byte) (rules.Settings, []string, error) {
+	var in info
+	if err := json.Unmarshal(text, &in); err != nil {
+		return rules.Settings{}, nil, fmt.Errorf("the settings are not the expected JSON: %w", err)
+	}
+	f, gu := &in.FamilyInfo, &in.Guarantees
+	if in.Discovery != "on_request" && gu.AskWithin == nil {
+		gu.AskWithin = new(time.Duration)
+	}
+	if f.UpdateCap == 0 && f.ReloadSpan == nil {
+		f.ReloadSpan = new(time.Duration)
+	}
+	needed := []struct {
+		name string
+		has  bool
+	}{
+		{"familyInfo.bare", f.Bare != nil}, {"familyInfo.interval", f.Interval != nil},
+		{"familyInfo.linesPerS", f.LinesPerS != nil}, {"familyInfo.perMessage", f.PerMessage != nil},
+		{"familyInfo.queueCap", f.QueueCap != nil}, {"familyInfo.reloadSpan", f.ReloadSpan != nil},
+		{"guarantees.askWithin", gu.AskWithin != nil}, {"guarantees.coldFrom", gu.ColdFrom != nil},
+		{"guarantees.fallMultiple", gu.FallMultiple != nil}, {"guarantees.overloadFor", gu.OverloadFor != nil},
+		{"guarantees.stopSendingWithin", gu.StopSendingWithin != nil},
+		{"guarantees.warmAfter", gu.WarmAfter != nil}, {"lanes", len(in.Lanes) > 0}, {"zones", len(in.Zones) > 0},
+	}
+	for _, n := range needed {
+		if !n.has {
+			return rules.Settings{}, nil, missingError(n.name)
+		}
+	}
+	s := rules.Settings{
+		Governors: in.Balancers, Zone: rules.ZoneID(in.MyZone), Zones: len(in.Zones), Slices: f.Slices,
+		ListOnRequest: in.Discovery == "on_request", ProbesAllowed: in.Permissions.Probing,
+		Period: *f.Interval, LinePace: *f.LinesPerS, LineCap: *f.QueueCap, HeadLines: *f.PerMessage,
+		MessageCap: f.UpdateCap, MessageSpan: *f.ReloadSpan, TravelMost: f.PushDelayMax, FirstWait: f.FirstWait,
+		BareMost: *f.Bare, DrainGrace: *gu.StopSendingWithin, AskWithin: *gu.AskWithin, WarmAfter: *gu.WarmAfter,
+		ColdFrom: *gu.ColdFrom, FallMultiple: *gu.FallMultiple, FallAfter: *gu.OverloadFor,
+	}
+	switch f.LevelKind {
+	case "fraction":
+		s.Levels = rules.LevelShare
+	case "per_second":
+		s.Levels = rules.LevelRate
+	}
+	for i, l := range in.Lanes {
+		tg := rules.TrafficGroup{Name: l.Name, LatencyBudget: l.Aim, Expiry: l.Deadline, Utility: l.Importance,
+			LateShare: l.LateWorth, DedupedByAll: l.Group == "all", Window: l.Window,
+			HomeOnly: i < len(f.HomeOnly) && f.HomeOnly[i], Writes: i < len(f.ClassWrites) && f.ClassWrites[i]}
+		switch l.Effect {
+		case "retryable":
+			tg.Effect = rules.Retriable
+		case "dedup":
+			tg.Effect = rules.Deduped
+		}
+		s.Groups = append(s.Groups, tg)
+	}
+	return s, in.Report.Fields, nil
+}
