Try again only on proof that the first try never ran

Cause: a try that may be followed gives up at 0.8 of the latency budget, and where replicas do not stop cancelled work the second try doubles the load of the slow ones.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -230,7 +230,7 @@
 	wait := time.Duration(firstWait * float64(tg.LatencyBudget))
 	switch {
 	case tg.Effect == Retriable, tg.Effect == Deduped && tg.DedupedByAll && wait < tg.Window/2:
-		return RetryOnce
+		return RetryUnrun
 	}
 	return RetryUnrun
 }
