Hold cold replicas to a budget by tries sent and block flows in overload

Cause of the broken failback rule: reported load cannot pass 1, so under overload the cold cap allowed several times the work it meant to. Demand is now tries by what the fleet can answer.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -42,13 +42,16 @@
 	goodToReturn  = 3          // good answers in a row after which a replica held out comes back
 	speedFlows    = 8.0        // a replica's own speed counts as much as the fleet's after so many flows
 	speedPeriods  = 15.0       // speed is learnt over so many periods
+	loadWanted    = 0.85       // above this load of the fleet, flows of least utility are blocked
+	shedPace      = 0.25       // part of the overload that a period's review answers
+	levelLeast    = 0.05       // what is always let in of a traffic group
+	levelStep     = 0.04       // smaller changes of a level are not sent
 	speedMost     = 3.0        // bound on what a measured speed makes of a listed weight
 	sharedTable   = TableID(0) // all replicas, for all proxies; a zone's own table has number 1 + zone
 )
 
 // figures are what the settings come to.
 type figures struct {
-	groups      []group
 	shared      GroupSet // groups on the shared table
 	home        GroupSet // groups on the table of the proxy's zone
 	zones       int
@@ -69,9 +72,13 @@
 }
 
 type group struct {
-	retry Retry
-	level float64
-	merit float64 // utility by the time that an answer may take: what a unit of work is worth
+	id     GroupID
+	retry  Retry
+	budget float64 // latency budget in seconds; work is taken to go by it
+	merit  float64 // utility by latency budget: what a unit of work is worth
+	flows  float64 // that came, over the health window
+	level  float64
+	sent   float64
 }
 
 // replica is all that is known of one replica.
@@ -127,6 +134,7 @@
 	draws     uint32
 	replicas  []*replica // by id
 	proxies   []*proxy   // by id
+	groups    []group    // least merit first
 	channel   []pending
 	version   uint16
 	mark      uint64
@@ -135,7 +143,9 @@
 	listSeen  bool
 	observing bool
 	askAt     Time
-	meanLoad  float64
+	meanLoad  float64 // of the replicas in service, smoothed
+	demand    float64 // work sent, by what the fleet can do; above 1 in overload
+	excess    float64 // part of the work asked for that is blocked
 	orders    []Order
 	spent     float64
 	spentMsgs int
@@ -169,6 +179,10 @@
 			g.applied(e)
 		case Sums:
 			g.sums(e)
+		case Intake:
+			if i := slices.IndexFunc(g.groups, func(tg group) bool { return tg.id == e.Group }); i >= 0 && e.Flows > 0 {
+				g.groups[i].flows += float64(e.Flows)
+			}
 		}
 	}
 	if !g.on {
@@ -206,20 +220,12 @@
 		} else {
 			g.fig.shared |= 1 << i
 		}
-		g.fig.groups = append(g.fig.groups, group{retryFor(tg, s.FirstWait), 1,
-			tg.Utility / tg.LatencyBudget.Seconds()})
-	}
-	for t := range s.Zones + 1 {
-		set := g.fig.home
-		if t == 0 {
-			set = g.fig.shared
-		}
-		for i, tg := range g.fig.groups {
-			if set&(1<<i) != 0 {
-				g.orders = append(g.orders, Admit{TableID(t), 1 << i, tg.level, tg.retry})
-			}
-		}
+		budget := max(tg.LatencyBudget.Seconds(), 1e-3)
+		g.groups = append(g.groups, group{id: GroupID(i), retry: retryFor(tg, s.FirstWait), budget: budget,
+			merit: tg.Utility / budget})
 	}
+	slices.SortStableFunc(g.groups, func(a, b group) int { return cmp.Compare(a.merit, b.merit) })
+	g.shed(now, 0)
 	g.mark = 1
 	g.orders = append(g.orders, WakeAfter{g.fig.wake, g.mark})
 }
@@ -302,7 +308,7 @@
 func (g *Governor) review(now Time, since time.Duration) {
 	g.reviewed, g.sumsCame = now, false
 	periods := float64(since) / float64(g.fig.period)
-	var tries, drops, served, busy, sent float64
+	var tries, drops, served, busy, sent, fresh, failed float64
 	for _, r := range g.replicas {
 		if r.newReports > 0 {
 			load := r.newLoad / float64(r.newReports)
@@ -318,13 +324,14 @@
 		r.tries = r.tries*keep + float64(r.newTries)
 		r.drops = r.drops*keep + float64(r.newDrops)
 		tries, drops = tries+r.tries, drops+r.drops
+		fresh, failed = fresh+float64(r.newTries), failed+float64(r.newDrops)
 		served, busy, sent = served+r.served, busy+r.busy*r.listed, sent+r.sent[0]
 	}
+	keep := math.Exp(-periods / memoryPeriods)
 	g.health(now, tries, drops, sent)
 	fleet := served / max(busy, 1e-9)
-	var size, work float64
+	var size, work, reported, latest float64
 	for _, r := range g.replicas {
-		r.newTries, r.newDrops, r.newLoad, r.newReports = 0, 0, 0, 0
 		r.size = r.listed
 		if fleet > 0 {
 			speed := (r.served + speedFlows) / (r.busy*r.listed*fleet + speedFlows)
@@ -332,10 +339,22 @@
 		}
 		if r.known && r.state == Ready && !r.out {
 			size, work = size+r.size, work+r.size*r.load
+			if r.newReports > 0 {
+				reported, latest = reported+r.size, latest+r.size*r.newLoad/float64(r.newReports)
+			}
 		}
+		r.newTries, r.newDrops, r.newLoad, r.newReports = 0, 0, 0, 0
 	}
 	if size > 0 {
 		g.meanLoad = work / size
+		g.demand = max(g.meanLoad, fresh/periods/max(fleet*size, 1e-9))
+	}
+	if reported > 0 {
+		over := (latest/reported-loadWanted)*periods + failed/max(fresh, 1)*periods/2
+		g.excess = min(max(g.excess+shedPace*over, 0), 1)
+	}
+	for i := range g.groups {
+		g.groups[i].flows *= keep
 	}
 }
 
@@ -416,7 +435,7 @@
 	}
 	if a := age(r.started); r.started > 0 && a < 1 {
 		least := g.fig.coldFrom + (1-g.fig.coldFrom)*a
-		most = min(most, rampFrom+(1-rampFrom)*a/rampSpan, coldFill*least/max(g.meanLoad, spareFloor))
+		most = min(most, rampFrom+(1-rampFrom)*a/rampSpan, coldFill*least/max(g.demand, spareFloor))
 	}
 	return most
 }
@@ -497,6 +516,9 @@
 			p.messages = p.messages[1:]
 		}
 	}
+	if due {
+		g.shed(now, g.excess)
+	}
 	for _, l := range urgent {
 		g.sendLine(now, l, g.fig.lineCap, g.fig.messageCap)
 	}
@@ -522,26 +544,68 @@
 
 // sendLine orders one line if the channel and every proxy that uses the table have room for it.
 func (g *Governor) sendLine(now Time, l line, room float64, messages int) {
-	uses := func(p *proxy) bool { return p.bound && (l.kind == 0 || p.zone == l.r.zone) }
+	uses := func(p *proxy) bool { return l.kind == 0 || p.zone == l.r.zone }
+	if g.reach(now, uses, 1, room, messages) {
+		l.r.sent[l.kind] = l.r.share[l.kind]
+		g.orders = append(g.orders, Line{l.table, l.r.id, l.r.sent[l.kind]})
+	}
+}
+
+// reach books a number of lines to each bound proxy that uses them, or nothing if there is no room for all.
+func (g *Governor) reach(now Time, uses func(*proxy) bool, lines, room float64, messages int) bool {
 	cost := 0.0
 	for _, p := range g.proxies {
-		if uses(p) {
-			cost += g.cost(p, 1)
+		if p.bound && uses(p) {
+			cost += g.cost(p, lines)
 			if !g.mayWrite(p, messages) {
-				return
+				return false
 			}
 		}
 	}
 	if g.queued(now)+cost > room {
-		return
+		return false
 	}
 	for _, p := range g.proxies {
-		if uses(p) {
-			g.write(now, p, 1)
+		if p.bound && uses(p) {
+			g.write(now, p, lines)
+		}
+	}
+	return true
+}
+
+// shed blocks the given part of the work asked for, from the traffic groups whose utility by work is least.
+func (g *Governor) shed(now Time, excess float64) {
+	total := 0.0
+	for _, tg := range g.groups {
+		total += tg.flows * tg.budget
+	}
+	left := excess * total
+	for i := range g.groups {
+		tg := &g.groups[i]
+		work := tg.flows * tg.budget
+		tg.level = 1
+		if g.fig.levels != LevelIgnored && left > 0 {
+			cut := min(left, work*(1-levelLeast))
+			tg.level, left = 1-cut/work, left-cut
+		}
+		if tg.level == tg.sent || tg.level < 1 && math.Abs(tg.level-tg.sent) < levelStep {
+			continue
+		}
+		tables, all := TableID(1), func(*proxy) bool { return true }
+		if g.fig.home&(1<<tg.id) != 0 {
+			tables = TableID(g.fig.zones)
+		}
+		if !g.reach(now, all, 1, g.fig.lineCap, g.fig.messageCap/2) && g.version > 0 {
+			continue
+		}
+		tg.sent = tg.level
+		for t := range tables {
+			if g.fig.home&(1<<tg.id) != 0 {
+				t += sharedTable + 1
+			}
+			g.orders = append(g.orders, Admit{t, 1 << tg.id, tg.level, tg.retry})
 		}
 	}
-	l.r.sent[l.kind] = l.r.share[l.kind]
-	g.orders = append(g.orders, Line{l.table, l.r.id, l.r.sent[l.kind]})
 }
 
 // bind puts a proxy on its tables. Until then it goes by tables that we do not know; binding it also ends whatever
@@ -550,7 +614,7 @@
 	if p.bound {
 		return
 	}
-	lines := 2 + float64(len(g.fig.groups))
+	lines := 2 + float64(len(g.groups))
 	for _, r := range g.replicas {
 		if r.sent[0] > 0 {
 			lines++
