--- a/rules/rules.go
+++ b/rules/rules.go
@@ -43,7 +43,11 @@
 	speedFlows    = 8.0        // a replica's own speed counts as much as the fleet's after so many flows
 	speedPeriods  = 15.0       // speed is learnt over so many periods
 	loadWanted    = 0.85       // above this load of the fleet, flows of least utility are blocked
-	shedPace      = 0.25       // part of the overload that a period's review answers
+	loadPassed    = 1.3        // an overload is not taken to be worse than this: tries that are turned away cost no work
+	letDelay      = 3          // reviews until sums show what a changed level did
+	letPace       = 0.5        // part of the way to the wanted level that a review goes
+	dropsUntaught = 0.2        // share of dropped tries above which a replica's answers do not tell its speed
+	loadFull      = 0.9        // a replica that reports this drops for its load, which its weight already answers
 	levelLeast    = 0.05       // what is always let in of a traffic group
 	levelStep     = 0.04       // smaller changes of a level are not sent
 	speedMost     = 3.0        // bound on what a measured speed makes of a listed weight
@@ -143,9 +147,9 @@
 	listSeen  bool
 	observing bool
 	askAt     Time
-	meanLoad  float64 // of the replicas in service, smoothed
-	demand    float64 // work sent, by what the fleet can do; above 1 in overload
-	excess    float64 // part of the work asked for that is blocked
+	meanLoad  float64           // of the replicas in service, smoothed
+	demand    float64           // work sent, by what the fleet can do; above 1 in overload
+	let       [letDelay]float64 // part of the work asked for that is let in, latest first
 	orders    []Order
 	spent     float64
 	spentMsgs int
@@ -225,6 +229,9 @@
 			merit: tg.Utility / budget})
 	}
 	slices.SortStableFunc(g.groups, func(a, b group) int { return cmp.Compare(a.merit, b.merit) })
+	for i := range g.let {
+		g.let[i] = 1
+	}
 	g.shed(now, 0)
 	g.mark = 1
 	g.orders = append(g.orders, WakeAfter{g.fig.wake, g.mark})
@@ -316,9 +323,11 @@
 				r.load, r.known = max(load, g.meanLoad), true
 			}
 			r.load += (load - r.load) * (1 - math.Exp(-periods/smoothPeriods))
-			keep := math.Exp(-periods / speedPeriods)
-			r.served = r.served*keep + float64(r.newTries-r.newDrops)
-			r.busy = r.busy*keep + load*periods
+			if float64(r.newDrops) <= dropsUntaught*float64(r.newTries) {
+				keep := math.Exp(-periods / speedPeriods)
+				r.served = r.served*keep + float64(r.newTries-r.newDrops)
+				r.busy = r.busy*keep + load*periods
+			}
 		}
 		keep := math.Exp(-periods / memoryPeriods)
 		r.tries = r.tries*keep + float64(r.newTries)
@@ -350,8 +359,11 @@
 		g.demand = max(g.meanLoad, fresh/periods/max(fleet*size, 1e-9))
 	}
 	if reported > 0 {
-		over := (latest/reported-loadWanted)*periods + failed/max(fresh, 1)*periods/2
-		g.excess = min(max(g.excess+shedPace*over, 0), 1)
+		passed := (fresh - failed/2) / periods / max(fleet*size, 1e-9)
+		pressure := max(latest/reported, min(passed, loadPassed))
+		want := min(g.let[letDelay-1]*loadWanted/max(pressure, spareFloor), 1)
+		copy(g.let[1:], g.let[:])
+		g.let[0] = max(g.let[0]+(want-g.let[0])*letPace, levelLeast)
 	}
 	for i := range g.groups {
 		g.groups[i].flows *= keep
@@ -391,7 +403,8 @@
 			continue
 		}
 		rest := (drops - r.drops) / max(tries-r.tries, 1)
-		dropping := r.drops >= dropsToJudge && r.drops > r.tries*max(dropShareBad, dropsOverRest*rest)
+		full := r.newReports > 0 && r.newLoad > loadFull*float64(r.newReports)
+		dropping := !full && r.drops >= dropsToJudge && r.drops > r.tries*max(dropShareBad, dropsOverRest*rest)
 		if r.state == Ready && (dropping || r.owed >= owedToJudge) && out < ready*outMost {
 			r.out, r.streak = true, 0
 			out++
@@ -517,7 +530,7 @@
 		}
 	}
 	if due {
-		g.shed(now, g.excess)
+		g.shed(now, 1-g.let[0])
 	}
 	for _, l := range urgent {
 		g.sendLine(now, l, g.fig.lineCap, g.fig.messageCap)
