Calm the weights: higher floor, longer smoothing, faster learnt speed, larger trickle

Cause: near full load the spare term changed fourfold within a report's delay, so weights swung, and replicas held out returned too slowly. Floor 0.05 to 0.25, smoothing 5 to 8 periods, speed window 15 to 8, trickle 0.06 to 0.15.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,14 +25,14 @@
 
 // Ratios. Those from the design page are marked so; the rest are ours.
 const (
-	smoothPeriods = 5.0        // load is smoothed over so many report periods (design)
-	spareFloor    = 0.05       // least share of a replica taken to be spare (design)
+	smoothPeriods = 8.0        // load is smoothed over so many report periods (design: 5)
+	spareFloor    = 0.25       // least share of a replica taken to be spare (design: 0.05)
 	skipChange    = 0.1        // changes of a weight below this part of it are not sent (design)
 	pacedShare    = 1.0 / 3    // part of a second of channel that a period's changes may fill (design)
 	rampFrom      = 0.1        // a new replica's first part of its fair share (design)
 	rampSpan      = 5.0 / 9    // the ramp's length by the longest warm-up; 10 s where that is 18 s (design)
 	coldFill      = 0.8        // part of a cold replica's least capacity that it may be sent
-	trickle       = 0.06       // part of its fair share that a replica held out still gets
+	trickle       = 0.15       // part of its fair share that a replica held out still gets
 	outMost       = 0.4        // part of the fleet that may be held out at once
 	memoryPeriods = 4.0        // answers count in a replica's health for about so many periods
 	dropsToJudge  = 3.0        // no judgement on fewer dropped tries than this
@@ -41,7 +41,7 @@
 	owedToJudge   = 8.0        // silence counts once so many answers are owed
 	goodToReturn  = 3          // good answers in a row after which a replica held out comes back
 	speedFlows    = 8.0        // a replica's own speed counts as much as the fleet's after so many flows
-	speedPeriods  = 15.0       // speed is learnt over so many periods
+	speedPeriods  = 8.0        // speed is learnt over so many periods
 	loadWanted    = 0.85       // above this load of the fleet, flows of least utility are blocked
 	loadPassed    = 1.3        // an overload is not taken to be worse than this: tries that are turned away cost no work
 	letDelay      = 3          // reviews until sums show what a changed level did
