--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,25 +25,29 @@
 
 // Ratios. Those from the design page are marked so; the rest are ours.
 const (
-	smoothPeriods = 8.0        // load is smoothed over so many report periods (design: 5)
-	spareFloor    = 0.25       // least share of a replica taken to be spare (design: 0.05)
-	skipChange    = 0.1        // changes of a weight below this part of it are not sent (design)
-	pacedShare    = 1.0 / 3    // part of a second of channel that a period's changes may fill (design)
-	rampFrom      = 0.1        // a new replica's first part of its fair share (design)
-	rampSpan      = 5.0 / 9    // the ramp's length by the longest warm-up; 10 s where that is 18 s (design)
-	coldFill      = 0.8        // part of a cold replica's least capacity that it may be sent
-	trickle       = 0.15       // part of its fair share that a replica held out still gets
-	outMost       = 0.4        // part of the fleet that may be held out at once
-	memoryPeriods = 4.0        // answers count in a replica's health for about so many periods
-	dropsToJudge  = 3.0        // no judgement on fewer dropped tries than this
-	dropShareBad  = 0.35       // share of dropped tries from which a replica may be held out
-	dropsOverRest = 3.0        // and its share is so many times that of all others
-	owedToJudge   = 8.0        // silence counts once so many answers are owed
-	goodToReturn  = 3          // good answers in a row after which a replica held out comes back
-	speedFlows    = 8.0        // a replica's own speed counts as much as the fleet's after so many flows
-	speedPeriods  = 8.0        // speed is learnt over so many periods
-	loadWanted    = 0.85       // above this load of the fleet, flows of least utility are blocked
-	loadPassed    = 1.3        // an overload is not taken to be worse than this: tries that are turned away cost no work
+	smoothPeriods = 8.0     // load is smoothed over so many report periods (design: 5)
+	spareFloor    = 0.25    // least share of a replica taken to be spare (design: 0.05)
+	skipChange    = 0.1     // changes of a weight below this part of it are not sent (design)
+	pacedShare    = 1.0 / 3 // part of a second of channel that a period's changes may fill (design)
+	rampFrom      = 0.1     // a new replica's first part of its fair share (design)
+	rampSpan      = 5.0 / 9 // the ramp's length by the longest warm-up; 10 s where that is 18 s (design)
+	coldFill      = 0.8     // part of a cold replica's least capacity that it may be sent
+	trickle       = 0.15    // part of its fair share that a replica held out still gets
+	outMost       = 0.4     // part of the fleet that may be held out at once
+	memoryPeriods = 4.0     // answers count in a replica's health for about so many periods
+	dropsToJudge  = 3.0     // no judgement on fewer dropped tries than this
+	dropShareBad  = 0.35    // share of dropped tries from which a replica may be held out
+	dropsOverRest = 3.0     // and its share is so many times that of all others
+	owedToJudge   = 8.0     // silence counts once so many answers are owed
+	goodToReturn  = 3       // good answers in a row after which a replica held out comes back
+	speedFlows    = 8.0     // a replica's own speed counts as much as the fleet's after so many flows
+	speedPeriods  = 8.0     // speed is learnt over so many periods
+	loadWanted    = 0.85    // above this load of the fleet, flows of least utility are blocked
+	loadPassed    = 1.3     // an overload is not taken to be worse than this: tries that are turned away cost no work
+	calmLoad      = 0.6     // below this demand a flow may be tried again after any failure that its effect allows
+	busyLoad      = 0.75    // above this only after proof that the first try never ran
+	jamLoad       = 1.1     // above this not at all where levels are not heeded: what is turned away is shed
+	unjamLoad     = 0.95
 	letDelay      = 3          // reviews until sums show what a changed level did
 	letPace       = 0.5        // part of the way to the wanted level that a review goes
 	dropsUntaught = 0.2        // share of dropped tries above which a replica's answers do not tell its speed
@@ -77,12 +81,12 @@
 
 type group struct {
 	id     GroupID
-	retry  Retry
+	retry  Retry   // the most that its effect allows
 	budget float64 // latency budget in seconds; work is taken to go by it
 	merit  float64 // utility by latency budget: what a unit of work is worth
 	flows  float64 // that came, over the health window
 	level  float64
-	sent   float64
+	sent   Admit // as last ordered, for the first of its tables
 }
 
 // replica is all that is known of one replica.
@@ -147,7 +151,9 @@
 	listSeen  bool
 	observing bool
 	askAt     Time
-	meanLoad  float64           // of the replicas in service, smoothed
+	meanLoad  float64 // of the replicas in service, smoothed
+	calm      bool
+	jammed    bool
 	demand    float64           // work sent, by what the fleet can do; above 1 in overload
 	let       [letDelay]float64 // part of the work asked for that is let in, latest first
 	orders    []Order
@@ -586,6 +592,28 @@
 	return true
 }
 
+// retryMost is the furthest way of trying again that the fleet's load bears. A second try after a time-out adds work
+// where the first may still run, and when all replicas are full every further try keeps them so.
+func (g *Governor) retryMost() Retry {
+	if g.demand > busyLoad {
+		g.calm = false
+	} else if g.demand < calmLoad {
+		g.calm = true
+	}
+	if g.demand > jamLoad {
+		g.jammed = true
+	} else if g.demand < unjamLoad {
+		g.jammed = false
+	}
+	switch {
+	case g.jammed && g.fig.levels == LevelIgnored:
+		return RetryNever
+	case g.calm:
+		return RetryOnce
+	}
+	return RetryUnrun
+}
+
 // shed blocks the given part of the work asked for, from the traffic groups whose utility by work is least.
 func (g *Governor) shed(now Time, excess float64) {
 	total := 0.0
@@ -601,7 +629,9 @@
 			cut := min(left, work*(1-levelLeast))
 			tg.level, left = 1-cut/work, left-cut
 		}
-		if tg.level == tg.sent || tg.level < 1 && math.Abs(tg.level-tg.sent) < levelStep {
+		retry := min(tg.retry, g.retryMost())
+		step := math.Abs(tg.level - tg.sent.Level)
+		if retry == tg.sent.Retry && (step == 0 || tg.level < 1 && step < levelStep) {
 			continue
 		}
 		tables, all := TableID(1), func(*proxy) bool { return true }
@@ -611,12 +641,12 @@
 		if !g.reach(now, all, 1, g.fig.lineCap, g.fig.messageCap/2) && g.version > 0 {
 			continue
 		}
-		tg.sent = tg.level
+		tg.sent = Admit{Level: tg.level, Retry: retry}
 		for t := range tables {
 			if g.fig.home&(1<<tg.id) != 0 {
 				t += sharedTable + 1
 			}
-			g.orders = append(g.orders, Admit{t, 1 << tg.id, tg.level, tg.retry})
+			g.orders = append(g.orders, Admit{t, 1 << tg.id, tg.level, retry})
 		}
 	}
 }
