--- a/rules/rules.go
+++ b/rules/rules.go
@@ -44,8 +44,6 @@
 	speedPeriods  = 8.0     // speed is learnt over so many periods
 	loadWanted    = 0.85    // above this load of the fleet, flows of least utility are blocked
 	loadPassed    = 1.3     // an overload is not taken to be worse than this: tries that are turned away cost no work
-	calmLoad      = 0.6     // below this demand a flow may be tried again after any failure that its effect allows
-	busyLoad      = 0.75    // above this only after proof that the first try never ran
 	jamLoad       = 1.1     // above this not at all where levels are not heeded: what is turned away is shed
 	unjamLoad     = 0.95
 	letDelay      = 3          // reviews until sums show what a changed level did
@@ -152,7 +150,6 @@
 	observing bool
 	askAt     Time
 	meanLoad  float64 // of the replicas in service, smoothed
-	calm      bool
 	jammed    bool
 	demand    float64           // work sent, by what the fleet can do; above 1 in overload
 	let       [letDelay]float64 // part of the work asked for that is let in, latest first
@@ -595,21 +592,13 @@
 // retryMost is the furthest way of trying again that the fleet's load bears. A second try after a time-out adds work
 // where the first may still run, and when all replicas are full every further try keeps them so.
 func (g *Governor) retryMost() Retry {
-	if g.demand > busyLoad {
-		g.calm = false
-	} else if g.demand < calmLoad {
-		g.calm = true
-	}
 	if g.demand > jamLoad {
 		g.jammed = true
 	} else if g.demand < unjamLoad {
 		g.jammed = false
 	}
-	switch {
-	case g.jammed && g.fig.levels == LevelIgnored:
+	if g.jammed && g.fig.levels == LevelIgnored {
 		return RetryNever
-	case g.calm:
-		return RetryOnce
 	}
 	return RetryUnrun
 }
