Shrink the lines of cold replicas while proxies avoid many others

Now its line shrinks with the share of dropped tries and goes at 0.4. Guards also against any mass failure while replicas start. Harm: a start under heavy drops helps later.

--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -33,6 +33,7 @@
 	FamilyInfo struct {
 		Bare         *time.Duration `json:"bare"`
 		ClassWrites  []bool         `json:"classWrites"`
+		FailsToEject int            `json:"failsToEject"`
 		FirstWait    float64        `json:"firstWait"`
 		HomeOnly     []bool         `json:"homeOnly"`
 		Interval     *time.Duration `json:"interval"`
@@ -96,7 +97,7 @@
 		Governors: in.Balancers, Zone: rules.ZoneID(in.MyZone), Zones: len(in.Zones), Slices: f.Slices,
 		ListOnRequest: in.Discovery == "on_request", ProbesAllowed: in.Permissions.Probing,
 		Period: *f.Interval, LinePace: *f.LinesPerS, LineCap: *f.QueueCap, HeadLines: *f.PerMessage,
-		MessageCap: f.UpdateCap, MessageSpan: *f.ReloadSpan, TravelMost: f.PushDelayMax, FirstWait: f.FirstWait,
+		MessageCap: f.UpdateCap, MessageSpan: *f.ReloadSpan, TravelMost: f.PushDelayMax, FirstWait: f.FirstWait, FailsToAvoid: f.FailsToEject,
 		BareMost: *f.Bare, DrainGrace: *gu.StopSendingWithin, AskWithin: *gu.AskWithin, WarmAfter: *gu.WarmAfter,
 		ColdFrom: *gu.ColdFrom, FallMultiple: *gu.FallMultiple, FallAfter: *gu.OverloadFor,
 	}
--- a/rules/api.go
+++ b/rules/api.go
@@ -74,8 +74,9 @@
 	MessageCap int           // messages to one proxy within MessageSpan; 0: no limit
 	TravelMost time.Duration // the longest way of a message to a proxy
 
-	MessageSpan time.Duration
-	FirstWait   float64 // a try that may be followed waits so many latency budgets
+	MessageSpan  time.Duration
+	FailsToAvoid int     // a proxy avoids a replica after so many failures in a row; 0: never
+	FirstWait    float64 // a try that may be followed waits so many latency budgets
 
 	BareMost     time.Duration // the longest time that a proxy may lack a line
 	DrainGrace   time.Duration // sending to a draining or gone replica ends within this time
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -43,6 +43,7 @@
 	speedFlows    = 8.0     // a replica's own speed counts as much as the fleet's after so many flows
 	speedPeriods  = 8.0     // speed is learnt over so many periods
 	loadWanted    = 0.85    // above this load of the fleet, flows of least utility are blocked
+	avoidShare    = 0.4     // with this share of tries dropped, proxies avoid so many that a cold replica gets no line
 	loadPassed    = 1.3     // an overload is not taken to be worse than this: tries that are turned away cost no work
 	jamLoad       = 1.1     // above this not at all where levels are not heeded: what is turned away is shed
 	unjamLoad     = 0.95
@@ -64,6 +65,7 @@
 	onRequest   bool
 	probes      bool
 	levels      LevelKind
+	avoids      bool // proxies avoid replicas that failed them
 	period      time.Duration
 	wake        time.Duration
 	pacedLines  float64
@@ -151,6 +153,7 @@
 	askAt     Time
 	meanLoad  float64 // of the replicas in service, smoothed
 	jammed    bool
+	dropShare float64
 	demand    float64           // work sent, by what the fleet can do; above 1 in overload
 	let       [letDelay]float64 // part of the work asked for that is let in, latest first
 	orders    []Order
@@ -216,7 +219,7 @@
 		return
 	}
 	g.fig = figures{
-		zones: s.Zones, onRequest: s.ListOnRequest, probes: s.ProbesAllowed, levels: s.Levels, period: s.Period,
+		zones: s.Zones, onRequest: s.ListOnRequest, probes: s.ProbesAllowed, levels: s.Levels, avoids: s.FailsToAvoid > 0, period: s.Period,
 		wake: s.Period / 4, pacedLines: s.LinePace * pacedShare, lineCap: s.LineCap, head: s.HeadLines + 1,
 		messageCap: s.MessageCap, messageSpan: s.MessageSpan, askWait: s.AskWithin / 20, warmAfter: s.WarmAfter,
 		coldFrom: s.ColdFrom, ledgerSpan: 4*time.Duration(s.LineCap/s.LinePace*float64(time.Second)) + s.TravelMost,
@@ -368,6 +371,7 @@
 		copy(g.let[1:], g.let[:])
 		g.let[0] = max(g.let[0]+(want-g.let[0])*letPace, levelLeast)
 	}
+	g.dropShare = max(drops/max(tries, 1), failed/max(fresh, 1))
 	for i := range g.groups {
 		g.groups[i].flows *= keep
 	}
@@ -439,7 +443,8 @@
 
 // capFor bounds a replica's share, by its fair share. A started replica climbs the design's ramp, and is never sent
 // more work than its least capacity at that age can do: with many cold at once, or a high load, the ramp alone
-// would not hold that.
+// would not hold that. Where proxies avoid replicas that fail them, a fleet that drops much leaves them few others to
+// pick, so the cold one's line shrinks and then goes: its weight no longer tells what it will be sent.
 func (g *Governor) capFor(now Time, r *replica) float64 {
 	if r.out {
 		return trickle
@@ -452,6 +457,9 @@
 	if a := age(r.started); r.started > 0 && a < 1 {
 		least := g.fig.coldFrom + (1-g.fig.coldFrom)*a
 		most = min(most, rampFrom+(1-rampFrom)*a/rampSpan, coldFill*least/max(g.demand, spareFloor))
+		if g.fig.avoids {
+			most *= max(1-g.dropShare/avoidShare, 0)
+		}
 	}
 	return most
 }
@@ -482,9 +490,14 @@
 	for _, r := range free {
 		r.share[kind] = mass * r.spare / spare
 	}
-	if len(free) == 0 && len(capped) > 0 {
-		for _, r := range capped {
+	if len(free) > 0 {
+		return
+	}
+	for _, r := range capped {
+		if mass < 100 {
 			r.share[kind] *= 100 / (100 - mass)
+		} else {
+			r.share[kind] = 100 * r.size / size
 		}
 	}
 }
