Hold out for drops only what is less busy than the fleet, and return it faster

Failing fast shows as drops at less than the fleet's load; full replicas have their weight lowered by their load already.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -39,7 +39,7 @@
 	dropShareBad  = 0.35    // share of dropped tries from which a replica may be held out
 	dropsOverRest = 3.0     // and its share is so many times that of all others
 	owedToJudge   = 8.0     // silence counts once so many answers are owed
-	goodToReturn  = 3       // good answers in a row after which a replica held out comes back
+	goodToReturn  = 2       // good answers in a row after which a replica held out comes back
 	speedFlows    = 8.0     // a replica's own speed counts as much as the fleet's after so many flows
 	speedPeriods  = 8.0     // speed is learnt over so many periods
 	loadWanted    = 0.85    // above this load of the fleet, flows of least utility are blocked
@@ -50,7 +50,6 @@
 	letDelay      = 3          // reviews until sums show what a changed level did
 	letPace       = 0.5        // part of the way to the wanted level that a review goes
 	dropsUntaught = 0.2        // share of dropped tries above which a replica's answers do not tell its speed
-	loadFull      = 0.9        // a replica that reports this drops for its load, which its weight already answers
 	levelLeast    = 0.05       // what is always let in of a traffic group
 	levelStep     = 0.04       // smaller changes of a level are not sent
 	speedMost     = 3.0        // bound on what a measured speed makes of a listed weight
@@ -410,7 +409,7 @@
 			continue
 		}
 		rest := (drops - r.drops) / max(tries-r.tries, 1)
-		full := r.newReports > 0 && r.newLoad > loadFull*float64(r.newReports)
+		full := r.newReports > 0 && r.newLoad > g.meanLoad*float64(r.newReports)
 		dropping := !full && r.drops >= dropsToJudge && r.drops > r.tries*max(dropShareBad, dropsOverRest*rest)
 		if r.state == Ready && (dropping || r.owed >= owedToJudge) && out < ready*outMost {
 			r.out, r.streak = true, 0
@@ -451,14 +450,14 @@
 	}
 	age := func(t Time) float64 { return max(float64(now-t)/float64(g.fig.warmAfter), 0) }
 	most := math.Inf(1)
-	if a := age(r.backAt); r.backAt > 0 && a < rampSpan {
+	if a := 3 * age(r.backAt); r.backAt > 0 && a < rampSpan {
 		most = rampFrom + (1-rampFrom)*a/rampSpan
 	}
 	if a := age(r.started); r.started > 0 && a < 1 {
 		least := g.fig.coldFrom + (1-g.fig.coldFrom)*a
 		most = min(most, rampFrom+(1-rampFrom)*a/rampSpan, coldFill*least/max(g.demand, spareFloor))
 		if g.fig.avoids {
-			most *= max(1-g.dropShare/avoidShare, 0)
+			most *= min(max(2-2*g.dropShare/avoidShare, 0), 1)
 		}
 	}
 	return most
