After a restart, leave proxies their former tables until the first sums; cold lines wait too

Now it binds with the first sums (at once if something drains), counts those by their own time, starts its levels from tries by flows, and gives cold replicas nothing before them.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -47,6 +47,7 @@
 	loadPassed    = 1.3     // an overload is not taken to be worse than this: tries that are turned away cost no work
 	jamLoad       = 1.1     // above this not at all where levels are not heeded: what is turned away is shed
 	unjamLoad     = 0.95
+	holdPeriods   = 3          // after a restart, proxies keep our former tables for so long at most
 	letDelay      = 3          // reviews until sums show what a changed level did
 	letPace       = 0.5        // part of the way to the wanted level that a review goes
 	dropsUntaught = 0.2        // share of dropped tries above which a replica's answers do not tell its speed
@@ -119,7 +120,7 @@
 	id       ProxyID
 	zone     ZoneID
 	bound    bool
-	joined   Time
+	fresh    bool   // holds its standing tables only
 	messages []Time // within the message span
 	touched  bool   // gets a message from this Step
 }
@@ -147,7 +148,11 @@
 	mark      uint64
 	reviewed  Time
 	sumsCame  bool
+	firstOver time.Duration // what the first sums were counted over
+	taught    bool          // those have been reviewed
 	listSeen  bool
+	holdUntil Time // proxies that hold our former tables keep them until then, or until the first sums
+	newFlows  float64
 	observing bool
 	askAt     Time
 	meanLoad  float64 // of the replicas in service, smoothed
@@ -181,7 +186,7 @@
 		case Joined:
 			g.leave(e.Proxy)
 			at, _ := g.findProxy(e.Proxy)
-			g.proxies = slices.Insert(g.proxies, at, &proxy{id: e.Proxy, zone: e.Zone, joined: now})
+			g.proxies = slices.Insert(g.proxies, at, &proxy{id: e.Proxy, zone: e.Zone, fresh: e.Fresh})
 		case Left:
 			g.leave(e.Proxy)
 		case Applied:
@@ -191,6 +196,7 @@
 		case Intake:
 			if i := slices.IndexFunc(g.groups, func(tg group) bool { return tg.id == e.Group }); i >= 0 && e.Flows > 0 {
 				g.groups[i].flows += float64(e.Flows)
+				g.newFlows += float64(e.Flows)
 			}
 		}
 	}
@@ -238,7 +244,7 @@
 		g.let[i] = 1
 	}
 	g.shed(now, 0)
-	g.mark = 1
+	g.mark, g.holdUntil = 1, now+Time(g.fig.period*holdPeriods)
 	g.orders = append(g.orders, WakeAfter{g.fig.wake, g.mark})
 }
 
@@ -281,7 +287,7 @@
 	if e.Scope != Changes {
 		for _, r := range g.replicas {
 			if !slices.ContainsFunc(e.Entries, func(n Entry) bool { return n.Replica == r.id }) {
-				r.state = Gone
+				r.state, g.holdUntil = Gone, now
 			}
 		}
 	}
@@ -295,6 +301,9 @@
 			*r = replica{id: n.Replica, sent: r.sent, started: n.StartedAt}
 		}
 		r.zone, r.state, r.listed = n.Zone, n.State, n.Listed
+		if r.state != Ready {
+			g.holdUntil = now
+		}
 		if !(r.listed > 0) || math.IsInf(r.listed, 0) {
 			r.listed = 1
 		}
@@ -307,7 +316,7 @@
 		return
 	}
 	r := g.replicas[at]
-	g.sumsCame = true
+	g.sumsCame, g.firstOver = true, max(g.firstOver, e.Over)
 	r.newTries += e.Tries
 	r.newDrops += e.Dropped
 	if e.Report.Util >= 0 {
@@ -319,6 +328,9 @@
 // review folds the sums that came since the last one into each replica's load, speed and health.
 func (g *Governor) review(now Time, since time.Duration) {
 	g.reviewed, g.sumsCame = now, false
+	if !g.taught && g.firstOver > 0 {
+		since, g.taught = g.firstOver, true // the first sums may reach back to before our start
+	}
 	periods := float64(since) / float64(g.fig.period)
 	var tries, drops, served, busy, sent, fresh, failed float64
 	for _, r := range g.replicas {
@@ -327,12 +339,12 @@
 			if !r.known {
 				r.load, r.known = max(load, g.meanLoad), true
 			}
-			r.load += (load - r.load) * (1 - math.Exp(-periods/smoothPeriods))
 			if float64(r.newDrops) <= dropsUntaught*float64(r.newTries) {
 				keep := math.Exp(-periods / speedPeriods)
 				r.served = r.served*keep + float64(r.newTries-r.newDrops)
 				r.busy = r.busy*keep + load*periods
 			}
+			r.load += (load - r.load) * (1 - math.Exp(-periods/smoothPeriods))
 		}
 		keep := math.Exp(-periods / memoryPeriods)
 		r.tries = r.tries*keep + float64(r.newTries)
@@ -359,13 +371,27 @@
 		}
 		r.newTries, r.newDrops, r.newLoad, r.newReports = 0, 0, 0, 0
 	}
+	passed := 0.0
+	if fleet*size > 0 {
+		passed = fresh / periods / (fleet * size)
+	}
 	if size > 0 {
 		g.meanLoad = work / size
-		g.demand = max(g.meanLoad, fresh/periods/max(fleet*size, 1e-9))
+		g.demand = max(g.meanLoad, passed)
+	}
+	if reported > 0 && now < g.holdUntil {
+		g.holdUntil = now
+		held := slices.ContainsFunc(g.proxies, func(p *proxy) bool { return !p.bound })
+		for i := range g.let {
+			if !held {
+				break
+			}
+			g.let[i] = min(max(fresh/max(g.newFlows, 1), levelLeast), 1)
+		}
 	}
+	g.newFlows = 0
 	if reported > 0 {
-		passed := (fresh - failed/2) / periods / max(fleet*size, 1e-9)
-		pressure := max(latest/reported, min(passed, loadPassed))
+		pressure := max(latest/reported, min(passed*(1-failed/max(fresh, 1)/2), loadPassed))
 		want := min(g.let[letDelay-1]*loadWanted/max(pressure, spareFloor), 1)
 		copy(g.let[1:], g.let[:])
 		g.let[0] = max(g.let[0]+(want-g.let[0])*letPace, levelLeast)
@@ -456,7 +482,9 @@
 	if a := age(r.started); r.started > 0 && a < 1 {
 		least := g.fig.coldFrom + (1-g.fig.coldFrom)*a
 		most = min(most, rampFrom+(1-rampFrom)*a/rampSpan, coldFill*least/max(g.demand, spareFloor))
-		if g.fig.avoids {
+		if !g.taught {
+			most = 0
+		} else if g.fig.avoids {
 			most *= min(max(2-2*g.dropShare/avoidShare, 0), 1)
 		}
 	}
@@ -655,7 +683,7 @@
 // bind puts a proxy on its tables. Until then it goes by tables that we do not know; binding it also ends whatever
 // an earlier stream withdrew. This covers joins, rejoins, and all proxies at once after our own restart.
 func (g *Governor) bind(now Time, p *proxy) {
-	if p.bound {
+	if p.bound || !p.fresh && now < g.holdUntil {
 		return
 	}
 	lines := 2 + float64(len(g.groups))
