--- /dev/null
+++ b/cmd/wirehost/main_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"zincloft.example/zincloft/internal/wire"
+	"zincloft.example/zincloft/rules"
+)
+
+func TestEndOfInput(t *testing.T) {
+	if err := run(strings.NewReader(""), &bytes.Buffer{}); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestNoHalfWrittenReply(t *testing.T) {
+	var out bytes.Buffer
+	empty := "\x10\x00\x00\x00\x90\xbf\x68\xf5\x01\x00\x00\x00\x00\x00\x00\x00"
+	if err := run(strings.NewReader(empty+empty[:9]), &out); err == nil {
+		t.Error("a truncated frame passed")
+	}
+	if got, want := out.String(), "\x08\x00\x00\x00\x00\x00\x00\x00"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+func TestPanicBecomesBug(t *testing.T) {
+	share := &wire.Share{Events: []rules.Event{rules.Start{Settings: rules.Settings{Zones: 1}}, rules.Joined{Proxy: 1}}}
+	var broken *rules.Governor
+	if _, fault := step(broken, 0, share); !strings.HasPrefix(fault, "panic: ") {
+		t.Errorf("got %q", fault)
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -394,7 +394,9 @@
 		pressure := max(latest/reported, min(passed*(1-failed/max(fresh, 1)/2), loadPassed))
 		want := min(g.let[letDelay-1]*loadWanted/max(pressure, spareFloor), 1)
 		copy(g.let[1:], g.let[:])
-		g.let[0] = max(g.let[0]+(want-g.let[0])*letPace, levelLeast)
+		if g.let[0] = max(g.let[0]+(want-g.let[0])*letPace, levelLeast); g.let[0] > 1-levelStep {
+			g.let[0] = 1
+		}
 	}
 	g.dropShare = max(drops/max(tries, 1), failed/max(fresh, 1))
 	for i := range g.groups {
@@ -477,7 +479,7 @@
 	age := func(t Time) float64 { return max(float64(now-t)/float64(g.fig.warmAfter), 0) }
 	most := math.Inf(1)
 	if a := 3 * age(r.backAt); r.backAt > 0 && a < rampSpan {
-		most = rampFrom + (1-rampFrom)*a/rampSpan
+		most = trickle + (1-trickle)*a/rampSpan
 	}
 	if a := age(r.started); r.started > 0 && a < 1 {
 		least := g.fig.coldFrom + (1-g.fig.coldFrom)*a
--- /dev/null
+++ b/rules/rules_test.go
@@ -0,0 +1,215 @@
+package rules
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+func TestOrdinaryPath(t *testing.T) {
+	p := newPlay(site(), 4, 3)
+	p.load[1], p.load[2] = 0.2, 0.8
+	p.note("a busy replica gives way to an idle one")
+	p.run(6)
+	p.note("small changes are not sent")
+	p.load[1] = 0.22
+	p.run(3)
+	p.check(t)
+}
+
+func TestPace(t *testing.T) {
+	s := site()
+	s.LinePace = 90
+	p := newPlay(s, 6, 3)
+	p.note("a period's changes stay within a third of a second of channel, largest first")
+	for id := range ReplicaID(6) {
+		p.load[id+1] = float64(id) / 6
+	}
+	p.run(4)
+	p.check(t)
+}
+
+func TestJoins(t *testing.T) {
+	p := newPlay(site(), 3, 2)
+	p.run(1)
+	p.note("a proxy that comes back is bound again at once")
+	p.step(Left{Proxy: 1})
+	p.step(Joined{Proxy: 1, Zone: 1})
+	p.check(t)
+}
+
+func TestRestart(t *testing.T) {
+	p := newPlay(site(), 3, 0)
+	p.proxies = []Joined{{Proxy: 0}, {Proxy: 1, Zone: 1}}
+	p.note("proxies keep our former tables until the first sums")
+	p.step(events(p.proxies)...)
+	p.run(2)
+	p.note("killed and started again; a replica drains, so they are bound at once")
+	p.list[0].State = Draining
+	p.step(Killed{}, Start{Seed: 8, Settings: site()}, List{Scope: Cached, Entries: p.list}, p.proxies[0])
+	p.check(t)
+}
+
+func TestDrain(t *testing.T) {
+	p := newPlay(site(), 3, 2)
+	p.run(2)
+	p.change(1, Draining, 0)
+	p.note("dropped from the whole list")
+	p.step(List{Scope: Whole, Entries: p.list[:2]})
+	p.note("the last one drains as well: the table is empty until one is ready")
+	p.change(2, Draining, 0)
+	p.change(3, Ready, 0)
+	p.check(t)
+}
+
+func TestColdStart(t *testing.T) {
+	p := newPlay(site(), 4, 2)
+	p.run(3)
+	p.note("one starts anew and climbs")
+	p.change(4, Ready, p.now)
+	p.run(20)
+	p.note("all start at once under overload")
+	p.load = map[ReplicaID]float64{1: 1, 2: 1, 3: 1, 4: 1}
+	p.run(2)
+	for id := range ReplicaID(4) {
+		p.change(id+1, Ready, p.now)
+	}
+	p.check(t)
+}
+
+// Proxies that avoid most replicas bring a cold one far more than its weight says.
+func TestColdWhileProxiesAvoid(t *testing.T) {
+	s := site()
+	s.FailsToAvoid = 3
+	p := newPlay(s, 4, 2)
+	p.run(3)
+	p.change(4, Ready, p.now)
+	p.run(2)
+	p.note("half of all tries are dropped")
+	p.failing = map[ReplicaID]float64{1: 0.5, 2: 0.5, 3: 0.5}
+	p.run(2)
+	p.check(t)
+}
+
+func TestSilentReplica(t *testing.T) {
+	p := newPlay(site(), 4, 2)
+	p.run(3)
+	p.note("one takes flows and answers none")
+	p.hung[2] = true
+	p.run(4)
+	p.note("it answers again")
+	p.hung[2] = false
+	p.run(9)
+	p.check(t)
+}
+
+func TestFastDrops(t *testing.T) {
+	p := newPlay(site(), 4, 2)
+	p.run(3)
+	p.note("one fails nearly all of its flows, and reports that it is idle")
+	p.failing[2], p.load[2] = 0.9, 0.05
+	p.run(4)
+	p.check(t)
+}
+
+// Full replicas drop flows too; holding them out would jam the rest.
+func TestFullReplicaStays(t *testing.T) {
+	p := newPlay(site(), 4, 2)
+	p.run(3)
+	p.failing[2], p.load[2] = 0.5, 1
+	p.run(4)
+	p.check(t)
+}
+
+func TestSharedFault(t *testing.T) {
+	p := newPlay(site(), 4, 2)
+	p.run(3)
+	p.note("all drop alike: nobody is held out")
+	p.failing = map[ReplicaID]float64{1: 0.9, 2: 0.9, 3: 0.9, 4: 0.9}
+	p.run(4)
+	p.check(t)
+}
+
+func TestOverloadBlocksLeastUtility(t *testing.T) {
+	p := newPlay(site(), 4, 2)
+	p.run(3)
+	p.load = map[ReplicaID]float64{1: 1, 2: 1, 3: 1, 4: 1}
+	p.run(8)
+	p.note("the load falls")
+	p.load = map[ReplicaID]float64{1: 0.4, 2: 0.4, 3: 0.4, 4: 0.4}
+	p.run(8)
+	p.check(t)
+}
+
+// Where levels are not heeded, what full replicas turn away must not come back at others.
+func TestJamEndsFurtherTries(t *testing.T) {
+	s := site()
+	s.Levels = LevelIgnored
+	p := newPlay(s, 4, 2)
+	p.run(6)
+	p.note("three times the flows")
+	p.load = map[ReplicaID]float64{1: 1, 2: 1, 3: 1, 4: 1}
+	p.flows *= 3
+	p.run(2)
+	p.flows /= 3
+	p.load = map[ReplicaID]float64{1: 0.5, 2: 0.5, 3: 0.5, 4: 0.5}
+	p.run(9)
+	p.check(t)
+}
+
+func TestChannel(t *testing.T) {
+	s := site()
+	s.LineCap, s.MessageCap = 45, 4
+	p := newPlay(s, 4, 2)
+	p.silent = true
+	p.note("a third proxy waits for room in the channel")
+	p.step(Joined{Proxy: 2, Fresh: true})
+	p.step(Applied{Proxy: 0, Version: p.version}, Applied{Proxy: 1, Version: p.version})
+	p.silent = false
+	p.note("paced changes leave half of the messages to urgent ones")
+	for i := range 4 {
+		p.load[1] = float64(i%2) * 0.9
+		p.run(1)
+	}
+	p.change(4, Draining, 0)
+	p.check(t)
+}
+
+func TestListOnRequest(t *testing.T) {
+	s := site()
+	s.ListOnRequest = true
+	p := newPlay(s, 2, 0)
+	p.step(List{Scope: Failed})
+	p.run(2)
+	p.step(List{Scope: Whole, Entries: p.list})
+	p.run(20)
+	p.check(t)
+}
+
+func TestHomeOnly(t *testing.T) {
+	s := site()
+	s.Groups[2].HomeOnly = true
+	p := newPlay(s, 4, 2)
+	p.run(2)
+	p.change(1, Gone, 0)
+	p.check(t)
+}
+
+func TestSlicesAreLeftUndecided(t *testing.T) {
+	s := site()
+	s.Slices = 8
+	p := newPlay(s, 2, 1)
+	p.step(SliceGiven{Slice: 1, Given: true}, SliceLine{Slice: 1, Replica: 1, Weight: 1}, SliceHeat{Slice: 1, Flows: 5})
+	p.check(t)
+}
+
+func TestBadInputDoesNoHarm(t *testing.T) {
+	p := newPlay(site(), 3, 2)
+	p.list[0].Listed = math.NaN()
+	p.step(List{Scope: Whole, Entries: p.list}, Sums{Replica: 99, Tries: 5}, Sums{Replica: 1, Tries: 2, Dropped: 5},
+		Sums{Replica: 2, Tries: -1}, Sums{Replica: 3, Tries: 4, Over: -time.Second, Report: Report{Util: 7}},
+		Wake{Mark: 12345}, Applied{Proxy: 50, Version: 3}, Left{Proxy: 50}, Intake{Proxy: 50, Group: 9, Flows: 3},
+		Probed{Replica: 4}, Peer{From: 1}, Joined{Proxy: 1, Rate: math.Inf(1)})
+	p.run(3)
+	p.check(t)
+}
