Let the level go all the way in one review, and keep the fleet at 0.8

The delay of the sums is already in the level that a review starts from, so going half the way only doubled the delay.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -42,14 +42,13 @@
 	goodToReturn  = 2       // good answers in a row after which a replica held out comes back
 	speedFlows    = 8.0     // a replica's own speed counts as much as the fleet's after so many flows
 	speedPeriods  = 8.0     // speed is learnt over so many periods
-	loadWanted    = 0.85    // above this load of the fleet, flows of least utility are blocked
+	loadWanted    = 0.8    // above this load of the fleet, flows of least utility are blocked
 	avoidShare    = 0.4     // with this share of tries dropped, proxies avoid so many that a cold replica gets no line
 	loadPassed    = 1.3     // an overload is not taken to be worse than this: tries that are turned away cost no work
 	jamLoad       = 1.1     // above this not at all where levels are not heeded: what is turned away is shed
 	unjamLoad     = 0.95
 	holdPeriods   = 3          // after a restart, proxies keep our former tables for so long at most
 	letDelay      = 3          // reviews until sums show what a changed level did
-	letPace       = 0.5        // part of the way to the wanted level that a review goes
 	dropsUntaught = 0.2        // share of dropped tries above which a replica's answers do not tell its speed
 	levelLeast    = 0.05       // what is always let in of a traffic group
 	levelStep     = 0.04       // smaller changes of a level are not sent
@@ -394,9 +393,7 @@
 		pressure := max(latest/reported, min(passed*(1-failed/max(fresh, 1)/2), loadPassed))
 		want := min(g.let[letDelay-1]*loadWanted/max(pressure, spareFloor), 1)
 		copy(g.let[1:], g.let[:])
-		if g.let[0] = max(g.let[0]+(want-g.let[0])*letPace, levelLeast); g.let[0] > 1-levelStep {
-			g.let[0] = 1
-		}
+		g.let[0] = max(want, levelLeast)
 	}
 	g.dropShare = max(drops/max(tries, 1), failed/max(fresh, 1))
 	for i := range g.groups {
