--- a/rules/rules.go
+++ b/rules/rules.go
@@ -42,11 +42,11 @@
 	goodToReturn  = 2       // good answers in a row after which a replica held out comes back
 	speedFlows    = 8.0     // a replica's own speed counts as much as the fleet's after so many flows
 	speedPeriods  = 8.0     // speed is learnt over so many periods
-	loadWanted    = 0.8    // above this load of the fleet, flows of least utility are blocked
+	loadWanted    = 0.8     // above this load of the fleet, flows of least utility are blocked
 	avoidShare    = 0.4     // with this share of tries dropped, proxies avoid so many that a cold replica gets no line
 	loadPassed    = 1.3     // an overload is not taken to be worse than this: tries that are turned away cost no work
-	jamLoad       = 1.1     // above this not at all where levels are not heeded: what is turned away is shed
-	unjamLoad     = 0.95
+	jamLoad       = 1.0     // above this not at all where levels are not heeded: what is turned away is shed
+	unjamLoad     = 0.85
 	holdPeriods   = 3          // after a restart, proxies keep our former tables for so long at most
 	letDelay      = 3          // reviews until sums show what a changed level did
 	dropsUntaught = 0.2        // share of dropped tries above which a replica's answers do not tell its speed
@@ -155,7 +155,7 @@
 	observing bool
 	askAt     Time
 	meanLoad  float64 // of the replicas in service, smoothed
-	jammed    bool
+	jammed    bool    // all are full and nothing can be blocked: listed weights, no further tries
 	dropShare float64
 	demand    float64           // work sent, by what the fleet can do; above 1 in overload
 	let       [letDelay]float64 // part of the work asked for that is let in, latest first
@@ -377,6 +377,7 @@
 	if size > 0 {
 		g.meanLoad = work / size
 		g.demand = max(g.meanLoad, passed)
+		g.jammed = g.fig.levels == LevelIgnored && (g.demand > jamLoad || g.jammed && g.demand > unjamLoad)
 	}
 	if reported > 0 && now < g.holdUntil {
 		g.holdUntil = now
@@ -443,7 +444,10 @@
 	}
 }
 
-// weigh sets the wanted shares: by spare capacity, under the caps of the cold, the returning and the held out.
+// weigh sets the wanted shares: by spare capacity, under the caps of the cold, the returning and the held out. When
+// the fleet is jammed, all spare terms are at the floor and say nothing, and sharing the excess out evenly makes every
+// replica late: then listed weights stand, so that some stay in time, and full ones turn the excess away at once.
+// Harm: where listed weights are far from true speeds, a short jam moves more flows than it need.
 func (g *Governor) weigh(now Time) {
 	for _, r := range g.replicas {
 		r.share = [2]float64{}
@@ -455,6 +459,9 @@
 			load = g.meanLoad
 		}
 		r.spare = r.size * max(1-load, spareFloor)
+		if g.jammed {
+			r.size, r.spare = r.listed, r.listed
+		}
 		r.cap = g.capFor(now, r)
 	}
 	g.fill(0, func(r *replica) bool { return true })
@@ -628,20 +635,6 @@
 	return true
 }
 
-// retryMost is the furthest way of trying again that the fleet's load bears. A second try after a time-out adds work
-// where the first may still run, and when all replicas are full every further try keeps them so.
-func (g *Governor) retryMost() Retry {
-	if g.demand > jamLoad {
-		g.jammed = true
-	} else if g.demand < unjamLoad {
-		g.jammed = false
-	}
-	if g.jammed && g.fig.levels == LevelIgnored {
-		return RetryNever
-	}
-	return RetryUnrun
-}
-
 // shed blocks the given part of the work asked for, from the traffic groups whose utility by work is least.
 func (g *Governor) shed(now Time, excess float64) {
 	total := 0.0
@@ -657,7 +650,10 @@
 			cut := min(left, work*(1-levelLeast))
 			tg.level, left = 1-cut/work, left-cut
 		}
-		retry := min(tg.retry, g.retryMost())
+		retry := tg.retry
+		if g.jammed {
+			retry = RetryNever
+		}
 		step := math.Abs(tg.level - tg.sent.Level)
 		if retry == tg.sent.Retry && (step == 0 || tg.level < 1 && step < levelStep) {
 			continue
