--- a/rules/rules.go
+++ b/rules/rules.go
@@ -43,7 +43,7 @@
 	speedFlows    = 8.0     // a replica's own speed counts as much as the fleet's after so many flows
 	speedPeriods  = 8.0     // speed is learnt over so many periods
 	loadWanted    = 0.8     // above this load of the fleet, flows of least utility are blocked
-	avoidShare    = 0.4     // with this share of tries dropped, proxies avoid so many that a cold replica gets no line
+	avoidShare    = 0.6     // with this share of tries dropped, proxies avoid so many that a cold replica gets no line
 	loadPassed    = 1.3     // an overload is not taken to be worse than this: tries that are turned away cost no work
 	jamLoad       = 1.0     // above this not at all where levels are not heeded: what is turned away is shed
 	unjamLoad     = 0.85
@@ -491,7 +491,7 @@
 		if !g.taught {
 			most = 0
 		} else if g.fig.avoids {
-			most *= min(max(2-2*g.dropShare/avoidShare, 0), 1)
+			most *= min(3*max(1-g.dropShare/avoidShare, 0), 1)
 		}
 	}
 	return most
