Take a zone's own flows off its replicas' part of the common table

The common table weighs by spare share alone, so a replica that its zone fills kept most of its part.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -48,6 +48,7 @@
 	jamLoad       = 1.0     // above this not at all where levels are not heeded: what is turned away is shed
 	unjamLoad     = 0.85
 	holdPeriods   = 3          // after a restart, proxies keep our former tables for so long at most
+	homeLeast     = 0.1        // part of its share of the common table that a replica keeps beside its zone's own flows
 	letDelay      = 3          // reviews until sums show what a changed level did
 	dropsUntaught = 0.2        // share of dropped tries above which a replica's answers do not tell its speed
 	levelLeast    = 0.05       // what is always let in of a traffic group
@@ -152,6 +153,8 @@
 	listSeen  bool
 	holdUntil Time // proxies that hold our former tables keep them until then, or until the first sums
 	newFlows  float64
+	allFlows  float64   // over the flow window
+	homeFlows []float64 // that may go only to replicas of their zone, by zone, over the health window
 	observing bool
 	askAt     Time
 	meanLoad  float64 // of the replicas in service, smoothed
@@ -193,10 +196,7 @@
 		case Sums:
 			g.sums(e)
 		case Intake:
-			if i := slices.IndexFunc(g.groups, func(tg group) bool { return tg.id == e.Group }); i >= 0 && e.Flows > 0 {
-				g.groups[i].flows += float64(e.Flows)
-				g.newFlows += float64(e.Flows)
-			}
+			g.intake(e)
 		}
 	}
 	if !g.on {
@@ -243,6 +243,7 @@
 		g.let[i] = 1
 	}
 	g.shed(now, 0)
+	g.homeFlows = make([]float64, s.Zones)
 	g.mark, g.holdUntil = 1, now+Time(g.fig.period*holdPeriods)
 	g.orders = append(g.orders, WakeAfter{g.fig.wake, g.mark})
 }
@@ -324,6 +325,19 @@
 	}
 }
 
+func (g *Governor) intake(e Intake) {
+	i := slices.IndexFunc(g.groups, func(tg group) bool { return tg.id == e.Group })
+	if i < 0 || e.Flows <= 0 {
+		return
+	}
+	g.groups[i].flows += float64(e.Flows)
+	g.newFlows += float64(e.Flows)
+	at, joined := g.findProxy(e.Proxy)
+	if joined && g.fig.home&(1<<e.Group) != 0 && int(g.proxies[at].zone) < len(g.homeFlows) {
+		g.homeFlows[g.proxies[at].zone] += float64(e.Flows)
+	}
+}
+
 // review folds the sums that came since the last one into each replica's load, speed and health.
 func (g *Governor) review(now Time, since time.Duration) {
 	g.reviewed, g.sumsCame = now, false
@@ -352,7 +366,6 @@
 		fresh, failed = fresh+float64(r.newTries), failed+float64(r.newDrops)
 		served, busy, sent = served+r.served, busy+r.busy*r.listed, sent+r.sent[0]
 	}
-	keep := math.Exp(-periods / memoryPeriods)
 	g.health(now, tries, drops, sent)
 	fleet := served / max(busy, 1e-9)
 	var size, work, reported, latest float64
@@ -397,9 +410,13 @@
 		g.let[0] = max(want, levelLeast)
 	}
 	g.dropShare = max(drops/max(tries, 1), failed/max(fresh, 1))
+	keep := math.Exp(-periods / speedPeriods)
 	for i := range g.groups {
 		g.groups[i].flows *= keep
 	}
+	for z := range g.homeFlows {
+		g.homeFlows[z] *= keep
+	}
 }
 
 // health holds out replicas that drop what others answer, or that are silent though traffic is sent there. That
@@ -465,10 +482,26 @@
 		r.cap = g.capFor(now, r)
 	}
 	g.fill(0, func(r *replica) bool { return true })
-	if g.fig.home != 0 {
-		for z := range g.fig.zones {
-			g.fill(1, func(r *replica) bool { return r.zone == ZoneID(z) })
+	if g.fig.home == 0 {
+		return
+	}
+	for z := range g.fig.zones {
+		g.fill(1, func(r *replica) bool { return r.zone == ZoneID(z) })
+	}
+	// What a zone's own flows take of a replica comes off its part of the common table: a replica in a zone with many
+	// of them would be as full as its neighbours only if its load fell behind theirs first.
+	all, total := 0.0, 0.0
+	for _, tg := range g.groups {
+		all += tg.flows
+	}
+	for _, r := range g.replicas {
+		if int(r.zone) < len(g.homeFlows) && all > 0 {
+			r.share[0] = max(r.share[0]-r.share[1]*g.homeFlows[r.zone]/all, r.share[0]*homeLeast)
 		}
+		total += r.share[0]
+	}
+	for _, r := range g.replicas {
+		r.share[0] *= 100 / max(total, 1e-9)
 	}
 }
 
