--- a/rules/trace_test.go
+++ b/rules/trace_test.go
@@ -128,10 +128,10 @@
 	var out []Event
 	total := 0.0
 	for _, r := range p.g.replicas {
-		total += r.sent[0]
+		total += r.sent[common]
 	}
 	for _, r := range p.g.replicas {
-		tries := int(float64(p.flows)*r.sent[0]/max(total, 1) + 0.5)
+		tries := int(float64(p.flows)*r.sent[common]/max(total, 1) + 0.5)
 		s := Sums{Replica: r.id, Tries: tries, Dropped: int(float64(tries)*p.failing[r.id] + 0.5), Over: time.Second,
 			Took: 200 * time.Millisecond, Report: Report{Util: p.load[r.id]}}
 		if tries > 0 && !p.hung[r.id] {
