--- a/rules/rules.go
+++ b/rules/rules.go
@@ -469,6 +469,9 @@
 func (g *Governor) weigh(now Time) {
 	for _, r := range g.replicas {
 		r.want, r.most = [2]float64{}, g.bound(now, r)
+		if !math.IsInf(r.most, 1) { // it is idle for its small share, which says nothing of its fair one
+			r.load = max(r.load, g.meanLoad)
+		}
 		load := r.load
 		if !r.known {
 			load = g.meanLoad
