--- a/rules/rules.go
+++ b/rules/rules.go
@@ -24,8 +24,8 @@
 // Ratios and counts. "design" marks those that the design page names, with its starting value where ours
 // differs.
 const (
-	smoothPeriods = 8.0     // load is smoothed over so many report periods (design: 5)
-	spareFloor    = 0.25    // least share of a replica taken to be spare (design: 0.05)
+	smoothPeriods = 12.0    // load is smoothed over so many report periods (design: 5)
+	spareFloor    = 0.35    // least share of a replica taken to be spare (design: 0.05)
 	skipChange    = 0.1     // changes below this part of a weight are not sent (design)
 	pacedShare    = 1.0 / 3 // part of a second of channel that a period's changes may fill (design)
 	rampFrom      = 0.1     // a new replica's first part of its fair share (design)
