--- a/rules/rules.go
+++ b/rules/rules.go
@@ -44,7 +44,6 @@
 	goodToReturn  = 2       // good answers in a row after which it returns
 	outMost       = 0.4     // part of the fleet that may be held out at once
 	loadWanted    = 0.8     // flows are blocked to keep the fleet at this load
-	passedMost    = 1.3     // an overload is not taken to be worse: tries that are turned away cost no work
 	letDelay      = 3       // reviews until the sums show what a changed level did
 	levelLeast    = 0.05    // what is always let in of a traffic group
 	jamLoad       = 1.0     // demand from which a fleet that can block nothing counts as jammed
@@ -338,7 +337,7 @@
 	sent               float64 // weights ordered in the common table
 	served, busy       float64 // over the speed window, busy by listed weight
 	size, work         float64 // of the replicas in service, and their busy part
-	reported, latest   float64 // the same of those that reported since the last review, by their latest load
+	reported, latest   float64 // weights in the common table of those that reported, and their busy part
 }
 
 // review takes in the sums that came since the last one: health first, then speeds, then how much to let
@@ -379,7 +378,7 @@
 		if r.known && r.state == Ready && !r.out {
 			f.size, f.work = f.size+r.size, f.work+r.size*r.load
 			if r.newReports > 0 {
-				f.reported, f.latest = f.reported+r.size, f.latest+r.size*r.newLoad/float64(r.newReports)
+				f.reported, f.latest = f.reported+r.sent[common], f.latest+r.sent[common]*r.newLoad/float64(r.newReports)
 			}
 		}
 		r.newTries, r.newDrops, r.newLoad, r.newReports = 0, 0, 0, 0
@@ -402,8 +401,9 @@
 			}
 		}
 		g.holdUntil = min(g.holdUntil, now)
-		// The level that made these sums is the one of letDelay reviews ago.
-		pressure := max(f.latest/f.reported, min(passed*(1-f.drops/max(f.tries, 1)/2), passedMost))
+		// What flows met, by the level that made these sums, which is the one of letDelay reviews ago. Load
+		// cannot pass 1; beyond it, drops tell how far the fleet is over.
+		pressure := f.latest / f.reported * (1 + g.dropShare)
 		want := g.let[letDelay-1] * loadWanted / max(pressure, spareFloor)
 		copy(g.let[1:], g.let[:])
 		g.let[0] = min(max(want, levelLeast), 1)
