--- a/rules/rules.go
+++ b/rules/rules.go
@@ -9,8 +9,8 @@
 // before a Start event has brought the settings. Sites with slices are left undecided: Step orders nothing.
 //
 // The ordinary path: each replica's reported load is smoothed, its spare capacity (its size x the share not
-// busy) sets its weight, and once a report period the changed lines go out, largest change first. The guards
-// around it say what they are against, what else they should catch, and when they could do harm.
+// busy) sets its weight, and once a report period the changed lines go out, largest change first. The
+// guards around it say what they are against, what else they should catch, and when they could do harm.
 
 import (
 	"cmp"
@@ -244,7 +244,8 @@
 	}
 	slices.SortStableFunc(g.groups, func(a, b group) int { return cmp.Compare(a.merit, b.merit) })
 	g.homeFlows = make([]float64, s.Zones)
-	g.meanLoad, g.holdUntil = 0.5, now+Time(g.fig.period*letDelay)
+	g.meanLoad = 0.5 // a guess until the first sums
+	g.holdUntil = now + Time(g.fig.period*letDelay)
 	for i := range g.let {
 		g.let[i] = 1
 	}
@@ -343,8 +344,8 @@
 // review takes in the sums that came since the last one: health first, then speeds, then how much to let
 // in.
 func (g *Governor) review(now Time, since time.Duration) {
-	if !g.taught && g.firstOver > 0 {
-		since, g.taught = g.firstOver, true // the first sums may reach back to before our start
+	if !g.taught && g.sumsCame { // the first sums may reach back to before our start
+		since, g.taught = min(max(since, g.firstOver), speedPeriods*g.fig.period), true
 	}
 	periods := float64(since) / float64(g.fig.period)
 	keep := func(window float64) float64 { return math.Exp(-periods / window) }
@@ -393,20 +394,7 @@
 		g.demand = max(g.meanLoad, passed)
 	}
 	if f.reported > 0 {
-		if now < g.holdUntil && slices.ContainsFunc(g.proxies, func(p *proxy) bool { return !p.bound }) {
-			// We have restarted, and our levels are lost: start from the part of the flows that was tried.
-			for i := range g.let {
-				g.let[i] = min(max(f.tries/max(g.newFlows, 1), levelLeast), 1)
-			}
-		}
-		g.holdUntil = min(g.holdUntil, now)
-		// What flows met, by the level that made these sums, which is the one of letDelay reviews ago. Load
-		// cannot pass 1; beyond it, drops tell how far the fleet is over.
-		pressure := f.latest / f.reported * (1 + g.dropShare)
-		g.jammed = !g.fig.blocks && (pressure > jamLoad || g.jammed && pressure > loadWanted)
-		want := g.let[letDelay-1] * loadWanted / max(pressure, spareFloor)
-		copy(g.let[1:], g.let[:])
-		g.let[0] = min(max(want, levelLeast), 1)
+		g.setLevel(now, &f)
 	}
 	g.reviewed, g.sumsCame, g.newFlows = now, false, 0
 	for i := range g.groups {
@@ -417,6 +405,24 @@
 	}
 }
 
+// setLevel sets how much of the work asked for is let in, and whether a fleet that can block nothing is
+// jammed. It goes by the load that flows met; that cannot pass 1, and beyond it drops tell how far the
+// fleet is over. Harm: drops that are not from load block flows for some seconds too.
+func (g *Governor) setLevel(now Time, f *fleet) {
+	if now < g.holdUntil && slices.ContainsFunc(g.proxies, func(p *proxy) bool { return !p.bound }) {
+		// We have restarted, and our levels are lost: start from the part of the flows that was tried.
+		for i := range g.let {
+			g.let[i] = min(max(f.tries/max(g.newFlows, 1), levelLeast), 1)
+		}
+	}
+	g.holdUntil = min(g.holdUntil, now)
+	met := f.latest / f.reported * (1 + g.dropShare)
+	g.jammed = !g.fig.blocks && (met > jamLoad || g.jammed && met > loadWanted)
+	want := g.let[letDelay-1] * loadWanted / max(met, spareFloor) // the level that made these sums
+	copy(g.let[1:], g.let[:])
+	g.let[0] = min(max(want, levelLeast), 1)
+}
+
 // health holds out replicas that drop flows though they are less busy than the fleet, and those that are
 // silent though flows go there. That is against fast drops behind a low report and against hangs; it also
 // catches a crash before the list knows of it, a cut path, and a false report of nought. Full replicas drop
