Keep a quarter of a proxy's messages for removals

Deep cuts and new lines could use up the messages of the span, so that a drain had to wait. Now only removals may use the last quarter. Guards also many restarts at once.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -631,8 +631,10 @@
 	for _, l := range changed {
 		uses := func(p *proxy) bool { return l.kind == common || p.zone == l.r.zone }
 		room, messages := g.fig.pacedLines, g.fig.messageCap/2
-		if l.urgent {
+		if l.r.state != Ready { // the drain rule leaves no time to wait for a message of the span to pass
 			room, messages = g.fig.lineCap, g.fig.messageCap
+		} else if l.urgent {
+			room, messages = g.fig.lineCap, g.fig.messageCap*3/4
 		}
 		if g.reach(now, uses, 1, room, messages) {
 			l.r.sent[l.kind] = l.r.want[l.kind]
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -173,6 +173,9 @@
 		p.load[1] = float64(i%2) * 0.9
 		p.run(1)
 	}
+	p.note("the second restart's small line waits for messages to leave the span, a drain does not")
+	p.change(3, Ready, p.now)
+	p.change(2, Ready, p.now)
 	p.change(4, Draining, 0)
 	p.check(t)
 }
