--- a/rules/api.go
+++ b/rules/api.go
@@ -56,7 +56,8 @@
 	Writes        bool
 }
 
-// Settings are what a governor is told at its start.
+// Settings are what a governor is told at its start. They are the same for every caller; today's decisions do not
+// use all of them.
 type Settings struct {
 	Groups        []TrafficGroup
 	Governors     int
