--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -97,7 +97,8 @@
 		Governors: in.Balancers, Zone: rules.ZoneID(in.MyZone), Zones: len(in.Zones), Slices: f.Slices,
 		ListOnRequest: in.Discovery == "on_request", ProbesAllowed: in.Permissions.Probing,
 		Period: *f.Interval, LinePace: *f.LinesPerS, LineCap: *f.QueueCap, HeadLines: *f.PerMessage,
-		MessageCap: f.UpdateCap, MessageSpan: *f.ReloadSpan, TravelMost: f.PushDelayMax, FirstWait: f.FirstWait, FailsToAvoid: f.FailsToEject,
+		MessageCap: f.UpdateCap, MessageSpan: *f.ReloadSpan, TravelMost: f.PushDelayMax,
+		FirstWait: f.FirstWait, FailsToAvoid: f.FailsToEject,
 		BareMost: *f.Bare, DrainGrace: *gu.StopSendingWithin, AskWithin: *gu.AskWithin, WarmAfter: *gu.WarmAfter,
 		ColdFrom: *gu.ColdFrom, FallMultiple: *gu.FallMultiple, FallAfter: *gu.OverloadFor,
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -13,7 +13,7 @@
 	"zincloft.example/zincloft/rules"
 )
 
-// frame builds a batch from its records and tail, written as hex with spaces and runs of zero bytes as +N.
+// frame builds a batch from its records and tail, written as hex with spaces; records are filled up with zeros.
 func frame(t *testing.T, tail string, records ...string) []byte {
 	t.Helper()
 	var body []byte
--- a/rules/api.go
+++ b/rules/api.go
@@ -56,8 +56,8 @@
 	Writes        bool
 }
 
-// Settings are what a governor is told at its start. They are the same for every caller; today's decisions do not
-// use all of them.
+// Settings are what a governor is told at its start. They are the same for every caller; today's decisions
+// do not use all of them.
 type Settings struct {
 	Groups        []TrafficGroup
 	Governors     int
@@ -230,13 +230,15 @@
 type Retry uint8
 
 const (
-	RetryNever Retry   = iota
-	RetryUnrun         // once, at another replica, after proof that the first try never ran
-	RetryOnce          // once after any failure
-	RetryTwice         // twice after any failure
-	AllTables  TableID = 65535
+	RetryNever Retry = iota
+	RetryUnrun       // once, at another replica, after proof that the first try never ran
+	RetryOnce        // once after any failure
+	RetryTwice       // twice after any failure
 )
 
+// AllTables stands for all tables in an Admit order.
+const AllTables TableID = 65535
+
 // Order is something to be done. Orders of one Step take effect in their order.
 type Order interface{ order() }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -56,9 +56,11 @@
 	common = 0 // places of a replica's lines in its record
 	home   = 1
 
-	commonTable = TableID(0) // a zone's table has the number after its zone's
+	commonTable = TableID(0)
 )
 
+func homeTable(z ZoneID) TableID { return commonTable + 1 + TableID(z) }
+
 // figures are what the settings come to.
 type figures struct {
 	common, home GroupSet // traffic groups on the common table, and on a zone's
@@ -596,7 +598,7 @@
 	if l.kind == common {
 		return commonTable
 	}
-	return commonTable + 1 + TableID(l.r.zone)
+	return homeTable(l.r.zone)
 }
 
 // publish sends what changed. Joins, new lines, removals and deep cuts go at once; the rest goes once a
@@ -629,7 +631,7 @@
 		g.admit(now)
 	}
 	for _, l := range changed {
-		uses := func(p *proxy) bool { return l.kind == common || p.zone == l.r.zone }
+		uses := func(p *proxy) bool { return p.bound && (l.kind == common || p.zone == l.r.zone) }
 		room, messages := g.fig.pacedLines, g.fig.messageCap/2
 		if l.r.state != Ready { // the drain rule leaves no time to wait for a message of the span to pass
 			room, messages = g.fig.lineCap, g.fig.messageCap
@@ -678,7 +680,7 @@
 		step := math.Abs(o.Level - tg.sent.Level)
 		small := step == 0 || o.Level < 1 && step < levelLeast
 		if small && o.Retry == tg.sent.Retry ||
-			!g.reach(now, func(*proxy) bool { return true }, 1, g.fig.lineCap, g.fig.messageCap/2) {
+			!g.reach(now, func(p *proxy) bool { return p.bound }, 1, g.fig.lineCap, g.fig.messageCap/2) {
 			continue
 		}
 		tg.sent = o
@@ -687,7 +689,7 @@
 			continue
 		}
 		for z := range g.fig.zones {
-			o.Table = commonTable + 1 + TableID(z)
+			o.Table = homeTable(ZoneID(z))
 			g.orders = append(g.orders, o)
 		}
 	}
@@ -710,24 +712,24 @@
 			lines++
 		}
 	}
-	p.bound = true
-	p.bound = g.reach(now, func(q *proxy) bool { return q == p }, lines, g.fig.lineCap, g.fig.messageCap)
-	if !p.bound {
+	only := func(q *proxy) bool { return q == p }
+	if !g.reach(now, only, lines, g.fig.lineCap, g.fig.messageCap) {
 		return
 	}
+	p.bound = true
 	if g.fig.common != 0 {
 		g.orders = append(g.orders, Bind{p.id, commonTable, g.fig.common})
 	}
 	if g.fig.home != 0 {
-		g.orders = append(g.orders, Bind{p.id, commonTable + 1 + TableID(p.zone), g.fig.home})
+		g.orders = append(g.orders, Bind{p.id, homeTable(p.zone), g.fig.home})
 	}
 }
 
-// reach books lines to each bound proxy that uses them, or none if the channel or one of them has no room.
+// reach books lines to each proxy that uses them, or none if the channel or one of them has no room.
 func (g *Governor) reach(now Time, uses func(*proxy) bool, lines, room float64, messages int) bool {
 	queued := g.queued(now)
 	for _, p := range g.proxies {
-		if !p.bound || !uses(p) {
+		if !uses(p) {
 			continue
 		}
 		if queued += lines; !p.touched {
@@ -738,7 +740,7 @@
 		}
 	}
 	for _, p := range g.proxies {
-		if !p.bound || !uses(p) {
+		if !uses(p) {
 			continue
 		}
 		if g.lines += lines; !p.touched {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -161,11 +161,12 @@
 
 func TestChannel(t *testing.T) {
 	s := site()
-	s.LineCap, s.MessageCap = 45, 4
+	s.LineCap, s.MessageCap = 40, 4
 	p := newPlay(s, 4, 2)
 	p.silent = true
 	p.note("a third proxy waits for room in the channel")
 	p.step(Joined{Proxy: 2, Fresh: true})
+	p.note("the others confirm")
 	p.step(Applied{Proxy: 0, Version: p.version}, Applied{Proxy: 1, Version: p.version})
 	p.silent = false
 	p.note("paced changes leave half of the messages to urgent ones")
