Lay as many tables as the channel can keep current, each leaning on a part of the fleet

Cause of the losses at full size: one changed line costs a line at every proxy, so hardly any fitted into a period, and every proxy kept connections to every replica, more than they accept (up to 85% of tries found none). Now tables are as many as let one of them, whole, fit into a period's part of the channel; each leans on a part of the replicas and names all others at a small weight. Parts are kept even by the flows of their proxies, so all tables together still send each replica what one table would. Small fleets get one table, as before. Work an event costs no longer grows with the fleet: records are found by id, the ledger keeps its sum. Joins leave half of the channel to removals. Sums are judged by the time they cover; a replica whose sums wait for their turn does not count as silent. Records moved to state.go; it holds no decision.

Should also catch handshakes that eat the fleet. Could harm where a part is a poor sample of the fleet.

--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -33,6 +33,7 @@
 	FamilyInfo struct {
 		Bare         *time.Duration `json:"bare"`
 		ClassWrites  []bool         `json:"classWrites"`
+		DataPlane    int            `json:"dataPlaneSize"`
 		FailsToEject int            `json:"failsToEject"`
 		FirstWait    float64        `json:"firstWait"`
 		HomeOnly     []bool         `json:"homeOnly"`
@@ -94,7 +95,7 @@
 		}
 	}
 	s := rules.Settings{
-		Governors: in.Balancers, Zone: rules.ZoneID(in.MyZone), Zones: len(in.Zones), Slices: f.Slices,
+		Governors: in.Balancers, Proxies: f.DataPlane, Zone: rules.ZoneID(in.MyZone), Zones: len(in.Zones), Slices: f.Slices,
 		ListOnRequest: in.Discovery == "on_request", ProbesAllowed: in.Permissions.Probing,
 		Period: *f.Interval, LinePace: *f.LinesPerS, LineCap: *f.QueueCap, HeadLines: *f.PerMessage,
 		MessageCap: f.UpdateCap, MessageSpan: *f.ReloadSpan, TravelMost: f.PushDelayMax,
--- a/rules/api.go
+++ b/rules/api.go
@@ -61,6 +61,7 @@
 type Settings struct {
 	Groups        []TrafficGroup
 	Governors     int
+	Proxies       int // over all governors
 	Zone          ZoneID
 	Zones         int
 	Slices        int // above 0: a site with slices, which this module leaves undecided
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -14,9 +14,8 @@
 
 import (
 	"cmp"
-	"encoding/binary"
-	"hash/crc32"
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -48,134 +47,17 @@
 	levelLeast    = 0.05    // what is always let in of a traffic group
 	jamLoad       = 1.2     // load, raised by drops, from which a fleet that can block nothing counts as jammed
 	askParts      = 20      // a failed call for the list is made again after one or two such parts of the time
+	fillShare     = 2.0 / 3 // the same as pacedShare for naming replicas in tables that lean on others
+	tableLeast    = 8.0     // there are no more tables than one for so many proxies, and so many replicas
+	restShare     = 0.02    // by a table's part, what all replicas outside it weigh in it
+	evenParts     = 1.25    // a part has at most so many times the spare capacity of another, by their flows
 )
 
-// The tables: one of all replicas for all proxies and, for traffic groups that stay in their zone, one a
-// zone.
-const (
-	common = 0 // places of a replica's lines in its record
-	home   = 1
-
-	commonTable = TableID(0)
-)
-
-func homeTable(z ZoneID) TableID { return commonTable + 1 + TableID(z) }
-
-// figures are what the settings come to.
-type figures struct {
-	common, home GroupSet // traffic groups on the common table, and on a zone's
-	zones        int
-	onRequest    bool    // the list must be asked for
-	blocks       bool    // levels are heeded
-	unblocked    float64 // the level that lets all in
-	avoids       bool    // proxies avoid replicas that failed them
-	period       time.Duration
-	pacedLines   float64
-	lineCap      float64
-	head         float64 // lines of a message besides its orders, the mark included
-	ledgerSpan   time.Duration
-	messageCap   int
-	messageSpan  time.Duration
-	askWait      time.Duration
-	warmAfter    time.Duration
-	coldFrom     float64
-}
-
-// group is a traffic group.
-type group struct {
-	id     GroupID
-	budget float64 // latency budget in seconds; work is taken to go by it
-	merit  float64 // utility by latency budget
-	flows  float64 // that came, over the speed window
-	sent   Admit   // as last ordered
-}
-
-// replica is all that is known of one replica.
-type replica struct {
-	id      ReplicaID
-	zone    ZoneID
-	state   State
-	listed  float64
-	started Time
-
-	newTries, newDrops int // since the last review
-	newLoad            float64
-	newReports         int
-
-	known        bool    // its load has been reported
-	load         float64 // smoothed
-	served, busy float64 // flows answered, and periods spent busy, over the speed window
-	size         float64 // listed weight x measured speed
-
-	tries, drops float64 // over the health window
-	owed         float64 // answers expected since the last good one
-	out          bool    // held out
-	streak       int     // good answers in a row while held out
-	backAt       Time    // end of the last time out
-
-	spare float64
-	most  float64    // bound on its share, by its fair share
-	want  [2]float64 // weight in the common table and in its zone's
-	sent  [2]float64 // as last ordered
-}
-
-type proxy struct {
-	id       ProxyID
-	zone     ZoneID
-	fresh    bool // it held standing tables only when it joined
-	bound    bool
-	messages []Time // written within the message span
-	touched  bool   // gets a message from this Step
-}
-
-// parcel is what one Step put into the channel.
-type parcel struct {
-	version        uint16
-	at             Time
-	lines          float64
-	messages, left int // messages in all, and not yet confirmed
-}
-
-// Governor decides for the proxies that are joined to it.
-type Governor struct {
-	on       bool
-	fig      figures
-	seed     uint64
-	draws    uint32
-	mark     uint64 // of the wake-up that is due next
-	replicas []*replica
-	proxies  []*proxy
-	groups   []group // least merit first
-
-	listSeen  bool
-	observing bool
-	askAt     Time
-
-	reviewed  Time
-	sumsCame  bool
-	taught    bool          // sums have been reviewed
-	firstOver time.Duration // what the first sums were counted over
-	holdUntil Time          // until then, or the first sums, proxies keep what a former life of ours gave them
-	newFlows  float64       // that came to proxies since the last review
-	homeFlows []float64     // that stay in their zone, by zone, over the speed window
-
-	meanLoad  float64 // of the replicas in service, smoothed
-	demand    float64 // tries by what the fleet can answer, or its load if that is more
-	dropShare float64
-	jammed    bool
-	let       [letDelay]float64 // part of the work asked for that is let in, latest first
-
-	orders  []Order
-	channel []parcel
-	version uint16
-	lines   float64 // put into the channel by this Step
-	written int     // messages by this Step
-}
-
 // Step takes what happened at now and returns what is to be done.
 func (g *Governor) Step(now Time, events []Event) []Order {
 	g.orders, g.lines, g.written = nil, 0, 0
-	listed := false
+	g.step++
+	listed, stirred := false, false
 	for _, e := range events {
 		switch e := e.(type) {
 		case Start:
@@ -183,17 +65,18 @@
 		case Killed:
 			*g = Governor{}
 		case List:
+			listed, stirred = true, true
 			g.list(now, e)
-			listed = true
 		case Wake:
 			if g.on && e.Mark == g.mark {
+				stirred = true
 				g.wake()
 			}
 		case Joined:
-			g.proxies = slices.DeleteFunc(g.proxies, func(p *proxy) bool { return p.id == e.Proxy })
-			g.proxies = append(g.proxies, &proxy{id: e.Proxy, zone: e.Zone, fresh: e.Fresh})
+			stirred = true
+			g.join(e)
 		case Left:
-			g.proxies = slices.DeleteFunc(g.proxies, func(p *proxy) bool { return p.id == e.Proxy })
+			g.leave(e.Proxy)
 		case Applied:
 			g.confirm(e)
 		case Sums:
@@ -213,45 +96,49 @@
 	if due || listed {
 		g.weigh(now)
 	}
-	g.publish(now, due)
+	if due || stirred {
+		g.publish(now, due)
+	}
 	g.follow(now)
 	return g.orders
 }
 
 func (g *Governor) start(now Time, e Start) {
 	s := e.Settings
-	*g = Governor{on: s.Slices == 0, seed: e.Seed, reviewed: now, askAt: now, orders: g.orders}
+	*g = Governor{on: s.Slices == 0, seed: e.Seed, reviewed: now, askAt: now, orders: g.orders,
+		byID: map[ReplicaID]*replica{}, proxies: map[ProxyID]*proxy{}}
 	if !g.on {
 		g.orders = append(g.orders, Log{"a site with slices: this module leaves it undecided"})
 		return
 	}
 	full := time.Duration(s.LineCap / s.LinePace * float64(time.Second)) // to empty a full channel
 	g.fig = figures{
-		zones: s.Zones, onRequest: s.ListOnRequest, blocks: s.Levels == LevelShare, unblocked: 1,
-		avoids: s.FailsToAvoid > 0, period: s.Period, pacedLines: s.LinePace * pacedShare, lineCap: s.LineCap,
+		zones: s.Zones, proxies: float64(s.Proxies) / float64(max(s.Governors, 1)),
+		onRequest: s.ListOnRequest, blocks: s.Levels == LevelShare, unblocked: 1,
+		avoids: s.FailsToAvoid > 0, period: s.Period, lineCap: s.LineCap,
+		pacedLines: s.LinePace * pacedShare, fillLines: min(s.LinePace*fillShare, s.LineCap/2),
 		head: s.HeadLines + 1, ledgerSpan: 4*full + s.TravelMost, messageCap: s.MessageCap,
 		messageSpan: s.MessageSpan, askWait: s.AskWithin / askParts, warmAfter: s.WarmAfter, coldFrom: s.ColdFrom,
 	}
 	if s.Levels == LevelRate {
 		g.fig.unblocked = math.MaxInt32 // flows a second: more than any proxy gets
 	}
+	if s.MessageCap == 0 {
+		g.fig.messageCap = math.MaxInt32
+	}
 	for i, tg := range s.Groups {
+		kind := common
 		if tg.HomeOnly {
-			g.fig.home |= 1 << i
-		} else {
-			g.fig.common |= 1 << i
+			kind = home
 		}
+		g.fig.groups[kind] |= 1 << i
 		budget := max(tg.LatencyBudget.Seconds(), math.SmallestNonzeroFloat32)
 		g.groups = append(g.groups, group{id: GroupID(i), budget: budget, merit: tg.Utility / budget})
 	}
 	slices.SortStableFunc(g.groups, func(a, b group) int { return cmp.Compare(a.merit, b.merit) })
-	g.homeFlows = make([]float64, s.Zones)
-	g.meanLoad = 0.5 // a guess until the first sums
-	g.holdUntil = now + Time(g.fig.period*letDelay)
-	for i := range g.let {
-		g.let[i] = 1
-	}
-	g.admit(now)
+	g.meanLoad, g.cover = 0.5, s.Period // guesses until the first sums
+	g.holdUntil = now + Time(s.Period*letDelay)
+	g.let = slices.Repeat([]float64{1}, 4*letDelay)
 	g.wake()
 }
 
@@ -260,12 +147,32 @@
 	g.orders = append(g.orders, WakeAfter{g.fig.period / 4, g.mark})
 }
 
-// find returns the element that fits, or nil.
-func find[T any](list []*T, fits func(*T) bool) *T {
-	if i := slices.IndexFunc(list, fits); i >= 0 {
-		return list[i]
+// lay makes the tables: one of all replicas for all proxies and, for traffic groups that stay in their
+// zone, one a zone.
+//
+// Exception for size: as many as it takes that one of them, whole, fits into a period's part of the channel.
+// Each then leans on a part of the replicas and names the others at a small weight. That is against changed
+// lines that cost more than the channel has, and against more connections than replicas accept; it should
+// also catch handshakes that eat the fleet. Harm: a part is a smaller sample than the fleet, so share keeps
+// parts even.
+func (g *Governor) lay(replicas int) {
+	kinds, zones := 1.0, 0
+	if g.fig.groups[home] != 0 {
+		kinds, zones = 2, g.fig.zones
+	}
+	n := math.Ceil(float64(replicas) * g.fig.proxies / g.fig.pacedLines)
+	n = max(math.Floor(min(n, g.fig.proxies/tableLeast/kinds, float64(replicas)/tableLeast)), 1)
+	for range int(n) {
+		g.tables = append(g.tables, &table{kind: common})
+	}
+	for z := range zones {
+		for range int(math.Ceil(n / float64(zones))) {
+			g.tables = append(g.tables, &table{kind: home, zone: ZoneID(z)})
+		}
+	}
+	for i, t := range g.tables {
+		t.id, t.admits = TableID(i), make([]Admit, len(g.groups))
 	}
-	return nil
 }
 
 // list takes in word from discovery. A replica that started anew begins as an unknown one.
@@ -277,24 +184,22 @@
 		g.observing, g.askAt = false, now+g.chance(g.fig.askWait, 2*g.fig.askWait)
 		return
 	}
-	g.listSeen, g.observing = true, e.Scope != Cached
-	if e.Scope != Changes {
-		for _, r := range g.replicas {
-			if !slices.ContainsFunc(e.Entries, func(n Entry) bool { return n.Replica == r.id }) {
-				r.state, g.holdUntil = Gone, now
-			}
-		}
+	g.lists++
+	g.observing = e.Scope != Cached
+	if g.tables == nil {
+		g.lay(len(e.Entries))
 	}
 	for _, n := range e.Entries {
-		r := find(g.replicas, func(r *replica) bool { return r.id == n.Replica })
+		r := g.byID[n.Replica]
 		if r == nil {
-			r = &replica{id: n.Replica}
+			r = &replica{id: n.Replica, sent: make([]float64, len(g.tables))}
+			g.byID[r.id] = r
 			g.replicas = append(g.replicas, r)
 		}
 		if n.StartedAt != r.started || n.State == Ready && r.state == Gone {
-			*r = replica{id: n.Replica, started: n.StartedAt, sent: r.sent}
+			*r = replica{id: r.id, started: n.StartedAt, heardAt: now, table: r.table, sent: r.sent, lines: r.lines}
 		}
-		r.zone, r.state, r.listed = n.Zone, n.State, n.Listed
+		r.zone, r.state, r.listed, r.inList = n.Zone, n.State, n.Listed, g.lists
 		if !(r.listed > 0) || math.IsInf(r.listed, 0) {
 			r.listed = 1
 		}
@@ -302,73 +207,110 @@
 			g.holdUntil = now // what proxies hold may still send there
 		}
 	}
+	for _, r := range g.replicas {
+		if e.Scope != Changes && r.inList != g.lists {
+			r.state, g.holdUntil = Gone, now
+		}
+	}
+}
+
+func (g *Governor) join(e Joined) {
+	if g.leave(e.Proxy); !g.on {
+		return
+	}
+	p := &proxy{id: e.Proxy, zone: e.Zone, fresh: e.Fresh}
+	if e.Rate > 0 && !math.IsInf(e.Rate, 0) {
+		p.rate = e.Rate
+	}
+	g.proxies[p.id] = p
+	g.waiting = append(g.waiting, p)
+}
+
+func (g *Governor) leave(id ProxyID) {
+	p := g.proxies[id]
+	if p == nil {
+		return
+	}
+	is := func(q *proxy) bool { return q == p }
+	for _, t := range p.table {
+		if t != nil {
+			t.proxies, t.flows = slices.DeleteFunc(t.proxies, is), max(t.flows-g.expected(p, t), 0)
+		}
+	}
+	g.waiting = slices.DeleteFunc(g.waiting, is)
+	delete(g.proxies, id)
 }
 
 func (g *Governor) sums(e Sums) {
-	r := find(g.replicas, func(r *replica) bool { return r.id == e.Replica })
-	if r == nil || e.Tries <= 0 || e.Dropped < 0 || e.Dropped > e.Tries {
+	r := g.byID[e.Replica]
+	if r == nil || e.Tries <= 0 || e.Dropped < 0 || e.Dropped > e.Tries || e.Over <= 0 {
 		return
 	}
-	g.sumsCame, g.firstOver = true, max(g.firstOver, e.Over)
-	r.newTries += e.Tries
-	r.newDrops += e.Dropped
+	g.sumsCame, g.longest, r.newOver = true, max(g.longest, e.Over), r.newOver+e.Over
+	r.newTries, r.newDrops = r.newTries+float64(e.Tries), r.newDrops+float64(e.Dropped)
 	if e.Report.Util >= 0 {
-		r.newLoad += min(e.Report.Util, 1)
-		r.newReports++
+		r.newLoad, r.newReports = r.newLoad+min(e.Report.Util, 1), r.newReports+1
 	}
 }
 
 func (g *Governor) intake(e Intake) {
 	i := slices.IndexFunc(g.groups, func(tg group) bool { return tg.id == e.Group })
-	p := find(g.proxies, func(p *proxy) bool { return p.id == e.Proxy })
+	p := g.proxies[e.Proxy]
 	if i < 0 || p == nil || e.Flows <= 0 {
 		return
 	}
 	g.groups[i].flows += float64(e.Flows)
 	g.newFlows += float64(e.Flows)
-	if g.fig.home.has(e.Group) && int(p.zone) < len(g.homeFlows) {
-		g.homeFlows[p.zone] += float64(e.Flows)
+	for _, t := range p.table {
+		if t != nil && g.fig.groups[t.kind].has(e.Group) {
+			t.flows += float64(e.Flows)
+		}
 	}
 }
 
-func (s GroupSet) has(id GroupID) bool { return s&(1<<id) != 0 }
-
-// fleet is what the latest sums show of all replicas together.
-type fleet struct {
-	tries, drops       float64 // since the last review
-	allTries, allDrops float64 // over the health window
-	sent               float64 // weights ordered in the common table
-	served, busy       float64 // over the speed window, busy by listed weight
-	size, work         float64 // of the replicas in service, and their busy part
-	reported, latest   float64 // weights in the common table of those that reported, and their busy part
+// expected is what a table's flows will be from a proxy, by what it told at joining.
+func (g *Governor) expected(p *proxy, t *table) float64 {
+	groups := float64(bits.OnesCount16(uint16(g.fig.groups[t.kind]))) / float64(len(g.groups))
+	return p.rate * groups * speedPeriods * g.fig.period.Seconds()
 }
 
 // review takes in the sums that came since the last one: health first, then speeds, then how much to let
-// in.
+// in. Sums come capped, so a replica may be heard of less than once a period; what is heard is judged by
+// the time that it covers.
 func (g *Governor) review(now Time, since time.Duration) {
 	if !g.taught && g.sumsCame { // the first sums may reach back to before our start
-		since, g.taught = min(max(since, g.firstOver), speedPeriods*g.fig.period), true
+		since, g.taught = min(max(since, g.longest), speedPeriods*g.fig.period), true
 	}
 	periods := float64(since) / float64(g.fig.period)
-	keep := func(window float64) float64 { return math.Exp(-periods / window) }
 	var f fleet
 	for _, r := range g.replicas {
-		tries, drops := float64(r.newTries), float64(r.newDrops)
-		if r.newReports > 0 {
-			load := r.newLoad / float64(r.newReports)
-			if !r.known {
-				r.load, r.known = max(load, g.meanLoad), true
-			}
-			r.load += (load - r.load) * (1 - keep(smoothPeriods))
-			if drops <= taughtDrops*tries {
-				r.served = r.served*keep(speedPeriods) + tries - drops
-				r.busy = r.busy*keep(speedPeriods) + load*periods
+		if r.newTries > 0 {
+			heard := float64(min(now-r.heardAt, Time(r.newOver))) / float64(g.fig.period)
+			r.heardAt = now
+			if r.newReports > 0 {
+				if !r.known {
+					r.load, r.known = max(r.reported(), g.meanLoad), true
+				}
+				r.load += (r.reported() - r.load) * (1 - keep(heard, smoothPeriods))
+				if r.newDrops <= taughtDrops*r.newTries {
+					r.served = r.served*keep(heard, speedPeriods) + r.newTries - r.newDrops
+					r.busy = r.busy*keep(heard, speedPeriods) + r.reported()*heard
+				}
 			}
+			r.tries = r.tries*keep(heard, healthPeriods) + r.newTries
+			r.drops = r.drops*keep(heard, healthPeriods) + r.newDrops
+		}
+		if r.state == Ready {
+			f.ready++
+			f.out += r.held()
 		}
-		r.tries, r.drops = r.tries*keep(healthPeriods)+tries, r.drops*keep(healthPeriods)+drops
-		f.tries, f.drops = f.tries+tries, f.drops+drops
+		f.over += r.newTries * float64(r.newOver)
+		f.tries, f.drops = f.tries+r.newTries, f.drops+r.newDrops
 		f.allTries, f.allDrops = f.allTries+r.tries, f.allDrops+r.drops
-		f.served, f.busy, f.sent = f.served+r.served, f.busy+r.busy*r.listed, f.sent+r.sent[common]
+		f.served, f.busy, f.sent = f.served+r.served, f.busy+r.busy*r.listed, f.sent+r.ordered(common)
+	}
+	if f.tries > 0 {
+		g.cover += (max(time.Duration(f.over/f.tries), g.fig.period) - g.cover) / 2
 	}
 	g.health(now, &f)
 	speed := f.served / max(f.busy, math.SmallestNonzeroFloat32)
@@ -380,30 +322,26 @@
 		}
 		if r.known && r.state == Ready && !r.out {
 			f.size, f.work = f.size+r.size, f.work+r.size*r.load
-			if r.newReports > 0 {
-				f.reported, f.latest = f.reported+r.sent[common], f.latest+r.sent[common]*r.newLoad/float64(r.newReports)
+			if sent := r.ordered(common); r.newReports > 0 {
+				f.reported, f.latest = f.reported+sent, f.latest+sent*r.reported()
 			}
 		}
-		r.newTries, r.newDrops, r.newLoad, r.newReports = 0, 0, 0, 0
-	}
-	passed := 0.0 // tries by what the fleet could answer if it were busy throughout
-	if f.size*speed > 0 {
-		passed = f.tries / periods / (f.size * speed)
+		r.newTries, r.newDrops, r.newLoad, r.newReports, r.newOver = 0, 0, 0, 0, 0
 	}
 	g.dropShare = max(f.allDrops/max(f.allTries, 1), f.drops/max(f.tries, 1))
 	if f.size > 0 {
 		g.meanLoad = f.work / f.size
-		g.demand = max(g.meanLoad, passed)
+		g.demand = max(g.meanLoad, f.tries/periods/max(f.size*speed, math.SmallestNonzeroFloat32))
 	}
 	if f.reported > 0 {
 		g.setLevel(now, &f)
 	}
-	g.reviewed, g.sumsCame, g.newFlows = now, false, 0
+	g.reviewed, g.sumsCame, g.newFlows, g.longest = now, false, 0, 0
 	for i := range g.groups {
-		g.groups[i].flows *= keep(speedPeriods)
+		g.groups[i].flows *= keep(periods, speedPeriods)
 	}
-	for z := range g.homeFlows {
-		g.homeFlows[z] *= keep(speedPeriods)
+	for _, t := range g.tables {
+		t.flows *= keep(periods, speedPeriods)
 	}
 }
 
@@ -411,7 +349,7 @@
 // jammed. It goes by the load that flows met; that cannot pass 1, and beyond it drops tell how far the
 // fleet is over. Harm: drops that are not from load block flows for some seconds too.
 func (g *Governor) setLevel(now Time, f *fleet) {
-	if now < g.holdUntil && slices.ContainsFunc(g.proxies, func(p *proxy) bool { return !p.bound }) {
+	if now < g.holdUntil && len(g.waiting) > 0 {
 		// We have restarted, and our levels are lost: start from the part of the flows that was tried.
 		for i := range g.let {
 			g.let[i] = min(max(f.tries/max(g.newFlows, 1), levelLeast), 1)
@@ -420,34 +358,25 @@
 	g.holdUntil = min(g.holdUntil, now)
 	met := f.latest / f.reported * (1 + g.dropShare)
 	g.jammed = !g.fig.blocks && (met > jamLoad || g.jammed && met > loadWanted)
-	want := g.let[letDelay-1] * loadWanted / max(met, spareFloor) // the level that made these sums
-	copy(g.let[1:], g.let[:])
+	made := letDelay - 1 + int((g.cover-g.fig.period)/g.fig.period) // the review whose level made these sums
+	want := g.let[min(made, len(g.let)-1)] * loadWanted / max(met, spareFloor)
+	copy(g.let[1:], g.let)
 	g.let[0] = min(max(want, levelLeast), 1)
 }
 
-// health holds out replicas that drop flows though they are less busy than the fleet, and those that are
-// silent though flows go there. That is against fast drops behind a low report and against hangs; it also
-// catches a crash before the list knows of it, a cut path, and a false report of nought. Full replicas drop
-// flows too, but their load has lowered their weight already, and holding them out would jam the rest. When
-// all others drop as much, the fault is shared and nobody is held out. A replica held out keeps a trickle
-// and returns by its good answers. Harm: one that drops a few flows by chance on a quiet day is out for
-// some seconds.
+// health holds out replicas that drop flows though they are less busy than the fleet, and those silent
+// though flows go there: against fast drops behind a low report and hangs; it also catches a crash before
+// the list tells, a cut path, and a false report of nought. Full replicas drop flows too, but their load has
+// lowered their weight already. When all others drop as much, the fault is shared and nobody is held out.
+// One held out keeps a trickle and returns by its good answers. Harm: a few drops by chance on a quiet day
+// hold one out for some seconds.
 func (g *Governor) health(now Time, f *fleet) {
-	var ready, out float64
-	for _, r := range g.replicas {
-		if r.state == Ready {
-			ready++
-			if r.out {
-				out++
-			}
-		}
-	}
 	for _, r := range g.replicas {
 		good := r.newTries - r.newDrops
 		if good > 0 {
 			r.owed = 0
-		} else if f.sent > 0 {
-			r.owed += f.tries * r.sent[common] / f.sent
+		} else if f.sent > 0 && now-r.heardAt > Time(2*g.cover-g.fig.period*5/4) { // or its sums may wait
+			r.owed += f.tries * r.ordered(common) / f.sent
 		}
 		if r.out {
 			if r.streak += good; r.newDrops > 0 {
@@ -459,22 +388,22 @@
 			continue
 		}
 		rest := (f.allDrops - r.drops) / max(f.allTries-r.tries, 1)
-		full := r.newReports > 0 && r.newLoad > g.meanLoad*float64(r.newReports)
+		full := r.newReports > 0 && r.reported() > g.meanLoad
 		dropping := !full && r.drops >= dropsToJudge && r.drops > r.tries*max(dropShareBad, manyTimes*rest)
-		if r.state == Ready && (dropping || r.owed >= owedToJudge) && out < ready*outMost {
+		if r.state == Ready && (dropping || r.owed >= owedToJudge) && f.out < f.ready*outMost {
 			r.out, r.streak = true, 0
-			out++
+			f.out++
 		}
 	}
 }
 
 // weigh sets the wanted weights, by spare capacity under the bounds of bound.
 //
-// While the fleet is jammed and nothing can be blocked, spare shares are at the floor and say nothing, and
-// an even load makes every replica late. Then listed weights stand: some replicas stay in time, and full
-// ones turn the excess away at once. Harm: where listed weights are far from true speeds, a short jam moves
-// more flows than it need.
+// While the fleet is jammed and nothing can be blocked, an even load makes every replica late. Then listed
+// weights stand: some replicas stay in time, and full ones turn the excess away at once. Harm: where listed
+// weights are far from true speeds, a short jam moves more flows than it need.
 func (g *Governor) weigh(now Time) {
+	spare, flows := 0.0, 0.0
 	for _, r := range g.replicas {
 		r.want, r.most = [2]float64{}, g.bound(now, r)
 		if !math.IsInf(r.most, 1) { // it is idle for its small share, which says nothing of its fair one
@@ -491,39 +420,90 @@
 		if g.jammed {
 			r.spare = r.size
 		}
+		spare += r.spare
 	}
-	g.fill(common, func(*replica) bool { return true })
-	if g.fig.home == 0 {
-		return
-	}
-	for z := range g.fig.zones {
-		g.fill(home, func(r *replica) bool { return int(r.zone) == z })
+	for _, t := range g.tables {
+		flows += t.flows
 	}
-	// Exception for traffic groups that stay in their zone: what a zone's own flows take of a replica comes
-	// off its part of the common table. Without it, a replica in a busy zone is relieved only as far as its
-	// load exceeds the others'.
-	flows, total := 0.0, 0.0
-	for _, tg := range g.groups {
-		flows += tg.flows
+	if g.fig.groups[home] != 0 {
+		for z := range g.fig.zones {
+			g.share(now, func(t *table) bool { return t.kind == home && int(t.zone) == z })
+		}
+		// Exception for traffic groups that stay in their zone: what they take of a replica comes off its part
+		// of the common tables, or one in a busy zone is relieved only as far as its load exceeds the others'.
+		for _, r := range g.replicas {
+			if t := r.table[home]; t != nil && flows > 0 {
+				r.spare = max(r.spare-r.want[home]/100*t.flows/flows*spare, r.spare*rampFrom)
+			}
+		}
 	}
+	g.share(now, func(t *table) bool { return t.kind == common })
+}
+
+// share sets the weights in tables of one kind, each by the spare capacity of its part. New replicas go to
+// the part that has least by its flows, and others are moved until parts are about even. So all tables
+// together still send each replica what one table would.
+func (g *Governor) share(now Time, in func(*table) bool) {
+	tables := slices.DeleteFunc(slices.Clone(g.tables), func(t *table) bool { return !in(t) })
+	for _, t := range tables {
+		t.part, t.spare, t.whole = t.part[:0], 0, 0
+	}
+	less := func(a, b *table) int { return cmp.Compare(a.spare/(a.flows+1), b.spare/(b.flows+1)) }
+	kind, first := tables[0].kind, tables[0]
+	put := func(r *replica, t *table) {
+		r.table[kind] = t
+		t.part, t.spare = append(t.part, r), t.spare+r.usable()
+	}
+	var added []*replica
 	for _, r := range g.replicas {
-		if int(r.zone) < len(g.homeFlows) {
-			own := r.want[home] * g.homeFlows[r.zone] / max(flows, 1)
-			r.want[common] = max(r.want[common]-own, r.want[common]*rampFrom)
+		if r.state != Ready || kind == home && r.zone != first.zone {
+			continue
+		}
+		if first.whole += r.size; r.table[kind] == nil {
+			added = append(added, r)
+		} else {
+			put(r, r.table[kind])
 		}
-		total += r.want[common]
 	}
-	for _, r := range g.replicas {
-		r.want[common] *= 100 / max(total, math.SmallestNonzeroFloat32)
+	for _, r := range added {
+		put(r, slices.MinFunc(tables, less))
+	}
+	for _, t := range tables {
+		t.whole = first.whole
+	}
+	for range tables {
+		poor, rich := slices.MinFunc(tables, less), slices.MaxFunc(tables, less)
+		gap, best := rich.spare*(poor.flows+1)-poor.spare*(rich.flows+1), -1
+		for i, r := range rich.part {
+			if r.usable() <= gap/(rich.flows+poor.flows+2) && (best < 0 || r.usable() > rich.part[best].usable()) {
+				best = i
+			}
+		}
+		if best < 0 || gap <= (evenParts-1)*poor.spare*(rich.flows+1) ||
+			g.take(now, rich.proxies, 1, 1, g.fig.pacedLines, g.fig.messageCap/2) == 0 {
+			break
+		}
+		r := rich.part[best]
+		rich.part, rich.spare = slices.Delete(rich.part, best, best+1), rich.spare-r.usable()
+		g.order(rich, r, rich.rest(r))
+		put(r, poor)
+	}
+	for _, t := range tables {
+		t.fill()
 	}
 }
 
+// usable is what a replica's bound leaves of its spare capacity.
+func (r *replica) usable() float64 { return r.spare * min(r.most, 1) }
+
+// rest is a replica's weight in a table that leans on others.
+func (t *table) rest(r *replica) float64 { return 100 * restShare * r.size / t.whole }
+
 // bound limits a replica's share, by its fair share. A started one climbs the design's ramp, and is never
-// sent more work than its least capacity at that age can do: with many cold at once, or a high load, the
-// ramp alone would not hold that. Where proxies avoid replicas that failed them, a fleet that drops much
-// leaves them little else to pick, and a cold replica is sent far more than its weight says; so its line
-// shrinks, then goes. Before the first sums nothing is known and it gets none. Harm: under heavy drops, new
-// replicas help late.
+// sent more work than its least capacity at that age can do, which the ramp alone would not hold with many
+// cold at once or a high load. Where proxies avoid replicas that failed them, a fleet that drops much sends
+// a cold one far more than its weight says; so its line shrinks, then goes. Before the first sums it gets
+// none. Harm: under heavy drops, new replicas help late.
 func (g *Governor) bound(now Time, r *replica) float64 {
 	if r.out {
 		return trickle
@@ -548,112 +528,122 @@
 	return most
 }
 
-// fill shares a table's 100 among its replicas by spare capacity; what a bound cuts off goes to the others.
-// Where all are bound, they share the rest by their bounds.
-func (g *Governor) fill(kind int, in func(*replica) bool) {
-	var free, cut []*replica
+// fill shares a table's 100 among its part by spare capacity; what a bound cuts off goes to the others.
+// Where all are bound, they share it by their bounds.
+func (t *table) fill() {
 	var size, spare float64
-	for _, r := range g.replicas {
-		if r.state == Ready && in(r) {
-			free = append(free, r)
-			size, spare = size+r.size, spare+r.spare
-		}
+	for _, r := range t.part {
+		size, spare = size+r.size, spare+r.spare
 	}
+	slices.SortStableFunc(t.part, func(a, b *replica) int { // most bound first
+		return cmp.Compare(a.most*a.size/a.spare, b.most*b.size/b.spare)
+	})
 	left := 100.0
-	for again := true; again; {
-		again = false
-		for i := 0; i < len(free); i++ {
-			r := free[i]
-			if most := 100 * r.most * r.size / size; left*r.spare/spare > most {
-				r.want[kind] = most
-				left, spare = left-most, spare-r.spare
-				cut, free = append(cut, r), slices.Delete(free, i, i+1)
-				i, again = i-1, true
-			}
-		}
+	for _, r := range t.part {
+		r.want[t.kind] = min(left*r.spare/spare, 100*r.most*r.size/size)
+		left, spare = left-r.want[t.kind], spare-r.spare
 	}
-	for _, r := range free {
-		r.want[kind] = left * r.spare / spare
-	}
-	for _, r := range cut {
-		if len(free) > 0 {
-			break
-		} else if left < 100 {
-			r.want[kind] *= 100 / (100 - left)
-		} else {
-			r.want[kind] = 100 * r.size / size
+	for _, r := range t.part {
+		if left >= 100 {
+			r.want[t.kind] = 100 * r.size / size
+		} else if r.most < 1 && left > 1 {
+			r.want[t.kind] *= 100 / (100 - left)
 		}
 	}
 }
 
-// line is a change that a table waits for.
-type line struct {
-	r      *replica
-	kind   int
-	change float64
-	urgent bool
-}
-
-func (l line) table() TableID {
-	if l.kind == common {
-		return commonTable
-	}
-	return homeTable(l.r.zone)
-}
-
-// publish sends what changed. Joins, new lines, removals and deep cuts go at once; the rest goes once a
-// period, largest change first, in a part of the channel and of a proxy's messages.
+// publish sends what changed. Removals go first, then new lines and deep cuts, joins and levels, at once;
+// all but removals leave half of the channel. The rest goes once a period, in a part of the channel and of a
+// proxy's messages. As a message's head costs as much as several lines, tables whose changes move most come
+// first, and each sends all that it has, largest first.
 func (g *Governor) publish(now Time, due bool) {
-	var changed []line
+	g.replicas = slices.DeleteFunc(g.replicas, func(r *replica) bool { return g.byID[r.id] != r })
+	old := 0
+	for old < len(g.channel) && now-g.channel[old].at > Time(g.fig.ledgerSpan) {
+		old++
+	}
+	g.forget(old)
 	for _, r := range g.replicas {
-		for k, sent := range r.sent {
-			l := line{r, k, math.Abs(r.want[k] - sent), r.want[k] < sent/2 || sent == 0}
-			if l.change > 0 && (l.urgent || due && l.change >= skipChange*sent) {
-				changed = append(changed, l)
+		if r.state != Ready {
+			g.remove(now, r)
+			continue
+		}
+		for kind, t := range r.table {
+			if t == nil {
+				continue
+			}
+			want, sent := r.want[kind], r.sent[t.id]
+			c := change{r, want, math.Abs(want - sent)}
+			if c.by > 0 && (want < sent/2 || sent < 2*t.rest(r)) {
+				t.urgent = append(t.urgent, c)
+			} else if c.by > 0 && c.by >= skipChange*sent {
+				t.changes, t.moves = append(t.changes, c), t.moves+c.by*t.flows
 			}
 		}
 	}
-	slices.SortStableFunc(changed, func(a, b line) int {
-		if a.urgent == b.urgent {
-			return cmp.Compare(b.change, a.change)
-		} else if a.urgent {
-			return -1
-		}
-		return 1
-	})
-	for _, p := range g.proxies {
-		p.touched = false
-		for len(p.messages) > 0 && p.messages[0] <= now-Time(g.fig.messageSpan) {
-			p.messages = p.messages[1:]
-		}
+	for _, t := range g.tables {
+		g.send(now, t, t.urgent, g.fig.lineCap/2, g.fig.messageCap*3/4)
 	}
-	if due {
+	if due || !g.taught {
 		g.admit(now)
 	}
-	for _, l := range changed {
-		uses := func(p *proxy) bool { return p.bound && (l.kind == common || p.zone == l.r.zone) }
-		room, messages := g.fig.pacedLines, g.fig.messageCap/2
-		if l.r.state != Ready { // the drain rule leaves no time to wait for a message of the span to pass
-			room, messages = g.fig.lineCap, g.fig.messageCap
-		} else if l.urgent {
-			room, messages = g.fig.lineCap, g.fig.messageCap*3/4
-		}
-		if g.reach(now, uses, 1, room, messages) {
-			l.r.sent[l.kind] = l.r.want[l.kind]
-			g.orders = append(g.orders, Line{l.table(), l.r.id, l.r.sent[l.kind]})
+	g.bind(now)
+	if due {
+		by := func(a, b *table) int { return cmp.Compare(b.moves, a.moves) }
+		for _, t := range slices.SortedStableFunc(slices.Values(g.tables), by) {
+			g.send(now, t, t.changes, g.fig.pacedLines, g.fig.messageCap/2)
 		}
+		g.name(now)
 	}
-	for _, p := range g.proxies {
-		g.bind(now, p)
+	for _, t := range g.tables {
+		t.urgent, t.changes, t.moves = t.urgent[:0], t.changes[:0], 0
 	}
 	if g.written > 0 {
 		g.version++
 		g.orders = append(g.orders, Mark{Version: g.version})
-		g.channel = append(g.channel, parcel{g.version, now, g.lines, g.written, g.written})
+		g.channel = append(g.channel, parcel{now, g.lines, g.written, g.written})
+	}
+}
+
+// remove takes the lines of a replica that drains or is gone; the drain rule leaves no time to wait for a
+// message of the span to pass.
+func (g *Governor) remove(now Time, r *replica) {
+	for _, t := range g.tables {
+		if r.lines > 0 && r.sent[t.id] > 0 && g.take(now, t.proxies, 1, 1, g.fig.lineCap, g.fig.messageCap) > 0 {
+			g.order(t, r, 0)
+		}
+	}
+	if r.state == Gone && r.lines == 0 {
+		delete(g.byID, r.id)
+	}
+}
+
+// send orders changes of a table, largest first, as far as they fit, and tells whether all did.
+func (g *Governor) send(now Time, t *table, changes []change, room float64, messages int) bool {
+	slices.SortStableFunc(changes, func(a, b change) int { return cmp.Compare(b.by, a.by) })
+	n := g.take(now, t.proxies, len(changes), 1, room, messages)
+	for _, c := range changes[:n] {
+		g.order(t, c.r, c.weight)
+	}
+	return n == len(changes)
+}
+
+// name gives the table whose turn it is the replicas outside its part that it lacks.
+func (g *Governor) name(now Time) {
+	for range g.tables {
+		t := g.tables[g.next%len(g.tables)]
+		var lacks []change
+		for _, r := range g.replicas {
+			if r.sent[t.id] == 0 && r.ordered(t.kind) > 0 && (t.kind == common || r.zone == t.zone) {
+				lacks = append(lacks, change{r, t.rest(r), 0})
+			}
+		}
+		if !g.send(now, t, lacks, g.fig.fillLines, g.fig.messageCap/2) {
+			return
+		} else if g.next++; len(lacks) == 0 {
+			return
+		}
 	}
-	g.replicas = slices.DeleteFunc(g.replicas, func(r *replica) bool {
-		return r.state == Gone && r.sent == [2]float64{}
-	})
 }
 
 // admit orders levels and ways of trying again. What is not let in is taken from the traffic groups whose
@@ -667,9 +657,8 @@
 		total += tg.flows * tg.budget
 	}
 	left := (1 - g.let[0]) * total
-	for i := range g.groups {
-		tg := &g.groups[i]
-		o := Admit{Table: commonTable, Groups: 1 << tg.id, Level: g.fig.unblocked, Retry: RetryUnrun}
+	for i, tg := range g.groups {
+		o := Admit{Groups: 1 << tg.id, Level: g.fig.unblocked, Retry: RetryUnrun}
 		if work := tg.flows * tg.budget; g.fig.blocks && left > 0 && work > 0 {
 			cut := min(left, work*(1-levelLeast))
 			o.Level, left = 1-cut/work, left-cut
@@ -677,102 +666,108 @@
 		if g.jammed {
 			o.Retry = RetryNever
 		}
-		step := math.Abs(o.Level - tg.sent.Level)
-		small := step == 0 || o.Level < 1 && step < levelLeast
-		if small && o.Retry == tg.sent.Retry ||
-			!g.reach(now, func(p *proxy) bool { return p.bound }, 1, g.fig.lineCap, g.fig.messageCap/2) {
-			continue
-		}
-		tg.sent = o
-		if !g.fig.home.has(tg.id) {
-			g.orders = append(g.orders, o)
-			continue
-		}
-		for z := range g.fig.zones {
-			o.Table = homeTable(ZoneID(z))
-			g.orders = append(g.orders, o)
+		for _, t := range g.tables {
+			o.Table = t.id
+			sent := t.admits[i]
+			step := math.Abs(o.Level - sent.Level)
+			same := o.Retry == sent.Retry && (step == 0 || o.Level < 1 && step < levelLeast)
+			if g.fig.groups[t.kind].has(tg.id) && !same &&
+				g.take(now, t.proxies, 1, 1, g.fig.lineCap/2, g.fig.messageCap*3/4) > 0 {
+				t.admits[i] = o
+				g.orders = append(g.orders, o)
+			}
 		}
 	}
 }
 
-// bind puts a proxy on its tables. Until then it goes by tables that we do not know; binding it also ends
-// whatever an earlier stream withdrew. This covers joins, rejoins, and all proxies at once after a restart
-// of ours, when they go on with what they hold until the first sums have told us the load, or until some
-// replica must be left.
-func (g *Governor) bind(now Time, p *proxy) {
-	if p.bound || !g.listSeen || !p.fresh && now < g.holdUntil {
+// bind puts proxies on their tables, those with most flows first. Until then a proxy goes by tables that we
+// do not know; binding it also ends whatever an earlier stream withdrew. This covers joins, rejoins, and
+// all proxies at once after a restart of ours, when they go on with what they hold until the first sums
+// have told us the load, or until some replica must be left.
+func (g *Governor) bind(now Time) {
+	if g.lists == 0 {
 		return
 	}
-	lines := 2 + float64(len(g.groups))
-	for _, r := range g.replicas {
-		if r.sent[common] > 0 {
-			lines++
+	slices.SortStableFunc(g.waiting, func(a, b *proxy) int { return cmp.Compare(b.rate, a.rate) })
+	g.waiting = slices.DeleteFunc(g.waiting, func(p *proxy) bool {
+		if !p.fresh && now < g.holdUntil {
+			return false
 		}
-		if r.sent[home] > 0 && r.zone == p.zone {
-			lines++
+		var chosen [2]*table
+		lines := float64(len(g.groups))
+		for _, t := range g.tables {
+			best := chosen[t.kind]
+			if (t.kind == common || t.zone == p.zone) && (best == nil || t.flows < best.flows) {
+				chosen[t.kind] = t
+			}
 		}
-	}
-	only := func(q *proxy) bool { return q == p }
-	if !g.reach(now, only, lines, g.fig.lineCap, g.fig.messageCap) {
-		return
-	}
-	p.bound = true
-	if g.fig.common != 0 {
-		g.orders = append(g.orders, Bind{p.id, commonTable, g.fig.common})
-	}
-	if g.fig.home != 0 {
-		g.orders = append(g.orders, Bind{p.id, homeTable(p.zone), g.fig.home})
-	}
+		for _, t := range chosen {
+			if t != nil {
+				lines += 1 + t.lines
+			}
+		}
+		room := max(g.fig.lineCap/2, min(lines+g.fig.head, g.fig.lineCap))
+		if g.take(now, []*proxy{p}, 1, lines, room, g.fig.messageCap) == 0 {
+			return false
+		}
+		for kind, t := range chosen {
+			if t != nil && g.fig.groups[kind] != 0 {
+				p.table[kind] = t
+				t.proxies, t.flows = append(t.proxies, p), t.flows+g.expected(p, t)
+				g.orders = append(g.orders, Bind{p.id, t.id, g.fig.groups[kind]})
+			}
+		}
+		return true
+	})
 }
 
-// reach books lines to each proxy that uses them, or none if the channel or one of them has no room.
-func (g *Governor) reach(now Time, uses func(*proxy) bool, lines, room float64, messages int) bool {
-	queued := g.queued(now)
-	for _, p := range g.proxies {
-		if !uses(p) {
+// take books up to n times so many lines to each proxy, as far as the channel has room and the proxies may
+// be written to, and returns how many times.
+func (g *Governor) take(now Time, proxies []*proxy, n int, lines, room float64, messages int) int {
+	heads := 0.0
+	for _, p := range proxies {
+		if p.step == g.step {
 			continue
 		}
-		if queued += lines; !p.touched {
-			queued += g.fig.head
+		heads += g.fig.head
+		for len(p.messages) > 0 && p.messages[0] <= now-Time(g.fig.messageSpan) {
+			p.messages = p.messages[1:]
 		}
-		if queued > room || g.fig.messageCap > 0 && !p.touched && len(p.messages) >= messages {
-			return false
+		if len(p.messages) >= messages {
+			return 0
 		}
 	}
-	for _, p := range g.proxies {
-		if !uses(p) {
-			continue
-		}
-		if g.lines += lines; !p.touched {
-			g.lines += g.fig.head
+	if len(proxies) == 0 || n == 0 {
+		return n
+	}
+	each := float64(len(proxies)) * lines
+	if n = min(n, int((room-g.queue-heads)/each)); n <= 0 {
+		return 0
+	}
+	for _, p := range proxies {
+		if p.step != g.step {
+			p.step, p.messages = g.step, append(p.messages, now)
 			g.written++
-			p.touched, p.messages = true, append(p.messages, now)
 		}
 	}
-	return true
-}
-
-// queued counts the lines that may wait in the channel. Until a proxy confirms a later message all of a
-// parcel may still be there, however slow the channel has become; what no one ever confirms is given up
-// after some time.
-func (g *Governor) queued(now Time) float64 {
-	g.channel = slices.DeleteFunc(g.channel, func(c parcel) bool { return now-c.at > Time(g.fig.ledgerSpan) })
-	lines := g.lines
-	for _, c := range g.channel {
-		lines += c.lines * float64(c.left) / float64(c.messages)
-	}
-	return lines
+	heads += float64(n) * each
+	g.lines, g.queue = g.lines+heads, g.queue+heads
+	return n
 }
 
+// confirm takes note that a proxy has applied a message. Until then all of a parcel may still wait, however
+// slow the channel has become; what no one ever confirms is given up after some time.
 func (g *Governor) confirm(e Applied) {
-	at := slices.IndexFunc(g.channel, func(c parcel) bool { return c.version == e.Version })
+	at := len(g.channel) - 1 - int(g.version-e.Version)
 	if at < 0 {
 		return
 	}
-	g.channel = slices.Delete(g.channel, 0, at)
-	if g.channel[0].left--; g.channel[0].left <= 0 {
-		g.channel = slices.Delete(g.channel, 0, 1)
+	g.forget(at)
+	c := &g.channel[0]
+	if c.left--; c.left <= 0 {
+		g.forget(1)
 	}
+	g.queue -= c.lines / c.messages
 }
 
 // follow keeps the list coming where it must be asked for: again after a failure or no answer, after a wait
@@ -783,11 +778,3 @@
 		g.askAt = now + g.chance(4*g.fig.askWait, 6*g.fig.askWait)
 	}
 }
-
-// chance draws a span between the two.
-func (g *Governor) chance(least, most time.Duration) Time {
-	g.draws++
-	b := binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint64(nil, g.seed), g.draws)
-	part := float64(crc32.ChecksumIEEE(b)) / (1 << 32)
-	return Time(least) + Time(part*float64(most-least))
-}
--- /dev/null
+++ b/rules/state.go
@@ -0,0 +1,207 @@
+package rules
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"math"
+	"time"
+)
+
+// This file holds what a governor keeps in mind and the bookkeeping of it. Every decision is in rules.go.
+
+// figures are what the settings come to.
+type figures struct {
+	groups                       [2]GroupSet // traffic groups by kind of table
+	zones                        int
+	proxies                      float64 // that join this governor when all is well
+	onRequest, blocks, avoids    bool    // the list must be asked for; levels are heeded; proxies avoid replicas
+	unblocked                    float64 // the level that lets all in
+	pacedLines, fillLines        float64
+	lineCap, head                float64 // of the channel; lines of a message besides its orders
+	messageCap                   int
+	period, messageSpan, askWait time.Duration
+	ledgerSpan, warmAfter        time.Duration
+	coldFrom                     float64
+}
+
+// group is a traffic group.
+type group struct {
+	id     GroupID
+	budget float64 // latency budget in seconds; work is taken to go by it
+	merit  float64 // utility by latency budget
+	flows  float64 // that came, over the speed window
+}
+
+// replica is all that is known of one replica.
+type replica struct {
+	id      ReplicaID
+	zone    ZoneID
+	state   State
+	listed  float64
+	started Time
+	inList  int // the last list that named it
+
+	newTries, newDrops, newLoad, newReports float64 // since the last review
+	newOver                                 time.Duration
+	heardAt                                 Time // the last review that had sums of it
+
+	known        bool    // its load has been reported
+	load         float64 // smoothed
+	served, busy float64 // flows answered, and periods spent busy, over the speed window
+	size         float64 // listed weight x measured speed
+
+	tries, drops float64 // over the health window
+	owed         float64 // answers expected since the last good one
+	out          bool    // held out
+	streak       float64 // good answers in a row while held out
+	backAt       Time    // end of the last time out
+
+	spare, most float64    // spare capacity; bound on its share, by its fair share
+	table       [2]*table  // whose part it is in, by kind
+	want        [2]float64 // weight there
+	sent        []float64  // as last ordered, by table
+	lines       int        // tables that hold it
+}
+
+// table holds all replicas open to its traffic groups. Where there are several of a kind, each leans on a
+// part of them.
+type table struct {
+	id              TableID
+	kind            int
+	zone            ZoneID // home tables only
+	proxies         []*proxy
+	flows           float64 // that came to its proxies, over the speed window
+	lines           float64 // that it holds
+	admits          []Admit // as last ordered, by place in groups
+	part            []*replica
+	spare, whole    float64 // spare capacity of its part; size of all replicas open to it
+	urgent, changes []change
+	moves           float64 // flows that its changes move
+}
+
+// change is a line that a table waits for.
+type change struct {
+	r          *replica
+	weight, by float64
+}
+
+type proxy struct {
+	id       ProxyID
+	zone     ZoneID
+	rate     float64
+	fresh    bool // it held standing tables only when it joined
+	table    [2]*table
+	messages []Time // written within the message span
+	step     int    // the last Step that wrote to it
+}
+
+// parcel is what one Step put into the channel.
+type parcel struct {
+	at             Time
+	lines          float64
+	messages, left float64 // messages in all, and not yet confirmed
+}
+
+// Governor decides for the proxies that are joined to it.
+type Governor struct {
+	on       bool
+	fig      figures
+	seed     uint64
+	draws    uint32
+	mark     uint64 // of the wake-up that is due next
+	replicas []*replica
+	byID     map[ReplicaID]*replica
+	proxies  map[ProxyID]*proxy
+	waiting  []*proxy // joined and not yet bound, most flows first
+	tables   []*table
+	groups   []group // least merit first
+
+	lists     int // so far
+	observing bool
+	askAt     Time
+
+	reviewed         Time
+	sumsCame, taught bool          // sums came since the last review; have been reviewed
+	longest, cover   time.Duration // what sums are counted over: the longest since the last review, and smoothed
+	holdUntil        Time          // until then, or the first sums, proxies keep what a former life gave them
+	newFlows         float64       // that came to proxies since the last review
+
+	meanLoad, dropShare float64 // of the replicas in service
+	demand              float64 // tries by what the fleet can answer, or its load if that is more
+	jammed              bool
+	let                 []float64 // part of the work asked for that is let in, latest first
+
+	orders         []Order
+	step, next     int // Steps so far; the table that is filled up next
+	channel        []parcel
+	version        uint16  // of the channel's last parcel
+	queue          float64 // lines that may wait in the channel
+	lines, written float64 // lines and messages put into it by this Step
+}
+
+// fleet is what the latest sums show of all replicas together.
+type fleet struct {
+	tries, drops, allTries, allDrops float64 // since the last review; over the health window
+	served, busy                     float64 // over the speed window, busy by listed weight
+	sent, reported, latest           float64 // weights in common tables: all, those that reported, times load
+	size, work                       float64 // of the replicas in service, and their busy part
+	ready, out, over                 float64 // replicas; what the tries were counted over, by tries
+}
+
+func (s GroupSet) has(id GroupID) bool { return s&(1<<id) != 0 }
+
+// ordered is a replica's weight as last ordered in the table whose part it is in.
+func (r *replica) ordered(kind int) float64 {
+	if r.table[kind] == nil {
+		return 0
+	}
+	return r.sent[r.table[kind].id]
+}
+
+// reported is the mean of a replica's new reports.
+func (r *replica) reported() float64 { return r.newLoad / r.newReports }
+
+// held is 1 for a replica held out.
+func (r *replica) held() float64 {
+	if r.out {
+		return 1
+	}
+	return 0
+}
+
+// Kinds of tables: home ones are for traffic groups that stay in their zone, common ones for all others.
+const (
+	common = 0
+	home   = 1
+)
+
+// keep is what is left of a sum over a window after some periods.
+func keep(periods, window float64) float64 { return math.Exp(-periods / window) }
+
+// order sets a line of a table.
+func (g *Governor) order(t *table, r *replica, weight float64) {
+	if r.sent[t.id] == 0 {
+		r.lines, t.lines = r.lines+1, t.lines+1
+	}
+	if weight == 0 {
+		r.lines, t.lines = r.lines-1, t.lines-1
+	}
+	r.sent[t.id] = weight
+	g.orders = append(g.orders, Line{t.id, r.id, weight})
+}
+
+// forget takes the channel's first parcels out of the ledger.
+func (g *Governor) forget(n int) {
+	for _, c := range g.channel[:n] {
+		g.queue -= c.lines * c.left / c.messages
+	}
+	g.channel = g.channel[n:]
+}
+
+// chance draws a span between the two.
+func (g *Governor) chance(least, most time.Duration) Time {
+	g.draws++
+	b := binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint64(nil, g.seed), g.draws)
+	part := float64(crc32.ChecksumIEEE(b)) / (1 << 32)
+	return Time(least) + Time(part*float64(most-least))
+}
