--- a/rules/rules.go
+++ b/rules/rules.go
@@ -628,13 +628,15 @@
 	return n == len(changes)
 }
 
-// name gives the table whose turn it is the replicas outside its part that it lacks.
+// name gives the table whose turn it is the replicas outside its part that it lacks, cold ones not yet: a
+// rolling deploy needs the channel for removals.
 func (g *Governor) name(now Time) {
 	for range g.tables {
 		t := g.tables[g.next%len(g.tables)]
 		var lacks []change
 		for _, r := range g.replicas {
-			if r.sent[t.id] == 0 && r.ordered(t.kind) > 0 && (t.kind == common || r.zone == t.zone) {
+			warm := r.started == 0 || now-r.started >= Time(g.fig.warmAfter)
+			if warm && r.sent[t.id] == 0 && r.ordered(t.kind) > 0 && (t.kind == common || r.zone == t.zone) {
 				lacks = append(lacks, change{r, t.rest(r), 0})
 			}
 		}
