A table for every five proxies at size, home and common tables in pairs

Tables are now one for five proxies and one for eight replicas at most; where some traffic groups stay in their zone, each of their tables has a pair among the common ones with the same proxies and part, so both kinds share connections.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -20,8 +20,7 @@
 	"time"
 )
 
-// Ratios and counts. "design" marks those that the design page names, with its starting value where ours
-// differs.
+// Ratios and counts; "design" marks those that the design page names, with its value where ours differs.
 const (
 	smoothPeriods = 12.0    // load is smoothed over so many report periods (design: 5)
 	spareFloor    = 0.35    // least share of a replica taken to be spare (design: 0.05)
@@ -48,7 +47,8 @@
 	jamLoad       = 1.2     // load, raised by drops, from which a fleet that can block nothing counts as jammed
 	askParts      = 20      // a failed call for the list is made again after one or two such parts of the time
 	fillShare     = 2.0 / 3 // the same as pacedShare for naming replicas in tables that lean on others
-	tableLeast    = 8.0     // there are no more tables than one for so many proxies, and so many replicas
+	tableLeast    = 5.0     // there are no more tables than one for so many proxies
+	partLeast     = 8.0     // a table leans on so many replicas or more
 	restShare     = 0.02    // by a table's part, what all replicas outside it weigh in it
 	evenParts     = 1.25    // a part has at most so many times the spare capacity of another, by their flows
 )
@@ -123,7 +123,7 @@
 	if s.Levels == LevelRate {
 		g.fig.unblocked = math.MaxInt32 // flows a second: more than any proxy gets
 	}
-	if s.MessageCap == 0 {
+	if s.MessageCap == 0 { // no limit
 		g.fig.messageCap = math.MaxInt32
 	}
 	for i, tg := range s.Groups {
@@ -150,24 +150,30 @@
 // lay makes the tables: one of all replicas for all proxies and, for traffic groups that stay in their
 // zone, one a zone.
 //
-// Exception for size: as many as it takes that one of them, whole, fits into a period's part of the channel.
-// Each then leans on a part of the replicas and names the others at a small weight. That is against changed
-// lines that cost more than the channel has, and against more connections than replicas accept; it should
-// also catch handshakes that eat the fleet. Harm: a part is a smaller sample than the fleet, so share keeps
-// parts even.
-func (g *Governor) lay(replicas int) {
-	kinds, zones := 1.0, 0
+// Exception for size, where all lines of one table cannot be sent anew within a period's part of the
+// channel: a table for every few proxies, which leans on a part of the replicas and names the others at a
+// small weight. That is against changed lines that cost more than the channel has, and against more
+// connections than replicas accept; it should also catch handshakes that eat the fleet. Where some traffic
+// groups stay in their zone, each table for them has a pair among the common ones with the same proxies
+// and, at first, the same part, so that both share connections. Harm: a part is a smaller sample than the
+// fleet, so share keeps parts even.
+func (g *Governor) lay(replicas float64) {
+	zones, least := 0, tableLeast
 	if g.fig.groups[home] != 0 {
-		kinds, zones = 2, g.fig.zones
+		zones, least = g.fig.zones, 2*tableLeast
 	}
-	n := math.Ceil(float64(replicas) * g.fig.proxies / g.fig.pacedLines)
-	n = max(math.Floor(min(n, g.fig.proxies/tableLeast/kinds, float64(replicas)/tableLeast)), 1)
-	for range int(n) {
-		g.tables = append(g.tables, &table{kind: common})
+	n := int(min(g.fig.proxies/least, replicas/partLeast))
+	if replicas*g.fig.proxies <= g.fig.pacedLines || n < max(zones, 2) {
+		n = 1
+	} else if zones > 0 {
+		g.pairs = n
 	}
-	for z := range zones {
-		for range int(math.Ceil(n / float64(zones))) {
-			g.tables = append(g.tables, &table{kind: home, zone: ZoneID(z)})
+	for i := range n {
+		g.tables = append(g.tables, &table{kind: common, zone: ZoneID(i % max(zones, 1))})
+	}
+	for i := range max(n, zones) {
+		if zones > 0 {
+			g.tables = append(g.tables, &table{kind: home, zone: ZoneID(i % zones)})
 		}
 	}
 	for i, t := range g.tables {
@@ -187,7 +193,7 @@
 	g.lists++
 	g.observing = e.Scope != Cached
 	if g.tables == nil {
-		g.lay(len(e.Entries))
+		g.lay(float64(len(e.Entries)))
 	}
 	for _, n := range e.Entries {
 		r := g.byID[n.Replica]
@@ -347,10 +353,10 @@
 
 // setLevel sets how much of the work asked for is let in, and whether a fleet that can block nothing is
 // jammed. It goes by the load that flows met; that cannot pass 1, and beyond it drops tell how far the
-// fleet is over. Harm: drops that are not from load block flows for some seconds too.
+// fleet is over. After a restart of ours it starts from the part of the flows that was tried. Harm: drops
+// that are not from load block flows for some seconds too.
 func (g *Governor) setLevel(now Time, f *fleet) {
 	if now < g.holdUntil && len(g.waiting) > 0 {
-		// We have restarted, and our levels are lost: start from the part of the flows that was tried.
 		for i := range g.let {
 			g.let[i] = min(max(f.tries/max(g.newFlows, 1), levelLeast), 1)
 		}
@@ -403,7 +409,6 @@
 // weights stand: some replicas stay in time, and full ones turn the excess away at once. Harm: where listed
 // weights are far from true speeds, a short jam moves more flows than it need.
 func (g *Governor) weigh(now Time) {
-	spare, flows := 0.0, 0.0
 	for _, r := range g.replicas {
 		r.want, r.most = [2]float64{}, g.bound(now, r)
 		if !math.IsInf(r.most, 1) { // it is idle for its small share, which says nothing of its fair one
@@ -420,22 +425,11 @@
 		if g.jammed {
 			r.spare = r.size
 		}
-		spare += r.spare
-	}
-	for _, t := range g.tables {
-		flows += t.flows
 	}
 	if g.fig.groups[home] != 0 {
 		for z := range g.fig.zones {
 			g.share(now, func(t *table) bool { return t.kind == home && int(t.zone) == z })
 		}
-		// Exception for traffic groups that stay in their zone: what they take of a replica comes off its part
-		// of the common tables, or one in a busy zone is relieved only as far as its load exceeds the others'.
-		for _, r := range g.replicas {
-			if t := r.table[home]; t != nil && flows > 0 {
-				r.spare = max(r.spare-r.want[home]/100*t.flows/flows*spare, r.spare*rampFrom)
-			}
-		}
 	}
 	g.share(now, func(t *table) bool { return t.kind == common })
 }
@@ -466,7 +460,11 @@
 		}
 	}
 	for _, r := range added {
-		put(r, slices.MinFunc(tables, less))
+		if kind == common && g.pairs > 0 {
+			put(r, g.tables[int(r.table[home].id)-g.pairs])
+		} else {
+			put(r, slices.MinFunc(tables, less))
+		}
 	}
 	for _, t := range tables {
 		t.whole = first.whole
@@ -546,7 +544,7 @@
 	for _, r := range t.part {
 		if left >= 100 {
 			r.want[t.kind] = 100 * r.size / size
-		} else if r.most < 1 && left > 1 {
+		} else if left > 1 {
 			r.want[t.kind] *= 100 / (100 - left)
 		}
 	}
@@ -640,9 +638,11 @@
 				lacks = append(lacks, change{r, t.rest(r), 0})
 			}
 		}
-		if !g.send(now, t, lacks, g.fig.fillLines, g.fig.messageCap/2) {
-			return
-		} else if g.next++; len(lacks) == 0 {
+		all := g.send(now, t, lacks, g.fig.fillLines, g.fig.messageCap/2)
+		if all {
+			g.next++
+		}
+		if !all || len(lacks) == 0 {
 			return
 		}
 	}
@@ -651,8 +651,7 @@
 // admit orders levels and ways of trying again. What is not let in is taken from the traffic groups whose
 // utility by work is least. A flow is tried again only on proof that it never ran: a try that may be
 // followed after any failure gives up early, and its work is lost. While the fleet is jammed and nothing
-// can be blocked, not even that: what a full replica turns away is then shed, where a further try would
-// only fill the next.
+// can be blocked, not even that, as a further try would only fill the next replica.
 func (g *Governor) admit(now Time) {
 	total := 0.0
 	for _, tg := range g.groups {
@@ -682,10 +681,9 @@
 	}
 }
 
-// bind puts proxies on their tables, those with most flows first. Until then a proxy goes by tables that we
-// do not know; binding it also ends whatever an earlier stream withdrew. This covers joins, rejoins, and
-// all proxies at once after a restart of ours, when they go on with what they hold until the first sums
-// have told us the load, or until some replica must be left.
+// bind puts proxies on their tables, those with most flows first; it also ends whatever an earlier stream
+// withdrew. After a restart of ours, proxies go on with what they hold until the first sums have told us the
+// load, or until some replica must be left.
 func (g *Governor) bind(now Time) {
 	if g.lists == 0 {
 		return
@@ -696,13 +694,16 @@
 			return false
 		}
 		var chosen [2]*table
-		lines := float64(len(g.groups))
 		for _, t := range g.tables {
 			best := chosen[t.kind]
 			if (t.kind == common || t.zone == p.zone) && (best == nil || t.flows < best.flows) {
 				chosen[t.kind] = t
 			}
 		}
+		if g.pairs > 0 && chosen[home] != nil {
+			chosen[common] = g.tables[int(chosen[home].id)-g.pairs]
+		}
+		lines := float64(len(g.groups))
 		for _, t := range chosen {
 			if t != nil {
 				lines += 1 + t.lines
@@ -723,8 +724,7 @@
 	})
 }
 
-// take books up to n times so many lines to each proxy, as far as the channel has room and the proxies may
-// be written to, and returns how many times.
+// take books up to n times so many lines to each proxy, and returns for how many times there is room.
 func (g *Governor) take(now Time, proxies []*proxy, n int, lines, room float64, messages int) int {
 	heads := 0.0
 	for _, p := range proxies {
@@ -739,11 +739,11 @@
 			return 0
 		}
 	}
-	if len(proxies) == 0 || n == 0 {
-		return n
-	}
 	each := float64(len(proxies)) * lines
-	if n = min(n, int((room-g.queue-heads)/each)); n <= 0 {
+	if each > 0 {
+		n = min(n, max(int((room-g.queue-heads)/each), 0))
+	}
+	if n == 0 {
 		return 0
 	}
 	for _, p := range proxies {
@@ -758,7 +758,7 @@
 }
 
 // confirm takes note that a proxy has applied a message. Until then all of a parcel may still wait, however
-// slow the channel has become; what no one ever confirms is given up after some time.
+// slow the channel has become.
 func (g *Governor) confirm(e Applied) {
 	at := len(g.channel) - 1 - int(g.version-e.Version)
 	if at < 0 {
--- a/rules/state.go
+++ b/rules/state.go
@@ -114,6 +114,7 @@
 	proxies  map[ProxyID]*proxy
 	waiting  []*proxy // joined and not yet bound, most flows first
 	tables   []*table
+	pairs    int     // a home table's number less this is that of its pair; 0: there are none
 	groups   []group // least merit first
 
 	lists     int // so far
