Tell tables that only name a replica of its removal in batches

Tables of whose part it is still hear at once; the others once in a quarter of the drain grace. Should also catch rolling deploys in small batches. Could harm by a few flows to a leaving replica within the grace.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -43,6 +43,7 @@
 	outMost       = 0.4     // part of the fleet that may be held out at once
 	loadWanted    = 0.8     // flows are blocked to keep the fleet at this load
 	letDelay      = 3       // reviews until the sums show what a changed level did
+	removeShare   = 0.25    // tables that only name what goes hear of it once in such a part of the drain grace
 	levelLeast    = 0.05    // what is always let in of a traffic group
 	jamLoad       = 1.2     // load, raised by drops, from which a fleet that can block nothing counts as jammed
 	askParts      = 20      // a failed call for the list is made again after one or two such parts of the time
@@ -119,6 +120,7 @@
 		pacedLines: s.LinePace * pacedShare, fillLines: min(s.LinePace*fillShare, s.LineCap/2),
 		head: s.HeadLines + 1, ledgerSpan: 4*full + s.TravelMost, messageCap: s.MessageCap,
 		messageSpan: s.MessageSpan, askWait: s.AskWithin / askParts, warmAfter: s.WarmAfter, coldFrom: s.ColdFrom,
+		removeWait: Time(float64(s.DrainGrace) * removeShare),
 	}
 	if s.Levels == LevelRate {
 		g.fig.unblocked = math.MaxInt32 // flows a second: more than any proxy gets
@@ -561,9 +563,10 @@
 		old++
 	}
 	g.forget(old)
+	all := now-g.removedAt >= g.fig.removeWait
 	for _, r := range g.replicas {
 		if r.state != Ready {
-			g.remove(now, r)
+			g.remove(now, r, all)
 			continue
 		}
 		for kind, t := range r.table {
@@ -604,11 +607,17 @@
 }
 
 // remove takes the lines of a replica that drains or is gone; the drain rule leaves no time to wait for a
-// message of the span to pass.
-func (g *Governor) remove(now Time, r *replica) {
+// message of the span to pass. Tables that only name it wait for others, so that replicas which go one by
+// one do not use up the messages of the span. Harm: a few flows go there for a part of the grace.
+func (g *Governor) remove(now Time, r *replica, all bool) {
 	for _, t := range g.tables {
-		if r.lines > 0 && r.sent[t.id] > 0 && g.take(now, t.proxies, 1, 1, g.fig.lineCap, g.fig.messageCap) > 0 {
+		own := t == r.table[t.kind]
+		if r.lines > 0 && r.sent[t.id] > 0 && (own || all) &&
+			g.take(now, t.proxies, 1, 1, g.fig.lineCap, g.fig.messageCap) > 0 {
 			g.order(t, r, 0)
+			if !own {
+				g.removedAt = now
+			}
 		}
 	}
 	if r.state == Gone && r.lines == 0 {
--- a/rules/state.go
+++ b/rules/state.go
@@ -21,6 +21,7 @@
 	messageCap                   int
 	period, messageSpan, askWait time.Duration
 	ledgerSpan, warmAfter        time.Duration
+	removeWait                   Time
 	coldFrom                     float64
 }
 
@@ -132,6 +133,7 @@
 	jammed              bool
 	let                 []float64 // part of the work asked for that is let in, latest first
 
+	removedAt      Time // tables that only name what goes last heard of it
 	orders         []Order
 	step, next     int // Steps so far; the table that is filled up next
 	channel        []parcel
