--- a/rules/rules.go
+++ b/rules/rules.go
@@ -29,7 +29,7 @@
 	rampFrom      = 0.1     // a new replica's first part of its fair share (design)
 	rampSpan      = 5.0 / 9 // the ramp's length by the longest warm-up; 10 s where that is 18 s (design)
 	coldFill      = 0.8     // part of a cold replica's least capacity that it may be sent
-	avoidShare    = 0.6     // with this share of tries dropped, a cold replica gets no line
+	avoidShare    = 0.45     // with this share of tries dropped, a cold replica gets no line
 	speedPeriods  = 8.0     // speeds, and shares of traffic groups, are learnt over so many periods
 	speedFlows    = 8.0     // flows after which a replica's own speed counts as much as the fleet's
 	taughtDrops   = 0.2     // share of dropped tries above which a replica's answers do not tell its speed
@@ -442,13 +442,13 @@
 func (g *Governor) share(now Time, in func(*table) bool) {
 	tables := slices.DeleteFunc(slices.Clone(g.tables), func(t *table) bool { return !in(t) })
 	for _, t := range tables {
-		t.part, t.spare, t.whole = t.part[:0], 0, 0
+		t.part, t.spare, t.whole, t.tries, t.drops = t.part[:0], 0, 0, 0, 0
 	}
 	less := func(a, b *table) int { return cmp.Compare(a.spare/(a.flows+1), b.spare/(b.flows+1)) }
 	kind, first := tables[0].kind, tables[0]
 	put := func(r *replica, t *table) {
 		r.table[kind] = t
-		t.part, t.spare = append(t.part, r), t.spare+r.usable()
+		t.part, t.spare, t.tries, t.drops = append(t.part, r), t.spare+r.usable(), t.tries+r.tries, t.drops+r.drops
 	}
 	var added []*replica
 	for _, r := range g.replicas {
@@ -468,8 +468,9 @@
 			put(r, slices.MinFunc(tables, less))
 		}
 	}
+	flows := 0.0
 	for _, t := range tables {
-		t.whole = first.whole
+		t.whole, flows = first.whole, flows+t.flows+1
 	}
 	for range tables {
 		poor, rich := slices.MinFunc(tables, less), slices.MaxFunc(tables, less)
@@ -489,7 +490,7 @@
 		put(r, poor)
 	}
 	for _, t := range tables {
-		t.fill()
+		t.fill(flows)
 	}
 }
 
@@ -522,19 +523,17 @@
 	}
 	least := g.fig.coldFrom + (1-g.fig.coldFrom)*a
 	most = min(most, rampFrom+(1-rampFrom)*a/rampSpan, coldFill*least/max(g.demand, spareFloor))
-	if g.fig.avoids {
-		most *= min(max(3-3*g.dropShare/avoidShare, 0), 1)
+	if t := r.table[common]; g.fig.avoids && t != nil {
+		most *= min(max(3-3*max(g.dropShare, t.drops/max(t.tries, 1))/avoidShare, 0), 1)
 	}
 	return most
 }
 
 // fill shares a table's 100 among its part by spare capacity; what a bound cuts off goes to the others.
+// Bounds are by the fair share of all flows of its kind, since a few proxies may have more than their part.
 // Where all are bound, they share it by their bounds.
-func (t *table) fill() {
-	var size, spare float64
-	for _, r := range t.part {
-		size, spare = size+r.size, spare+r.spare
-	}
+func (t *table) fill(flows float64) {
+	size, spare := t.whole*(t.flows+1)/flows, t.spares()
 	slices.SortStableFunc(t.part, func(a, b *replica) int { // most bound first
 		return cmp.Compare(a.most*a.size/a.spare, b.most*b.size/b.spare)
 	})
@@ -545,7 +544,7 @@
 	}
 	for _, r := range t.part {
 		if left >= 100 {
-			r.want[t.kind] = 100 * r.size / size
+			r.want[t.kind] = 100 * r.spare / t.spares()
 		} else if left > 1 {
 			r.want[t.kind] *= 100 / (100 - left)
 		}
--- a/rules/state.go
+++ b/rules/state.go
@@ -76,10 +76,19 @@
 	admits          []Admit // as last ordered, by place in groups
 	part            []*replica
 	spare, whole    float64 // spare capacity of its part; size of all replicas open to it
+	tries, drops    float64 // of its part, over the health window
 	urgent, changes []change
 	moves           float64 // flows that its changes move
 }
 
+// spares is the spare capacity of a table's part, bounds aside.
+func (t *table) spares() (sum float64) {
+	for _, r := range t.part {
+		sum += r.spare
+	}
+	return sum
+}
+
 // change is a line that a table waits for.
 type change struct {
 	r          *replica
