--- a/rules/rules.go
+++ b/rules/rules.go
@@ -15,7 +15,6 @@
 import (
 	"cmp"
 	"math"
-	"math/bits"
 	"slices"
 	"time"
 )
@@ -29,7 +28,7 @@
 	rampFrom      = 0.1     // a new replica's first part of its fair share (design)
 	rampSpan      = 5.0 / 9 // the ramp's length by the longest warm-up; 10 s where that is 18 s (design)
 	coldFill      = 0.8     // part of a cold replica's least capacity that it may be sent
-	avoidShare    = 0.45     // with this share of tries dropped, a cold replica gets no line
+	avoidShare    = 0.6     // with this share of tries dropped, a cold replica gets no line; half in small parts
 	speedPeriods  = 8.0     // speeds, and shares of traffic groups, are learnt over so many periods
 	speedFlows    = 8.0     // flows after which a replica's own speed counts as much as the fleet's
 	taughtDrops   = 0.2     // share of dropped tries above which a replica's answers do not tell its speed
@@ -43,7 +42,7 @@
 	outMost       = 0.4     // part of the fleet that may be held out at once
 	loadWanted    = 0.8     // flows are blocked to keep the fleet at this load
 	letDelay      = 3       // reviews until the sums show what a changed level did
-	removeShare   = 0.25    // tables that only name what goes hear of it once in such a part of the drain grace
+	removeShare   = 0.25    // part of the drain grace that removals may wait for others, or for naming
 	levelLeast    = 0.05    // what is always let in of a traffic group
 	jamLoad       = 1.2     // load, raised by drops, from which a fleet that can block nothing counts as jammed
 	askParts      = 20      // a failed call for the list is made again after one or two such parts of the time
@@ -58,7 +57,7 @@
 func (g *Governor) Step(now Time, events []Event) []Order {
 	g.orders, g.lines, g.written = nil, 0, 0
 	g.step++
-	listed, stirred := false, false
+	var listed, stirred bool
 	for _, e := range events {
 		switch e := e.(type) {
 		case Start:
@@ -97,7 +96,7 @@
 	if due || listed {
 		g.weigh(now)
 	}
-	if due || stirred {
+	if (due || stirred) && g.lists > 0 {
 		g.publish(now, due)
 	}
 	g.follow(now)
@@ -114,24 +113,25 @@
 	}
 	full := time.Duration(s.LineCap / s.LinePace * float64(time.Second)) // to empty a full channel
 	g.fig = figures{
-		zones: s.Zones, proxies: float64(s.Proxies) / float64(max(s.Governors, 1)),
+		proxies:   float64(s.Proxies) / float64(max(s.Governors, 1)),
 		onRequest: s.ListOnRequest, blocks: s.Levels == LevelShare, unblocked: 1,
 		avoids: s.FailsToAvoid > 0, period: s.Period, lineCap: s.LineCap,
-		pacedLines: s.LinePace * pacedShare, fillLines: min(s.LinePace*fillShare, s.LineCap/2),
-		head: s.HeadLines + 1, ledgerSpan: 4*full + s.TravelMost, messageCap: s.MessageCap,
+		pacedLines: s.LinePace * pacedShare,
+		fillLines:  s.LinePace * min(fillShare, s.DrainGrace.Seconds()*removeShare),
+		head:       s.HeadLines + 1, ledgerSpan: 4*full + s.TravelMost, messageCap: s.MessageCap,
 		messageSpan: s.MessageSpan, askWait: s.AskWithin / askParts, warmAfter: s.WarmAfter, coldFrom: s.ColdFrom,
 		removeWait: Time(float64(s.DrainGrace) * removeShare),
 	}
 	if s.Levels == LevelRate {
 		g.fig.unblocked = math.MaxInt32 // flows a second: more than any proxy gets
 	}
-	if s.MessageCap == 0 { // no limit
+	if s.MessageCap == 0 {
 		g.fig.messageCap = math.MaxInt32
 	}
 	for i, tg := range s.Groups {
 		kind := common
 		if tg.HomeOnly {
-			kind = home
+			kind, g.fig.zones = home, s.Zones
 		}
 		g.fig.groups[kind] |= 1 << i
 		budget := max(tg.LatencyBudget.Seconds(), math.SmallestNonzeroFloat32)
@@ -160,9 +160,9 @@
 // and, at first, the same part, so that both share connections. Harm: a part is a smaller sample than the
 // fleet, so share keeps parts even.
 func (g *Governor) lay(replicas float64) {
-	zones, least := 0, tableLeast
-	if g.fig.groups[home] != 0 {
-		zones, least = g.fig.zones, 2*tableLeast
+	zones, least := g.fig.zones, tableLeast
+	if zones > 0 {
+		least = 2 * tableLeast
 	}
 	n := int(min(g.fig.proxies/least, replicas/partLeast))
 	if replicas*g.fig.proxies <= g.fig.pacedLines || n < max(zones, 2) {
@@ -173,10 +173,8 @@
 	for i := range n {
 		g.tables = append(g.tables, &table{kind: common, zone: ZoneID(i % max(zones, 1))})
 	}
-	for i := range max(n, zones) {
-		if zones > 0 {
-			g.tables = append(g.tables, &table{kind: home, zone: ZoneID(i % zones)})
-		}
+	for i := 0; zones > 0 && i < max(n, zones); i++ {
+		g.tables = append(g.tables, &table{kind: home, zone: ZoneID(i % zones)})
 	}
 	for i, t := range g.tables {
 		t.id, t.admits = TableID(i), make([]Admit, len(g.groups))
@@ -222,39 +220,12 @@
 	}
 }
 
-func (g *Governor) join(e Joined) {
-	if g.leave(e.Proxy); !g.on {
-		return
-	}
-	p := &proxy{id: e.Proxy, zone: e.Zone, fresh: e.Fresh}
-	if e.Rate > 0 && !math.IsInf(e.Rate, 0) {
-		p.rate = e.Rate
-	}
-	g.proxies[p.id] = p
-	g.waiting = append(g.waiting, p)
-}
-
-func (g *Governor) leave(id ProxyID) {
-	p := g.proxies[id]
-	if p == nil {
-		return
-	}
-	is := func(q *proxy) bool { return q == p }
-	for _, t := range p.table {
-		if t != nil {
-			t.proxies, t.flows = slices.DeleteFunc(t.proxies, is), max(t.flows-g.expected(p, t), 0)
-		}
-	}
-	g.waiting = slices.DeleteFunc(g.waiting, is)
-	delete(g.proxies, id)
-}
-
 func (g *Governor) sums(e Sums) {
 	r := g.byID[e.Replica]
 	if r == nil || e.Tries <= 0 || e.Dropped < 0 || e.Dropped > e.Tries || e.Over <= 0 {
 		return
 	}
-	g.sumsCame, g.longest, r.newOver = true, max(g.longest, e.Over), r.newOver+e.Over
+	g.sumsCame, g.longest, r.newOver = true, max(g.longest, e.Over), max(r.newOver, e.Over)
 	r.newTries, r.newDrops = r.newTries+float64(e.Tries), r.newDrops+float64(e.Dropped)
 	if e.Report.Util >= 0 {
 		r.newLoad, r.newReports = r.newLoad+min(e.Report.Util, 1), r.newReports+1
@@ -276,12 +247,6 @@
 	}
 }
 
-// expected is what a table's flows will be from a proxy, by what it told at joining.
-func (g *Governor) expected(p *proxy, t *table) float64 {
-	groups := float64(bits.OnesCount16(uint16(g.fig.groups[t.kind]))) / float64(len(g.groups))
-	return p.rate * groups * speedPeriods * g.fig.period.Seconds()
-}
-
 // review takes in the sums that came since the last one: health first, then speeds, then how much to let
 // in. Sums come capped, so a replica may be heard of less than once a period; what is heard is judged by
 // the time that it covers.
@@ -305,9 +270,9 @@
 					r.busy = r.busy*keep(heard, speedPeriods) + r.reported()*heard
 				}
 			}
-			r.tries = r.tries*keep(heard, healthPeriods) + r.newTries
-			r.drops = r.drops*keep(heard, healthPeriods) + r.newDrops
 		}
+		r.tries = r.tries*keep(periods, healthPeriods) + r.newTries
+		r.drops = r.drops*keep(periods, healthPeriods) + r.newDrops
 		if r.state == Ready {
 			f.ready++
 			f.out += r.held()
@@ -354,9 +319,8 @@
 }
 
 // setLevel sets how much of the work asked for is let in, and whether a fleet that can block nothing is
-// jammed. It goes by the load that flows met; that cannot pass 1, and beyond it drops tell how far the
-// fleet is over. After a restart of ours it starts from the part of the flows that was tried. Harm: drops
-// that are not from load block flows for some seconds too.
+// jammed, by the load that flows met; beyond 1 drops tell how far the fleet is over. After a restart of ours
+// it starts from the part of the flows that was tried. Harm: drops not from load block flows for a while.
 func (g *Governor) setLevel(now Time, f *fleet) {
 	if now < g.holdUntil && len(g.waiting) > 0 {
 		for i := range g.let {
@@ -372,12 +336,11 @@
 	g.let[0] = min(max(want, levelLeast), 1)
 }
 
-// health holds out replicas that drop flows though they are less busy than the fleet, and those silent
-// though flows go there: against fast drops behind a low report and hangs; it also catches a crash before
-// the list tells, a cut path, and a false report of nought. Full replicas drop flows too, but their load has
-// lowered their weight already. When all others drop as much, the fault is shared and nobody is held out.
-// One held out keeps a trickle and returns by its good answers. Harm: a few drops by chance on a quiet day
-// hold one out for some seconds.
+// health holds out replicas that drop flows though less busy than the fleet, and those silent though flows
+// go there: against fast drops and hangs; it also catches a crash before the list tells, a cut path, and a
+// false report of nought. The load of full ones has lowered their weight already. When all others drop as
+// much, the fault is shared. One held out keeps a trickle and returns by its good answers. Harm: a few drops
+// by chance on a quiet day hold one out for some seconds.
 func (g *Governor) health(now Time, f *fleet) {
 	for _, r := range g.replicas {
 		good := r.newTries - r.newDrops
@@ -411,26 +374,32 @@
 // weights stand: some replicas stay in time, and full ones turn the excess away at once. Harm: where listed
 // weights are far from true speeds, a short jam moves more flows than it need.
 func (g *Governor) weigh(now Time) {
+	spare, flows := 0.0, 1.0
 	for _, r := range g.replicas {
 		r.want, r.most = [2]float64{}, g.bound(now, r)
 		if !math.IsInf(r.most, 1) { // it is idle for its small share, which says nothing of its fair one
 			r.load = max(r.load, g.meanLoad)
 		}
-		load := r.load
-		if !r.known {
-			load = g.meanLoad
-		}
 		if r.size == 0 || g.jammed {
 			r.size = r.listed
 		}
-		r.spare = r.size * max(1-load, spareFloor)
+		if r.spare = r.size * max(1-r.load, spareFloor); !r.known {
+			r.spare = r.size * max(1-g.meanLoad, spareFloor)
+		}
 		if g.jammed {
 			r.spare = r.size
 		}
+		spare += r.spare
 	}
-	if g.fig.groups[home] != 0 {
-		for z := range g.fig.zones {
-			g.share(now, func(t *table) bool { return t.kind == home && int(t.zone) == z })
+	for _, t := range g.tables {
+		flows += t.flows
+	}
+	for z := range g.fig.zones {
+		g.share(now, func(t *table) bool { return t.kind == home && int(t.zone) == z })
+	}
+	for _, r := range g.replicas {
+		if t := r.table[home]; t != nil && g.pairs == 0 { // its zone's own flows come off its part of the common
+			r.spare = max(r.spare-r.want[home]/100*t.flows/flows*spare, r.spare*rampFrom)
 		}
 	}
 	g.share(now, func(t *table) bool { return t.kind == common })
@@ -523,15 +492,21 @@
 	}
 	least := g.fig.coldFrom + (1-g.fig.coldFrom)*a
 	most = min(most, rampFrom+(1-rampFrom)*a/rampSpan, coldFill*least/max(g.demand, spareFloor))
-	if t := r.table[common]; g.fig.avoids && t != nil {
-		most *= min(max(3-3*max(g.dropShare, t.drops/max(t.tries, 1))/avoidShare, 0), 1)
+	if g.fig.avoids {
+		drops, gone := g.dropShare, avoidShare/2
+		if t := r.table[common]; t != nil {
+			drops = max(drops, t.drops/max(t.tries, 1))
+			gone = avoidShare * min(float64(len(t.part)+1)/(2*partLeast), 1)
+		}
+		most *= min(max(3-3*drops/gone, 0), 1)
 	}
 	return most
 }
 
 // fill shares a table's 100 among its part by spare capacity; what a bound cuts off goes to the others.
 // Bounds are by the fair share of all flows of its kind, since a few proxies may have more than their part.
-// Where all are bound, they share it by their bounds.
+// Where all are bound, what they cannot take goes to the replicas named beside the part, or, where there are
+// none, they share it by their bounds.
 func (t *table) fill(flows float64) {
 	size, spare := t.whole*(t.flows+1)/flows, t.spares()
 	slices.SortStableFunc(t.part, func(a, b *replica) int { // most bound first
@@ -543,18 +518,21 @@
 		left, spare = left-r.want[t.kind], spare-r.spare
 	}
 	for _, r := range t.part {
-		if left >= 100 {
-			r.want[t.kind] = 100 * r.spare / t.spares()
-		} else if left > 1 {
+		switch {
+		case left < 1:
+		case t.lines > 2*float64(len(t.part)):
+			r.want[t.kind] *= 100 * restShare / left
+		case left < 100:
 			r.want[t.kind] *= 100 / (100 - left)
+		default:
+			r.want[t.kind] = 100 * r.spare / t.spares()
 		}
 	}
 }
 
-// publish sends what changed. Removals go first, then new lines and deep cuts, joins and levels, at once;
+// publish sends what changed. Removals go first, then new lines and deep cuts, levels and joins, at once;
 // all but removals leave half of the channel. The rest goes once a period, in a part of the channel and of a
-// proxy's messages. As a message's head costs as much as several lines, tables whose changes move most come
-// first, and each sends all that it has, largest first.
+// proxy's messages, tables whose changes move most first; each sends all, largest first, as heads cost much.
 func (g *Governor) publish(now Time, due bool) {
 	g.replicas = slices.DeleteFunc(g.replicas, func(r *replica) bool { return g.byID[r.id] != r })
 	old := 0
@@ -593,7 +571,9 @@
 		for _, t := range slices.SortedStableFunc(slices.Values(g.tables), by) {
 			g.send(now, t, t.changes, g.fig.pacedLines, g.fig.messageCap/2)
 		}
-		g.name(now)
+		if len(g.waiting) == 0 { // else they would be sent far more lines when bound
+			g.name(now)
+		}
 	}
 	for _, t := range g.tables {
 		t.urgent, t.changes, t.moves = t.urgent[:0], t.changes[:0], 0
@@ -646,11 +626,10 @@
 				lacks = append(lacks, change{r, t.rest(r), 0})
 			}
 		}
-		all := g.send(now, t, lacks, g.fig.fillLines, g.fig.messageCap/2)
-		if all {
-			g.next++
+		if !g.send(now, t, lacks, g.fig.fillLines, g.fig.messageCap/2) {
+			return
 		}
-		if !all || len(lacks) == 0 {
+		if g.next++; len(lacks) == 0 {
 			return
 		}
 	}
@@ -693,9 +672,6 @@
 // withdrew. After a restart of ours, proxies go on with what they hold until the first sums have told us the
 // load, or until some replica must be left.
 func (g *Governor) bind(now Time) {
-	if g.lists == 0 {
-		return
-	}
 	slices.SortStableFunc(g.waiting, func(a, b *proxy) int { return cmp.Compare(b.rate, a.rate) })
 	g.waiting = slices.DeleteFunc(g.waiting, func(p *proxy) bool {
 		if !p.fresh && now < g.holdUntil {
--- a/rules/state.go
+++ b/rules/state.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"hash/crc32"
 	"math"
+	"math/bits"
+	"slices"
 	"time"
 )
 
@@ -12,10 +14,10 @@
 // figures are what the settings come to.
 type figures struct {
 	groups                       [2]GroupSet // traffic groups by kind of table
-	zones                        int
-	proxies                      float64 // that join this governor when all is well
-	onRequest, blocks, avoids    bool    // the list must be asked for; levels are heeded; proxies avoid replicas
-	unblocked                    float64 // the level that lets all in
+	zones                        int         // if some traffic groups stay in their zone
+	proxies                      float64     // that join this governor when all is well
+	onRequest, blocks, avoids    bool        // the list must be asked for; levels are heeded; proxies avoid
+	unblocked                    float64     // the level that lets all in
 	pacedLines, fillLines        float64
 	lineCap, head                float64 // of the channel; lines of a message besides its orders
 	messageCap                   int
@@ -217,3 +219,36 @@
 	part := float64(crc32.ChecksumIEEE(b)) / (1 << 32)
 	return Time(least) + Time(part*float64(most-least))
 }
+
+func (g *Governor) join(e Joined) {
+	if g.leave(e.Proxy); !g.on {
+		return
+	}
+	p := &proxy{id: e.Proxy, zone: e.Zone, fresh: e.Fresh}
+	if e.Rate > 0 && !math.IsInf(e.Rate, 0) {
+		p.rate = e.Rate
+	}
+	g.proxies[p.id] = p
+	g.waiting = append(g.waiting, p)
+}
+
+func (g *Governor) leave(id ProxyID) {
+	p := g.proxies[id]
+	if p == nil {
+		return
+	}
+	is := func(q *proxy) bool { return q == p }
+	for _, t := range p.table {
+		if t != nil {
+			t.proxies, t.flows = slices.DeleteFunc(t.proxies, is), max(t.flows-g.expected(p, t), 0)
+		}
+	}
+	g.waiting = slices.DeleteFunc(g.waiting, is)
+	delete(g.proxies, id)
+}
+
+// expected is what a table's flows will be from a proxy, by what it told at joining.
+func (g *Governor) expected(p *proxy, t *table) float64 {
+	groups := float64(bits.OnesCount16(uint16(g.fig.groups[t.kind]))) / float64(len(g.groups))
+	return p.rate * groups * speedPeriods * g.fig.period.Seconds()
+}
