Lower levels by drops where good answers are late, whatever load is reported

Should also catch work that waits for something else than a core. Could harm where a fault and late answers come together.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -135,6 +135,9 @@
 		}
 		g.fig.groups[kind] |= 1 << i
 		budget := max(tg.LatencyBudget.Seconds(), math.SmallestNonzeroFloat32)
+		if i == 0 || budget < g.fig.budget {
+			g.fig.budget = budget
+		}
 		g.groups = append(g.groups, group{id: GroupID(i), budget: budget, merit: tg.Utility / budget})
 	}
 	slices.SortStableFunc(g.groups, func(a, b group) int { return cmp.Compare(a.merit, b.merit) })
@@ -227,6 +230,7 @@
 	}
 	g.sumsCame, g.longest, r.newOver = true, max(g.longest, e.Over), max(r.newOver, e.Over)
 	r.newTries, r.newDrops = r.newTries+float64(e.Tries), r.newDrops+float64(e.Dropped)
+	g.goodTime += e.Took.Seconds() * float64(e.Tries-e.Dropped)
 	if e.Report.Util >= 0 {
 		r.newLoad, r.newReports = r.newLoad+min(e.Report.Util, 1), r.newReports+1
 	}
@@ -309,7 +313,7 @@
 	if f.reported > 0 {
 		g.setLevel(now, &f)
 	}
-	g.reviewed, g.sumsCame, g.newFlows, g.longest = now, false, 0, 0
+	g.reviewed, g.sumsCame, g.newFlows, g.longest, g.goodTime = now, false, 0, 0, 0
 	for i := range g.groups {
 		g.groups[i].flows *= keep(periods, speedPeriods)
 	}
@@ -319,8 +323,10 @@
 }
 
 // setLevel sets how much of the work asked for is let in, and whether a fleet that can block nothing is
-// jammed, by the load that flows met; beyond 1 drops tell how far the fleet is over. After a restart of ours
-// it starts from the part of the flows that was tried. Harm: drops not from load block flows for a while.
+// jammed, by the load that flows met; beyond 1 drops tell how far the fleet is over. Where good answers take
+// over the least latency budget, drops count whatever load is reported: against reports that hide overload;
+// it should also catch work that waits for something else than a core. After a restart of ours it starts
+// from the part of the flows that was tried. Harm: drops not from load block flows for a while.
 func (g *Governor) setLevel(now Time, f *fleet) {
 	if now < g.holdUntil && len(g.waiting) > 0 {
 		for i := range g.let {
@@ -330,6 +336,9 @@
 	g.holdUntil = min(g.holdUntil, now)
 	met := f.latest / f.reported * (1 + g.dropShare)
 	g.jammed = !g.fig.blocks && (met > jamLoad || g.jammed && met > loadWanted)
+	if g.goodTime > g.fig.budget*(f.tries-f.drops) {
+		met = max(met, loadWanted+g.dropShare-dropShareBad)
+	}
 	made := letDelay - 1 + int((g.cover-g.fig.period)/g.fig.period) // the review whose level made these sums
 	want := g.let[min(made, len(g.let)-1)] * loadWanted / max(met, spareFloor)
 	copy(g.let[1:], g.let)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -272,3 +272,18 @@
 	p.change(1, Draining, 0)
 	p.check(t)
 }
+
+// Reports that show little load must not keep the gates open while nothing comes in time.
+func TestLateAnswersShowOverload(t *testing.T) {
+	p := newPlay(site(), 4, 2)
+	p.run(3)
+	p.note("two flows in three are dropped at a low reported load, the rest in good time: a fault, not load")
+	for id := range ReplicaID(4) {
+		p.failing[id+1], p.load[id+1] = 0.67, 0.2
+	}
+	p.run(2)
+	p.note("the rest takes longer than the least latency budget")
+	p.took = 1200 * time.Millisecond
+	p.run(4)
+	p.check(t)
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -24,6 +24,7 @@
 	period, messageSpan, askWait time.Duration
 	ledgerSpan, warmAfter        time.Duration
 	removeWait                   Time
+	budget                       float64 // the least latency budget
 	coldFrom                     float64
 }
 
@@ -137,6 +138,7 @@
 	sumsCame, taught bool          // sums came since the last review; have been reviewed
 	longest, cover   time.Duration // what sums are counted over: the longest since the last review, and smoothed
 	holdUntil        Time          // until then, or the first sums, proxies keep what a former life gave them
+	goodTime         float64       // seconds that the good tries since the last review took
 	newFlows         float64       // that came to proxies since the last review
 
 	meanLoad, dropShare float64 // of the replicas in service
--- a/rules/trace_test.go
+++ b/rules/trace_test.go
@@ -26,7 +26,8 @@
 	failing map[ReplicaID]float64
 	hung    map[ReplicaID]bool
 	load    map[ReplicaID]float64
-	flows   int     // a period, over all replicas
+	flows   int // a period, over all replicas
+	took    time.Duration
 	turns   int     // a replica is heard of once in so many periods
 	busy    ProxyID // gets three times the flows of the others, if not 0
 	version uint16
@@ -53,7 +54,7 @@
 
 // newPlay starts a governor with n replicas of alternating zones, and m proxies that join at once.
 func newPlay(s Settings, n, m int) *play {
-	p := &play{now: 1000 * Time(time.Second), turns: 1, failing: map[ReplicaID]float64{}, hung: map[ReplicaID]bool{},
+	p := &play{now: 1000 * Time(time.Second), turns: 1, took: 200 * time.Millisecond, failing: map[ReplicaID]float64{}, hung: map[ReplicaID]bool{},
 		load: map[ReplicaID]float64{}, flows: 10 * n}
 	for i := range n {
 		id := ReplicaID(i + 1)
@@ -135,7 +136,7 @@
 	for _, r := range p.g.replicas {
 		tries := int(float64(p.flows)*r.ordered(common)/max(total, 1) + 0.5)
 		s := Sums{Replica: r.id, Tries: tries * p.turns, Over: time.Second * time.Duration(p.turns),
-			Dropped: int(float64(tries*p.turns)*p.failing[r.id] + 0.5), Took: 200 * time.Millisecond, Report: Report{Util: p.load[r.id]}}
+			Dropped: int(float64(tries*p.turns)*p.failing[r.id] + 0.5), Took: p.took, Report: Report{Util: p.load[r.id]}}
 		turn := (int(r.id)+int(p.now/1000/ms))%p.turns == 0
 		if tries > 0 && !p.hung[r.id] && turn {
 			out = append(out, s)
