Cap measured speeds by what answer times tell

A replica that shows a part of its load looks fast by its busy time, and its spare capacity doubles on top of that; it drew three quarters of the flows of four (test). Its answers take long: a measured speed is believed up to 1.5 times what answer times tell, else it also counts as no less busy than the fleet. Should also catch slow paths in part. Could harm a replica whose flows are by chance the heavy ones.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -31,6 +31,7 @@
 	avoidShare    = 0.6     // with this share of tries dropped, a cold replica gets no line; half in small parts
 	speedPeriods  = 8.0     // speeds, and shares of traffic groups, are learnt over so many periods
 	speedFlows    = 8.0     // flows after which a replica's own speed counts as much as the fleet's
+	doubtAbove    = 1.5     // a measured speed is believed up to so many times what answer times tell
 	taughtDrops   = 0.2     // share of dropped tries above which a replica's answers do not tell its speed
 	healthPeriods = 4.0     // answers count in a replica's health for about so many periods
 	dropsToJudge  = 3.0     // no judgement on fewer dropped tries than this
@@ -230,7 +231,7 @@
 	}
 	g.sumsCame, g.longest, r.newOver = true, max(g.longest, e.Over), max(r.newOver, e.Over)
 	r.newTries, r.newDrops = r.newTries+float64(e.Tries), r.newDrops+float64(e.Dropped)
-	g.goodTime += e.Took.Seconds() * float64(e.Tries-e.Dropped)
+	r.newTime += e.Took.Seconds() * float64(e.Tries-e.Dropped)
 	if e.Report.Util >= 0 {
 		r.newLoad, r.newReports = r.newLoad+min(e.Report.Util, 1), r.newReports+1
 	}
@@ -270,6 +271,7 @@
 				}
 				r.load += (r.reported() - r.load) * (1 - keep(heard, smoothPeriods))
 				if r.newDrops <= taughtDrops*r.newTries {
+					r.time = r.time*keep(heard, speedPeriods) + r.newTime
 					r.served = r.served*keep(heard, speedPeriods) + r.newTries - r.newDrops
 					r.busy = r.busy*keep(heard, speedPeriods) + r.reported()*heard
 				}
@@ -281,6 +283,7 @@
 			f.ready++
 			f.out += r.held()
 		}
+		f.goodTime, f.time, f.listed = f.goodTime+r.newTime, f.time+r.time, f.listed+r.listed*r.served
 		f.over += r.newTries * float64(r.newOver)
 		f.tries, f.drops = f.tries+r.newTries, f.drops+r.newDrops
 		f.allTries, f.allDrops = f.allTries+r.tries, f.allDrops+r.drops
@@ -296,6 +299,12 @@
 		if speed > 0 {
 			own := (r.served + speedFlows) / (r.busy*r.listed*speed + speedFlows)
 			r.size *= min(max(own, 1/manyTimes), manyTimes)
+			// A replica that answers too slowly for its measured speed shows less load than it has.
+			usual := f.time / f.served
+			most := doubtAbove * f.listed / f.served * usual * (r.served + speedFlows) / (r.time + speedFlows*usual)
+			if r.size > most {
+				r.size, r.load = most, max(r.load, g.meanLoad)
+			}
 		}
 		if r.known && r.state == Ready && !r.out {
 			f.size, f.work = f.size+r.size, f.work+r.size*r.load
@@ -303,7 +312,7 @@
 				f.reported, f.latest = f.reported+sent, f.latest+sent*r.reported()
 			}
 		}
-		r.newTries, r.newDrops, r.newLoad, r.newReports, r.newOver = 0, 0, 0, 0, 0
+		r.newTries, r.newDrops, r.newLoad, r.newReports, r.newOver, r.newTime = 0, 0, 0, 0, 0, 0
 	}
 	g.dropShare = max(f.allDrops/max(f.allTries, 1), f.drops/max(f.tries, 1))
 	if f.size > 0 {
@@ -313,7 +322,7 @@
 	if f.reported > 0 {
 		g.setLevel(now, &f)
 	}
-	g.reviewed, g.sumsCame, g.newFlows, g.longest, g.goodTime = now, false, 0, 0, 0
+	g.reviewed, g.sumsCame, g.newFlows, g.longest = now, false, 0, 0
 	for i := range g.groups {
 		g.groups[i].flows *= keep(periods, speedPeriods)
 	}
@@ -336,7 +345,7 @@
 	g.holdUntil = min(g.holdUntil, now)
 	met := f.latest / f.reported * (1 + g.dropShare)
 	g.jammed = !g.fig.blocks && (met > jamLoad || g.jammed && met > loadWanted)
-	if g.goodTime > g.fig.budget*(f.tries-f.drops) {
+	if f.goodTime > g.fig.budget*(f.tries-f.drops) {
 		met = max(met, loadWanted+g.dropShare-dropShareBad)
 	}
 	made := letDelay - 1 + int((g.cover-g.fig.period)/g.fig.period) // the review whose level made these sums
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -273,6 +273,16 @@
 	p.check(t)
 }
 
+// A replica that shows next to no load looks many times faster than it is; its answer times tell.
+func TestFalseReport(t *testing.T) {
+	p := newPlay(site(), 4, 2)
+	p.run(3)
+	p.note("one answers slowly and reports that it is idle")
+	p.slow, p.load[2] = 2, 0.02
+	p.run(8)
+	p.check(t)
+}
+
 // Reports that show little load must not keep the gates open while nothing comes in time.
 func TestLateAnswersShowOverload(t *testing.T) {
 	p := newPlay(site(), 4, 2)
--- a/rules/state.go
+++ b/rules/state.go
@@ -46,6 +46,7 @@
 	inList  int // the last list that named it
 
 	newTries, newDrops, newLoad, newReports float64 // since the last review
+	newTime, time                           float64 // seconds that good tries took: new, over the speed window
 	newOver                                 time.Duration
 	heardAt                                 Time // the last review that had sums of it
 
@@ -138,7 +139,6 @@
 	sumsCame, taught bool          // sums came since the last review; have been reviewed
 	longest, cover   time.Duration // what sums are counted over: the longest since the last review, and smoothed
 	holdUntil        Time          // until then, or the first sums, proxies keep what a former life gave them
-	goodTime         float64       // seconds that the good tries since the last review took
 	newFlows         float64       // that came to proxies since the last review
 
 	meanLoad, dropShare float64 // of the replicas in service
@@ -162,6 +162,7 @@
 	sent, reported, latest           float64 // weights in common tables: all, those that reported, times load
 	size, work                       float64 // of the replicas in service, and their busy part
 	ready, out, over                 float64 // replicas; what the tries were counted over, by tries
+	goodTime, time, listed           float64 // seconds of good tries: new, over the window; listed by flows
 }
 
 func (s GroupSet) has(id GroupID) bool { return s&(1<<id) != 0 }
--- a/rules/trace_test.go
+++ b/rules/trace_test.go
@@ -28,8 +28,9 @@
 	load    map[ReplicaID]float64
 	flows   int // a period, over all replicas
 	took    time.Duration
-	turns   int     // a replica is heard of once in so many periods
-	busy    ProxyID // gets three times the flows of the others, if not 0
+	slow    ReplicaID // takes three times as long
+	turns   int       // a replica is heard of once in so many periods
+	busy    ProxyID   // gets three times the flows of the others, if not 0
 	version uint16
 	trace   strings.Builder
 }
@@ -137,6 +138,9 @@
 		tries := int(float64(p.flows)*r.ordered(common)/max(total, 1) + 0.5)
 		s := Sums{Replica: r.id, Tries: tries * p.turns, Over: time.Second * time.Duration(p.turns),
 			Dropped: int(float64(tries*p.turns)*p.failing[r.id] + 0.5), Took: p.took, Report: Report{Util: p.load[r.id]}}
+		if r.id == p.slow {
+			s.Took *= 3
+		}
 		turn := (int(r.id)+int(p.now/1000/ms))%p.turns == 0
 		if tries > 0 && !p.hung[r.id] && turn {
 			out = append(out, s)
