--- a/rules/rules.go
+++ b/rules/rules.go
@@ -44,13 +44,14 @@
 	loadWanted    = 0.8     // flows are blocked to keep the fleet at this load
 	letDelay      = 3       // reviews until the sums show what a changed level did
 	removeShare   = 0.25    // part of the drain grace that removals may wait for others, or for naming
+	restartLevel  = 0.5     // what a restarted governor lets in until its first sums
 	levelLeast    = 0.05    // what is always let in of a traffic group
 	jamLoad       = 1.2     // load, raised by drops, from which a fleet that can block nothing counts as jammed
 	askParts      = 20      // a failed call for the list is made again after one or two such parts of the time
 	fillShare     = 2.0 / 3 // the same as pacedShare for naming replicas in tables that lean on others
 	tableLeast    = 5.0     // there are no more tables than one for so many proxies
 	partLeast     = 8.0     // a table leans on so many replicas or more
-	restShare     = 0.02    // by a table's part, what all replicas outside it weigh in it
+	restShare     = 0.05    // by a table's part, what all replicas outside it weigh in it
 	evenParts     = 1.25    // a part has at most so many times the spare capacity of another, by their flows
 )
 
@@ -119,16 +120,14 @@
 		avoids: s.FailsToAvoid > 0, period: s.Period, lineCap: s.LineCap,
 		pacedLines: s.LinePace * pacedShare,
 		fillLines:  s.LinePace * min(fillShare, s.DrainGrace.Seconds()*removeShare),
-		head:       s.HeadLines + 1, ledgerSpan: 4*full + s.TravelMost, messageCap: s.MessageCap,
+		head:       s.HeadLines + 1, ledgerSpan: 4*full + s.TravelMost,
+		messageCap:  cmp.Or(s.MessageCap, math.MaxInt32),
 		messageSpan: s.MessageSpan, askWait: s.AskWithin / askParts, warmAfter: s.WarmAfter, coldFrom: s.ColdFrom,
 		removeWait: Time(float64(s.DrainGrace) * removeShare),
 	}
 	if s.Levels == LevelRate {
 		g.fig.unblocked = math.MaxInt32 // flows a second: more than any proxy gets
 	}
-	if s.MessageCap == 0 {
-		g.fig.messageCap = math.MaxInt32
-	}
 	for i, tg := range s.Groups {
 		kind := common
 		if tg.HomeOnly {
@@ -158,11 +157,10 @@
 //
 // Exception for size, where all lines of one table cannot be sent anew within a period's part of the
 // channel: a table for every few proxies, which leans on a part of the replicas and names the others at a
-// small weight. That is against changed lines that cost more than the channel has, and against more
-// connections than replicas accept; it should also catch handshakes that eat the fleet. Where some traffic
-// groups stay in their zone, each table for them has a pair among the common ones with the same proxies
-// and, at first, the same part, so that both share connections. Harm: a part is a smaller sample than the
-// fleet, so share keeps parts even.
+// small weight. That is against changed lines that cost more than the channel has, and more connections than
+// replicas accept; it should also catch handshakes that eat the fleet. Tables for groups that stay in their
+// zone have pairs among the common ones with the same proxies and, at first, the same part, so that both
+// share connections. Harm: a part is a smaller sample than the fleet, so share keeps parts even.
 func (g *Governor) lay(replicas float64) {
 	zones, least := g.fig.zones, tableLeast
 	if zones > 0 {
@@ -570,7 +568,7 @@
 			}
 			want, sent := r.want[kind], r.sent[t.id]
 			c := change{r, want, math.Abs(want - sent)}
-			if c.by > 0 && (want < sent/2 || sent < 2*t.rest(r)) {
+			if c.by > 0 && (want < sent/2 || sent < evenParts*t.rest(r)) {
 				t.urgent = append(t.urgent, c)
 			} else if c.by > 0 && c.by >= skipChange*sent {
 				t.changes, t.moves = append(t.changes, c), t.moves+c.by*t.flows
@@ -580,6 +578,10 @@
 	for _, t := range g.tables {
 		g.send(now, t, t.urgent, g.fig.lineCap/2, g.fig.messageCap*3/4)
 	}
+	if !g.taught && slices.ContainsFunc(g.waiting, func(p *proxy) bool { return !p.fresh }) {
+		// We have restarted, and our levels, which are lost, may have been low. Harm: quiet starts block half.
+		g.let = slices.Repeat([]float64{restartLevel}, len(g.let))
+	}
 	if due || !g.taught {
 		g.admit(now)
 	}
@@ -603,9 +605,9 @@
 	}
 }
 
-// remove takes the lines of a replica that drains or is gone; the drain rule leaves no time to wait for a
-// message of the span to pass. Tables that only name it wait for others, so that replicas which go one by
-// one do not use up the messages of the span. Harm: a few flows go there for a part of the grace.
+// remove takes the lines of a replica that drains or is gone, with all of a proxy's messages. Tables that
+// only name it wait for others, so that replicas which go one by one do not use those up. Harm: a few flows
+// go there for a part of the grace.
 func (g *Governor) remove(now Time, r *replica, all bool) {
 	for _, t := range g.tables {
 		own := t == r.table[t.kind]
@@ -665,7 +667,9 @@
 	left := (1 - g.let[0]) * total
 	for i, tg := range g.groups {
 		o := Admit{Groups: 1 << tg.id, Level: g.fig.unblocked, Retry: RetryUnrun}
-		if work := tg.flows * tg.budget; g.fig.blocks && left > 0 && work > 0 {
+		if work := tg.flows * tg.budget; g.fig.blocks && total == 0 {
+			o.Level = g.let[0]
+		} else if g.fig.blocks && left > 0 && work > 0 {
 			cut := min(left, work*(1-levelLeast))
 			o.Level, left = 1-cut/work, left-cut
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -44,7 +44,7 @@
 	p.note("proxies keep our former tables until the first sums")
 	p.step(events(p.proxies)...)
 	p.run(2)
-	p.note("killed and started again; a replica drains, so they are bound at once")
+	p.note("killed and started again; a replica drains, so they are bound at once, with half let in")
 	p.list[0].State = Draining
 	p.step(Killed{}, Start{Seed: 8, Settings: site()}, List{Scope: Cached, Entries: p.list}, p.proxies[0])
 	p.check(t)
