--- a/rules/rules.go
+++ b/rules/rules.go
@@ -19,7 +19,7 @@
 	"time"
 )
 
-// Ratios and counts; "design" marks those that the design page names, with its value where ours differs.
+// "design" marks what the design page names, with its value where ours differs.
 const (
 	smoothPeriods = 12.0    // load is smoothed over so many report periods (design: 5)
 	spareFloor    = 0.35    // least share of a replica taken to be spare (design: 0.05)
@@ -43,6 +43,8 @@
 	outMost       = 0.4     // part of the fleet that may be held out at once
 	loadWanted    = 0.8     // flows are blocked to keep the fleet at this load
 	letDelay      = 3       // reviews until the sums show what a changed level did
+	fillMost      = 0.9     // part of the lines that may wait, by our count of them
+	slowMost      = 10.0    // a channel so many times slower is still counted right
 	removeShare   = 0.25    // part of the drain grace that removals may wait for others, or for naming
 	restartLevel  = 0.5     // what a restarted governor lets in until its first sums
 	levelLeast    = 0.05    // what is always let in of a traffic group
@@ -59,7 +61,7 @@
 func (g *Governor) Step(now Time, events []Event) []Order {
 	g.orders, g.lines, g.written = nil, 0, 0
 	g.step++
-	var listed, stirred bool
+	var listed, woken, joined bool
 	for _, e := range events {
 		switch e := e.(type) {
 		case Start:
@@ -67,15 +69,15 @@
 		case Killed:
 			*g = Governor{}
 		case List:
-			listed, stirred = true, true
+			listed = true
 			g.list(now, e)
 		case Wake:
 			if g.on && e.Mark == g.mark {
-				stirred = true
+				woken = true
 				g.wake()
 			}
 		case Joined:
-			stirred = true
+			joined = true
 			g.join(e)
 		case Left:
 			g.leave(e.Proxy)
@@ -98,8 +100,15 @@
 	if due || listed {
 		g.weigh(now)
 	}
-	if (due || stirred) && g.lists > 0 {
+	if g.lists > 0 && (due || listed || woken || joined && !g.taught) {
 		g.publish(now, due)
+	} else if g.lists > 0 && joined {
+		g.bind(now)
+	}
+	if g.written > 0 {
+		g.version++
+		g.orders = append(g.orders, Mark{Version: g.version})
+		g.channel = append(g.channel, parcel{now, g.lines, g.written, g.written})
 	}
 	g.follow(now)
 	return g.orders
@@ -113,16 +122,14 @@
 		g.orders = append(g.orders, Log{"a site with slices: this module leaves it undecided"})
 		return
 	}
-	full := time.Duration(s.LineCap / s.LinePace * float64(time.Second)) // to empty a full channel
+	span := s.LineCap / s.LinePace * slowMost * float64(time.Second)
 	g.fig = figures{
-		proxies:   float64(s.Proxies) / float64(max(s.Governors, 1)),
-		onRequest: s.ListOnRequest, blocks: s.Levels == LevelShare, unblocked: 1,
-		avoids: s.FailsToAvoid > 0, period: s.Period, lineCap: s.LineCap,
-		pacedLines: s.LinePace * pacedShare,
-		fillLines:  s.LinePace * min(fillShare, s.DrainGrace.Seconds()*removeShare),
-		head:       s.HeadLines + 1, ledgerSpan: 4*full + s.TravelMost,
-		messageCap:  cmp.Or(s.MessageCap, math.MaxInt32),
-		messageSpan: s.MessageSpan, askWait: s.AskWithin / askParts, warmAfter: s.WarmAfter, coldFrom: s.ColdFrom,
+		proxies: float64(s.Proxies) / float64(max(s.Governors, 1)), warmAfter: s.WarmAfter, coldFrom: s.ColdFrom,
+		onRequest: s.ListOnRequest, blocks: s.Levels == LevelShare, unblocked: 1, avoids: s.FailsToAvoid > 0,
+		period: s.Period, lineCap: s.LineCap * fillMost, pacedLines: s.LinePace * pacedShare,
+		fillLines: s.LinePace * min(fillShare, s.DrainGrace.Seconds()*removeShare), head: s.HeadLines + 1,
+		ledgerSpan: time.Duration(span) + s.TravelMost, messageCap: cmp.Or(s.MessageCap, math.MaxInt32),
+		messageSpan: s.MessageSpan, askWait: s.AskWithin / askParts,
 		removeWait: Time(float64(s.DrainGrace) * removeShare),
 	}
 	if s.Levels == LevelRate {
@@ -192,8 +199,7 @@
 		g.observing, g.askAt = false, now+g.chance(g.fig.askWait, 2*g.fig.askWait)
 		return
 	}
-	g.lists++
-	g.observing = e.Scope != Cached
+	g.lists, g.observing = g.lists+1, e.Scope != Cached
 	if g.tables == nil {
 		g.lay(float64(len(e.Entries)))
 	}
@@ -546,9 +552,9 @@
 	}
 }
 
-// publish sends what changed. Removals go first, then new lines and deep cuts, levels and joins, at once;
-// all but removals leave half of the channel. The rest goes once a period, in a part of the channel and of a
-// proxy's messages, tables whose changes move most first; each sends all, largest first, as heads cost much.
+// publish sends what changed: removals, then new lines and deep cuts, levels and joins, at once; all but
+// removals leave half of the channel. The rest goes once a period, in a part of the channel and of a proxy's
+// messages, tables whose changes move most first; each sends all, largest first, as heads cost much.
 func (g *Governor) publish(now Time, due bool) {
 	g.replicas = slices.DeleteFunc(g.replicas, func(r *replica) bool { return g.byID[r.id] != r })
 	old := 0
@@ -598,11 +604,6 @@
 	for _, t := range g.tables {
 		t.urgent, t.changes, t.moves = t.urgent[:0], t.changes[:0], 0
 	}
-	if g.written > 0 {
-		g.version++
-		g.orders = append(g.orders, Mark{Version: g.version})
-		g.channel = append(g.channel, parcel{now, g.lines, g.written, g.written})
-	}
 }
 
 // remove takes the lines of a replica that drains or is gone, with all of a proxy's messages. Tables that
@@ -678,9 +679,8 @@
 		}
 		for _, t := range g.tables {
 			o.Table = t.id
-			sent := t.admits[i]
-			step := math.Abs(o.Level - sent.Level)
-			same := o.Retry == sent.Retry && (step == 0 || o.Level < 1 && step < levelLeast)
+			step := math.Abs(o.Level - t.admits[i].Level)
+			same := o.Retry == t.admits[i].Retry && (step == 0 || o.Level < 1 && step < levelLeast)
 			if g.fig.groups[t.kind].has(tg.id) && !same &&
 				g.take(now, t.proxies, 1, 1, g.fig.lineCap/2, g.fig.messageCap*3/4) > 0 {
 				t.admits[i] = o
