--- a/rules/rules.go
+++ b/rules/rules.go
@@ -28,7 +28,7 @@
 	rampFrom      = 0.1     // a new replica's first part of its fair share (design)
 	rampSpan      = 5.0 / 9 // the ramp's length by the longest warm-up; 10 s where that is 18 s (design)
 	coldFill      = 0.8     // part of a cold replica's least capacity that it may be sent
-	avoidShare    = 0.6     // with this share of tries dropped, a cold replica gets no line; half in small parts
+	avoidShare    = 0.6     // with this share of tries dropped, a cold replica gets no line; less in small parts
 	speedPeriods  = 8.0     // speeds, and shares of traffic groups, are learnt over so many periods
 	speedFlows    = 8.0     // flows after which a replica's own speed counts as much as the fleet's
 	doubtAbove    = 1.5     // a measured speed is believed up to so many times what answer times tell
@@ -515,10 +515,10 @@
 	least := g.fig.coldFrom + (1-g.fig.coldFrom)*a
 	most = min(most, rampFrom+(1-rampFrom)*a/rampSpan, coldFill*least/max(g.demand, spareFloor))
 	if g.fig.avoids {
-		drops, gone := g.dropShare, avoidShare/2
+		drops, gone := g.dropShare, avoidShare/4
 		if t := r.table[common]; t != nil {
 			drops = max(drops, t.drops/max(t.tries, 1))
-			gone = avoidShare * min(float64(len(t.part)+1)/(2*partLeast), 1)
+			gone = avoidShare * math.Pow(min(float64(len(t.part)+1)/(2*partLeast), 1), 2)
 		}
 		most *= min(max(3-3*drops/gone, 0), 1)
 	}
