--- a/rules/rules.go
+++ b/rules/rules.go
@@ -241,21 +241,6 @@
 	}
 }
 
-func (g *Governor) intake(e Intake) {
-	i := slices.IndexFunc(g.groups, func(tg group) bool { return tg.id == e.Group })
-	p := g.proxies[e.Proxy]
-	if i < 0 || p == nil || e.Flows <= 0 {
-		return
-	}
-	g.groups[i].flows += float64(e.Flows)
-	g.newFlows += float64(e.Flows)
-	for _, t := range p.table {
-		if t != nil && g.fig.groups[t.kind].has(e.Group) {
-			t.flows += float64(e.Flows)
-		}
-	}
-}
-
 // review takes in the sums that came since the last one: health first, then speeds, then how much to let
 // in. Sums come capped, so a replica may be heard of less than once a period; what is heard is judged by
 // the time that it covers.
@@ -562,14 +547,10 @@
 		old++
 	}
 	g.forget(old)
-	all := now-g.removedAt >= g.fig.removeWait
+	g.remove(now)
 	for _, r := range g.replicas {
-		if r.state != Ready {
-			g.remove(now, r, all)
-			continue
-		}
 		for kind, t := range r.table {
-			if t == nil {
+			if t == nil || r.state != Ready {
 				continue
 			}
 			want, sent := r.want[kind], r.sent[t.id]
@@ -585,8 +566,7 @@
 		g.send(now, t, t.urgent, g.fig.lineCap/2, g.fig.messageCap*3/4)
 	}
 	if !g.taught && slices.ContainsFunc(g.waiting, func(p *proxy) bool { return !p.fresh }) {
-		// We have restarted, and our levels, which are lost, may have been low. Harm: quiet starts block half.
-		g.let = slices.Repeat([]float64{restartLevel}, len(g.let))
+		g.let = slices.Repeat([]float64{restartLevel}, len(g.let)) // our former levels may have been low
 	}
 	if due || !g.taught {
 		g.admit(now)
@@ -597,7 +577,8 @@
 		for _, t := range slices.SortedStableFunc(slices.Values(g.tables), by) {
 			g.send(now, t, t.changes, g.fig.pacedLines, g.fig.messageCap/2)
 		}
-		if len(g.waiting) == 0 { // else they would be sent far more lines when bound
+		// Else proxies would be sent far more lines when bound, or when the next wave goes.
+		if len(g.waiting) == 0 && now-g.removedAt >= Time(g.fig.messageSpan) {
 			g.name(now)
 		}
 	}
@@ -606,22 +587,55 @@
 	}
 }
 
-// remove takes the lines of a replica that drains or is gone, with all of a proxy's messages. Tables that
-// only name it wait for others, so that replicas which go one by one do not use those up. Harm: a few flows
-// go there for a part of the grace.
-func (g *Governor) remove(now Time, r *replica, all bool) {
+// remove takes the lines of replicas that drain or are gone, with all of a proxy's messages. Tables that only
+// name them wait for others, as replicas which go one by one would use those up. One that would lose more
+// lines than its part holds is cleared and its part sent anew, against waves faster than a slow channel.
+// Harm: a few flows go there for a part of the grace.
+func (g *Governor) remove(now Time) {
+	all := now-g.removedAt >= g.fig.removeWait
+	for _, r := range g.replicas {
+		for i := 0; r.state != Ready && r.lines > 0 && i < len(g.tables); i++ {
+			if t := g.tables[i]; r.sent[i] > 0 && t != r.table[t.kind] {
+				t.changes = append(t.changes, change{r, 0, 0})
+			} else if r.sent[i] > 0 && g.take(now, t.proxies, 1, 1, g.fig.lineCap, g.fig.messageCap) > 0 {
+				g.order(t, r, 0)
+			}
+		}
+		if r.state == Gone && r.lines == 0 {
+			delete(g.byID, r.id)
+		}
+	}
 	for _, t := range g.tables {
-		own := t == r.table[t.kind]
-		if r.lines > 0 && r.sent[t.id] > 0 && (own || all) &&
-			g.take(now, t.proxies, 1, 1, g.fig.lineCap, g.fig.messageCap) > 0 {
-			g.order(t, r, 0)
-			if !own {
-				g.removedAt = now
+		anew := 1 + len(t.part) + len(g.groups)
+		if all && len(t.changes) > 0 {
+			g.removedAt = now
+			if len(t.changes) > anew && t.spare > 0 &&
+				g.take(now, t.proxies, 1, float64(anew), g.fig.lineCap, g.fig.messageCap) > 0 {
+				g.clear(t)
+			} else {
+				g.send(now, t, t.changes, g.fig.lineCap, g.fig.messageCap)
 			}
 		}
+		t.changes = t.changes[:0]
+	}
+}
+
+// clear empties a table and sends its part and levels anew.
+func (g *Governor) clear(t *table) {
+	g.orders = append(g.orders, ClearTable{t.id})
+	for _, r := range g.replicas {
+		if r.sent[t.id] > 0 {
+			r.sent[t.id], r.lines = 0, r.lines-1
+		}
+	}
+	t.lines = 0
+	for _, r := range t.part {
+		if r.want[t.kind] > 0 {
+			g.order(t, r, r.want[t.kind])
+		}
 	}
-	if r.state == Gone && r.lines == 0 {
-		delete(g.byID, r.id)
+	for _, o := range slices.DeleteFunc(slices.Clone(t.admits), func(o Admit) bool { return o.Groups == 0 }) {
+		g.orders = append(g.orders, o)
 	}
 }
 
@@ -763,21 +777,6 @@
 	return n
 }
 
-// confirm takes note that a proxy has applied a message. Until then all of a parcel may still wait, however
-// slow the channel has become.
-func (g *Governor) confirm(e Applied) {
-	at := len(g.channel) - 1 - int(g.version-e.Version)
-	if at < 0 {
-		return
-	}
-	g.forget(at)
-	c := &g.channel[0]
-	if c.left--; c.left <= 0 {
-		g.forget(1)
-	}
-	g.queue -= c.lines / c.messages
-}
-
 // follow keeps the list coming where it must be asked for: again after a failure or no answer, after a wait
 // drawn by chance so that governors do not all ask at once.
 func (g *Governor) follow(now Time) {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -275,6 +275,18 @@
 	p.check(t)
 }
 
+// A wave of removals must not cost a line for each replica at each proxy that never sends there.
+func TestWaveClearsTables(t *testing.T) {
+	s := large()
+	s.Proxies = 10
+	p := newPlay(s, 32, 10)
+	p.run(5)
+	p.note("three quarters of the fleet go at once")
+	p.step(List{Scope: Whole, Entries: p.list[:8]})
+	p.run(2)
+	p.check(t)
+}
+
 func TestRemovalsFitBesideJoins(t *testing.T) {
 	s := large()
 	s.LineCap = 300
--- a/rules/state.go
+++ b/rules/state.go
@@ -255,3 +255,33 @@
 	groups := float64(bits.OnesCount16(uint16(g.fig.groups[t.kind]))) / float64(len(g.groups))
 	return p.rate * groups * speedPeriods * g.fig.period.Seconds()
 }
+
+func (g *Governor) intake(e Intake) {
+	i := slices.IndexFunc(g.groups, func(tg group) bool { return tg.id == e.Group })
+	p := g.proxies[e.Proxy]
+	if i < 0 || p == nil || e.Flows <= 0 {
+		return
+	}
+	g.groups[i].flows += float64(e.Flows)
+	g.newFlows += float64(e.Flows)
+	for _, t := range p.table {
+		if t != nil && g.fig.groups[t.kind].has(e.Group) {
+			t.flows += float64(e.Flows)
+		}
+	}
+}
+
+// confirm takes note that a proxy has applied a message. Until then all of a parcel may still wait, however
+// slow the channel has become.
+func (g *Governor) confirm(e Applied) {
+	at := len(g.channel) - 1 - int(g.version-e.Version)
+	if at < 0 {
+		return
+	}
+	g.forget(at)
+	c := &g.channel[0]
+	if c.left--; c.left <= 0 {
+		g.forget(1)
+	}
+	g.queue -= c.lines / c.messages
+}
