Wait for a first list that names replicas, and stand zones that are not there

An empty first list would have laid one table for good, and a replica of a zone outside the settings would have ended the governor where tables come in pairs. Both are tested with a list of thousands, twice over.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -97,7 +97,7 @@
 	if due {
 		g.review(now, since)
 	}
-	if due || listed {
+	if g.lists > 0 && (due || listed) {
 		g.weigh(now)
 	}
 	if g.lists > 0 && (due || listed || woken || joined && !g.taught) {
@@ -192,7 +192,7 @@
 
 // list takes in word from discovery. A replica that started anew begins as an unknown one.
 func (g *Governor) list(now Time, e List) {
-	if !g.on {
+	if !g.on || g.tables == nil && len(e.Entries) == 0 { // nothing to go by yet
 		return
 	}
 	if e.Scope == Failed {
@@ -438,7 +438,7 @@
 		}
 	}
 	for _, r := range added {
-		if kind == common && g.pairs > 0 {
+		if kind == common && g.pairs > 0 && r.table[home] != nil {
 			put(r, g.tables[int(r.table[home].id)-g.pairs])
 		} else {
 			put(r, slices.MinFunc(tables, less))
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -243,6 +243,17 @@
 		Wake{Mark: 12345}, Applied{Proxy: 50, Version: 3}, Left{Proxy: 50}, Intake{Proxy: 50, Group: 9, Flows: 3},
 		Probed{Replica: 4}, Peer{From: 1}, Joined{Proxy: 1, Rate: math.Inf(1)})
 	p.run(3)
+	p.note("an empty list first, then thousands of entries twice over, some of a zone that is not there")
+	home := large()
+	home.Groups[2].HomeOnly, home.Proxies = true, 200
+	p.step(Start{Seed: 9, Settings: home}, List{Scope: Cached}, Wake{Mark: 1}, Joined{Proxy: 3, Fresh: true})
+	var many []Entry
+	for i := range 3000 {
+		many = append(many, Entry{Replica: ReplicaID(i), Zone: ZoneID(i % 3), State: Ready, Listed: 1})
+	}
+	if orders := p.g.Step(p.now, []Event{List{Scope: Whole, Entries: append(many, many...)}}); len(orders) < 5000 {
+		t.Errorf("%d orders for a list of 3000 replicas", len(orders))
+	}
 	p.check(t)
 }
 
