Tidy: pairs as pointers, one test for a zone, no look at the fleet for changes of the list

A home table points at its pair in place of number arithmetic in two places; whether a table is for a zone and whether a replica is warm is asked in one place each; tables of a kind are picked by kind and zone, not by a function; a part's spare capacity is added up once in fill, not once a replica; decays are worked out once a review; a list of changes no longer goes over the whole fleet. Clearing a table is bookkeeping beside order and forget.

--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -95,7 +95,8 @@
 		}
 	}
 	s := rules.Settings{
-		Governors: in.Balancers, Proxies: f.DataPlane, Zone: rules.ZoneID(in.MyZone), Zones: len(in.Zones), Slices: f.Slices,
+		Governors: in.Balancers, Proxies: f.DataPlane, Zone: rules.ZoneID(in.MyZone), Zones: len(in.Zones),
+		Slices:        f.Slices,
 		ListOnRequest: in.Discovery == "on_request", ProbesAllowed: in.Permissions.Probing,
 		Period: *f.Interval, LinePace: *f.LinesPerS, LineCap: *f.QueueCap, HeadLines: *f.PerMessage,
 		MessageCap: f.UpdateCap, MessageSpan: *f.ReloadSpan, TravelMost: f.PushDelayMax,
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,7 +1,7 @@
 package rules
 
-// This file holds every decision of a governor; api.go beside it holds the interface. A caller keeps one
-// Governor for each instance (the zero value is ready) and hands it what happened, in order:
+// This file holds every decision of a governor; api.go holds the interface, state.go the records. A caller
+// keeps one Governor for each instance (the zero value is ready) and hands it what happened, in order:
 //
 //	orders := g.Step(now, events)
 //
@@ -176,17 +176,18 @@
 	n := int(min(g.fig.proxies/least, replicas/partLeast))
 	if replicas*g.fig.proxies <= g.fig.pacedLines || n < max(zones, 2) {
 		n = 1
-	} else if zones > 0 {
-		g.pairs = n
 	}
-	for i := range n {
-		g.tables = append(g.tables, &table{kind: common, zone: ZoneID(i % max(zones, 1))})
+	for range n {
+		g.tables = append(g.tables, &table{kind: common})
 	}
 	for i := 0; zones > 0 && i < max(n, zones); i++ {
 		g.tables = append(g.tables, &table{kind: home, zone: ZoneID(i % zones)})
 	}
 	for i, t := range g.tables {
 		t.id, t.admits = TableID(i), make([]Admit, len(g.groups))
+		if n > 1 && t.kind == home {
+			t.pair = g.tables[i-n]
+		}
 	}
 }
 
@@ -221,8 +222,11 @@
 			g.holdUntil = now // what proxies hold may still send there
 		}
 	}
+	if e.Scope == Changes {
+		return
+	}
 	for _, r := range g.replicas {
-		if e.Scope != Changes && r.inList != g.lists {
+		if r.inList != g.lists {
 			r.state, g.holdUntil = Gone, now
 		}
 	}
@@ -249,6 +253,7 @@
 		since, g.taught = min(max(since, g.longest), speedPeriods*g.fig.period), true
 	}
 	periods := float64(since) / float64(g.fig.period)
+	speedKept, healthKept := keep(periods, speedPeriods), keep(periods, healthPeriods)
 	var f fleet
 	for _, r := range g.replicas {
 		if r.newTries > 0 {
@@ -260,17 +265,20 @@
 				}
 				r.load += (r.reported() - r.load) * (1 - keep(heard, smoothPeriods))
 				if r.newDrops <= taughtDrops*r.newTries {
-					r.time = r.time*keep(heard, speedPeriods) + r.newTime
-					r.served = r.served*keep(heard, speedPeriods) + r.newTries - r.newDrops
-					r.busy = r.busy*keep(heard, speedPeriods) + r.reported()*heard
+					kept := keep(heard, speedPeriods)
+					r.time = r.time*kept + r.newTime
+					r.served = r.served*kept + r.newTries - r.newDrops
+					r.busy = r.busy*kept + r.reported()*heard
 				}
 			}
 		}
-		r.tries = r.tries*keep(periods, healthPeriods) + r.newTries
-		r.drops = r.drops*keep(periods, healthPeriods) + r.newDrops
+		r.tries = r.tries*healthKept + r.newTries
+		r.drops = r.drops*healthKept + r.newDrops
 		if r.state == Ready {
 			f.ready++
-			f.out += r.held()
+		}
+		if r.state == Ready && r.out {
+			f.out++
 		}
 		f.goodTime, f.time, f.listed = f.goodTime+r.newTime, f.time+r.time, f.listed+r.listed*r.served
 		f.over += r.newTries * float64(r.newOver)
@@ -313,10 +321,10 @@
 	}
 	g.reviewed, g.sumsCame, g.newFlows, g.longest = now, false, 0, 0
 	for i := range g.groups {
-		g.groups[i].flows *= keep(periods, speedPeriods)
+		g.groups[i].flows *= speedKept
 	}
 	for _, t := range g.tables {
-		t.flows *= keep(periods, speedPeriods)
+		t.flows *= speedKept
 	}
 }
 
@@ -402,51 +410,53 @@
 		flows += t.flows
 	}
 	for z := range g.fig.zones {
-		g.share(now, func(t *table) bool { return t.kind == home && int(t.zone) == z })
+		g.share(now, home, ZoneID(z))
 	}
 	for _, r := range g.replicas {
-		if t := r.table[home]; t != nil && g.pairs == 0 { // its zone's own flows come off its part of the common
+		if t := r.table[home]; t != nil && t.pair == nil { // its zone's own flows come off its part of the common
 			r.spare = max(r.spare-r.want[home]/100*t.flows/flows*spare, r.spare*rampFrom)
 		}
 	}
-	g.share(now, func(t *table) bool { return t.kind == common })
+	g.share(now, common, 0)
 }
 
-// share sets the weights in tables of one kind, each by the spare capacity of its part. New replicas go to
-// the part that has least by its flows, and others are moved until parts are about even. So all tables
-// together still send each replica what one table would.
-func (g *Governor) share(now Time, in func(*table) bool) {
-	tables := slices.DeleteFunc(slices.Clone(g.tables), func(t *table) bool { return !in(t) })
-	for _, t := range tables {
-		t.part, t.spare, t.whole, t.tries, t.drops = t.part[:0], 0, 0, 0, 0
+// share sets the weights in tables of one kind, home ones of one zone, each by the spare capacity of its
+// part. New replicas go to the part that has least by its flows, and others are moved until parts are about
+// even. So all tables together still send each replica what one table would.
+func (g *Governor) share(now Time, kind int, zone ZoneID) {
+	var tables []*table
+	for _, t := range g.tables {
+		if t.kind == kind && t.open(zone) {
+			t.part, t.spare, t.tries, t.drops = t.part[:0], 0, 0, 0
+			tables = append(tables, t)
+		}
 	}
 	less := func(a, b *table) int { return cmp.Compare(a.spare/(a.flows+1), b.spare/(b.flows+1)) }
-	kind, first := tables[0].kind, tables[0]
 	put := func(r *replica, t *table) {
 		r.table[kind] = t
 		t.part, t.spare, t.tries, t.drops = append(t.part, r), t.spare+r.usable(), t.tries+r.tries, t.drops+r.drops
 	}
 	var added []*replica
+	whole, flows := 0.0, 0.0
 	for _, r := range g.replicas {
-		if r.state != Ready || kind == home && r.zone != first.zone {
+		if r.state != Ready || !tables[0].open(r.zone) {
 			continue
 		}
-		if first.whole += r.size; r.table[kind] == nil {
+		if whole += r.size; r.table[kind] == nil {
 			added = append(added, r)
 		} else {
 			put(r, r.table[kind])
 		}
 	}
 	for _, r := range added {
-		if kind == common && g.pairs > 0 && r.table[home] != nil {
-			put(r, g.tables[int(r.table[home].id)-g.pairs])
+		if h := r.table[home]; kind == common && h != nil && h.pair != nil {
+			put(r, h.pair)
 		} else {
 			put(r, slices.MinFunc(tables, less))
 		}
 	}
-	flows := 0.0
 	for _, t := range tables {
-		t.whole, flows = first.whole, flows+t.flows+1
+		t.whole, flows = whole, flows+t.flows+1
 	}
 	for range tables {
 		poor, rich := slices.MinFunc(tables, less), slices.MaxFunc(tables, less)
@@ -490,13 +500,13 @@
 	if a := manyTimes * age(r.backAt) / rampSpan; r.backAt > 0 && a < 1 {
 		most = trickle + (1-trickle)*a
 	}
-	a := age(r.started)
-	if r.started == 0 || a >= 1 {
+	if g.warm(now, r) {
 		return most
 	}
 	if !g.taught {
 		return 0
 	}
+	a := age(r.started)
 	least := g.fig.coldFrom + (1-g.fig.coldFrom)*a
 	most = min(most, rampFrom+(1-rampFrom)*a/rampSpan, coldFill*least/max(g.demand, spareFloor))
 	if g.fig.avoids {
@@ -515,11 +525,11 @@
 // Where all are bound, what they cannot take goes to the replicas named beside the part, or, where there are
 // none, they share it by their bounds.
 func (t *table) fill(flows float64) {
-	size, spare := t.whole*(t.flows+1)/flows, t.spares()
+	size, all := t.whole*(t.flows+1)/flows, t.spares()
 	slices.SortStableFunc(t.part, func(a, b *replica) int { // most bound first
 		return cmp.Compare(a.most*a.size/a.spare, b.most*b.size/b.spare)
 	})
-	left := 100.0
+	left, spare := 100.0, all
 	for _, r := range t.part {
 		r.want[t.kind] = min(left*r.spare/spare, 100*r.most*r.size/size)
 		left, spare = left-r.want[t.kind], spare-r.spare
@@ -532,7 +542,7 @@
 		case left < 100:
 			r.want[t.kind] *= 100 / (100 - left)
 		default:
-			r.want[t.kind] = 100 * r.spare / t.spares()
+			r.want[t.kind] = 100 * r.spare / all
 		}
 	}
 }
@@ -620,25 +630,6 @@
 	}
 }
 
-// clear empties a table and sends its part and levels anew.
-func (g *Governor) clear(t *table) {
-	g.orders = append(g.orders, ClearTable{t.id})
-	for _, r := range g.replicas {
-		if r.sent[t.id] > 0 {
-			r.sent[t.id], r.lines = 0, r.lines-1
-		}
-	}
-	t.lines = 0
-	for _, r := range t.part {
-		if r.want[t.kind] > 0 {
-			g.order(t, r, r.want[t.kind])
-		}
-	}
-	for _, o := range slices.DeleteFunc(slices.Clone(t.admits), func(o Admit) bool { return o.Groups == 0 }) {
-		g.orders = append(g.orders, o)
-	}
-}
-
 // send orders changes of a table, largest first, as far as they fit, and tells whether all did.
 func (g *Governor) send(now Time, t *table, changes []change, room float64, messages int) bool {
 	slices.SortStableFunc(changes, func(a, b change) int { return cmp.Compare(b.by, a.by) })
@@ -656,8 +647,7 @@
 		t := g.tables[g.next%len(g.tables)]
 		var lacks []change
 		for _, r := range g.replicas {
-			warm := r.started == 0 || now-r.started >= Time(g.fig.warmAfter)
-			if warm && r.sent[t.id] == 0 && r.ordered(t.kind) > 0 && (t.kind == common || r.zone == t.zone) {
+			if g.warm(now, r) && r.sent[t.id] == 0 && r.ordered(t.kind) > 0 && t.open(r.zone) {
 				lacks = append(lacks, change{r, t.rest(r), 0})
 			}
 		}
@@ -716,12 +706,12 @@
 		var chosen [2]*table
 		for _, t := range g.tables {
 			best := chosen[t.kind]
-			if (t.kind == common || t.zone == p.zone) && (best == nil || t.flows < best.flows) {
+			if t.open(p.zone) && (best == nil || t.flows < best.flows) {
 				chosen[t.kind] = t
 			}
 		}
-		if g.pairs > 0 && chosen[home] != nil {
-			chosen[common] = g.tables[int(chosen[home].id)-g.pairs]
+		if h := chosen[home]; h != nil && h.pair != nil {
+			chosen[common] = h.pair
 		}
 		lines := float64(len(g.groups))
 		for _, t := range chosen {
--- a/rules/state.go
+++ b/rules/state.go
@@ -74,6 +74,7 @@
 	id              TableID
 	kind            int
 	zone            ZoneID // home tables only
+	pair            *table // home tables only, where there are several: the common one of the same proxies
 	proxies         []*proxy
 	flows           float64 // that came to its proxies, over the speed window
 	lines           float64 // that it holds
@@ -93,6 +94,9 @@
 	return sum
 }
 
+// open tells whether a table is for replicas and proxies of a zone.
+func (t *table) open(z ZoneID) bool { return t.kind == common || t.zone == z }
+
 // change is a line that a table waits for.
 type change struct {
 	r          *replica
@@ -128,7 +132,6 @@
 	proxies  map[ProxyID]*proxy
 	waiting  []*proxy // joined and not yet bound, most flows first
 	tables   []*table
-	pairs    int     // a home table's number less this is that of its pair; 0: there are none
 	groups   []group // least merit first
 
 	lists     int // so far
@@ -178,20 +181,17 @@
 // reported is the mean of a replica's new reports.
 func (r *replica) reported() float64 { return r.newLoad / r.newReports }
 
-// held is 1 for a replica held out.
-func (r *replica) held() float64 {
-	if r.out {
-		return 1
-	}
-	return 0
-}
-
 // Kinds of tables: home ones are for traffic groups that stay in their zone, common ones for all others.
 const (
 	common = 0
 	home   = 1
 )
 
+// warm tells whether a replica's warm-up is surely over.
+func (g *Governor) warm(now Time, r *replica) bool {
+	return r.started == 0 || now-r.started >= Time(g.fig.warmAfter)
+}
+
 // keep is what is left of a sum over a window after some periods.
 func keep(periods, window float64) float64 { return math.Exp(-periods / window) }
 
@@ -207,6 +207,27 @@
 	g.orders = append(g.orders, Line{t.id, r.id, weight})
 }
 
+// clear empties a table and sends its part and levels anew.
+func (g *Governor) clear(t *table) {
+	g.orders = append(g.orders, ClearTable{t.id})
+	for _, r := range g.replicas {
+		if r.sent[t.id] > 0 {
+			r.sent[t.id], r.lines = 0, r.lines-1
+		}
+	}
+	t.lines = 0
+	for _, r := range t.part {
+		if r.want[t.kind] > 0 {
+			g.order(t, r, r.want[t.kind])
+		}
+	}
+	for _, o := range t.admits {
+		if o.Groups != 0 {
+			g.orders = append(g.orders, o)
+		}
+	}
+}
+
 // forget takes the channel's first parcels out of the ledger.
 func (g *Governor) forget(n int) {
 	for _, c := range g.channel[:n] {
