--- a/internal/clients/codec.go
+++ b/internal/clients/codec.go
@@ -171,16 +171,7 @@
 		if !paired || !ok {
 			f.fail(name)
 		}
-		switch key {
-		case "util":
-			r.Util = v
-		case "inflight":
-			r.InFlight = v
-		case "latency_ms":
-			r.ServiceTime = v
-		case "qps":
-			r.Rate = v
-		}
+		config.SetLoad(&r, key, v)
 	}
 	return r
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -134,3 +134,18 @@
 	}
 	return Settings{Settings: s, Zones: in.Zones, Kinds: in.HostTypes, LoadFields: in.Report.Fields, Tick: in.Tick}, nil
 }
+
+// SetLoad puts a figure of a load report where its name belongs. Both names in use are read: the settings' own
+// and the protocol page's. Figures that are not known are passed over.
+func SetLoad(r *rules.Report, name string, v float64) {
+	switch name {
+	case "cpu_share", "util":
+		r.Util = v
+	case "busy_reqs", "inflight":
+		r.InFlight = v
+	case "svc_ms", "latency_ms":
+		r.ServiceTime = v
+	case "served_ps", "qps":
+		r.Rate = v
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -187,16 +187,7 @@
 		if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
 			continue
 		}
-		switch name {
-		case "cpu_share":
-			rep.Util = v
-		case "busy_reqs":
-			rep.InFlight = v
-		case "svc_ms":
-			rep.ServiceTime = v
-		case "served_ps":
-			rep.Rate = v
-		}
+		config.SetLoad(&rep, name, v)
 	}
 	return rep
 }
