One guard for silent peers, and let back at rejoining proxies what they may still shut out

A connection now has one read deadline: for strangers always, for streams while they owe the answer to a mark. A zone has two collectors at most, the oldest goes. Restores go out only where a line does, one for each replica, at proxies that had orders before.

--- a/internal/clients/book.go
+++ b/internal/clients/book.go
@@ -14,11 +14,9 @@
 	groups  int
 	members map[rules.ProxyID]*member
 	tables  map[rules.TableID]*table
-	out     map[rules.ReplicaID]bool                   // withdrawn
-	shut    map[rules.ProxyID]map[rules.ReplicaID]bool // as written to each proxy; it outlives streams
+	out     map[rules.ReplicaID]bool // withdrawn
 
-	mark    *rules.Mark
-	changed bool // withdrawals, in this Step
+	mark *rules.Mark
 }
 
 // table is what a table holds. The one numbered AllTables has levels only, which hold for all proxies.
@@ -36,15 +34,24 @@
 	conn  *conn
 	table map[rules.GroupID]rules.TableID
 	bound rules.GroupSet // in this Step
+
+	// A proxy keeps what it was told to shut out over a change of streams, by a former life of ours or another
+	// governor too. So it is known only of a fresh one.
+	shut map[rules.ReplicaID]bool // told on this stream
+	told map[rules.ReplicaID]bool // replicas that it was given lines for; nil for a fresh one
 }
 
 func newBook(groups int) book {
 	return book{groups: groups, members: map[rules.ProxyID]*member{}, tables: map[rules.TableID]*table{},
-		out: map[rules.ReplicaID]bool{}, shut: map[rules.ProxyID]map[rules.ReplicaID]bool{}}
+		out: map[rules.ReplicaID]bool{}}
 }
 
-func (b *book) join(id rules.ProxyID, c *conn) {
-	b.members[id] = &member{conn: c, table: map[rules.GroupID]rules.TableID{}}
+func (b *book) join(id rules.ProxyID, c *conn, fresh bool) {
+	m := &member{conn: c, table: map[rules.GroupID]rules.TableID{}}
+	if !fresh {
+		m.told = map[rules.ReplicaID]bool{}
+	}
+	b.members[id] = m
 }
 
 func (b *book) table(id rules.TableID) *table {
@@ -94,7 +101,6 @@
 			}
 		}
 	case rules.Withdraw:
-		b.changed = true
 		if b.out[o.Replica] = o.Out; !o.Out {
 			delete(b.out, o.Replica)
 		}
@@ -105,9 +111,8 @@
 
 // write sends each proxy what this Step changed for it.
 func (b *book) write(c *codec) {
-	for _, id := range slices.Sorted(maps.Keys(b.members)) {
-		m := b.members[id]
-		parts := b.parts(id, m)
+	for _, m := range b.members {
+		parts := b.parts(m)
 		if b.mark != nil && (len(parts) > 0 || b.mark.ToAll) {
 			if len(parts) == 0 {
 				parts = append(parts, part{})
@@ -119,7 +124,9 @@
 			parts[i].followed = i < len(parts)-1
 			message = c.encode(message, &parts[i])
 		}
-		if len(message) > 0 {
+		if len(parts) > 0 && parts[len(parts)-1].mark != nil {
+			m.conn.ask(message, b.mark.Version)
+		} else if len(parts) > 0 {
 			m.conn.send(message)
 		}
 		m.bound = 0
@@ -128,12 +135,12 @@
 		t.cleared, t.leveled = false, 0
 		clear(t.altered)
 	}
-	b.mark, b.changed = nil, false
+	b.mark = nil
 }
 
 // parts are what a proxy is to be told: for each of its tables the whole of it or its changes, and then its
 // withdrawals. Groups of one table go together, so the parts are at most two for each group and one more.
-func (b *book) parts(id rules.ProxyID, m *member) (parts []part) {
+func (b *book) parts(m *member) (parts []part) {
 	sets := map[rules.TableID]rules.GroupSet{}
 	for _, g := range b.each(0) {
 		t, ok := m.table[g]
@@ -151,26 +158,41 @@
 		parts = append(parts, b.tell(t, set&m.bound, true)...)
 		parts = append(parts, b.tell(t, set&^m.bound, false)...)
 	}
-	if m.bound == 0 && !b.changed || len(m.table) == 0 {
-		return parts
+	if p := b.withdrawals(m, parts); p.count() > 0 {
+		parts = append(parts, p)
 	}
-	var p part
-	was := b.shut[id]
-	for _, r := range slices.Sorted(maps.Keys(b.out)) {
-		if !was[r] {
-			p.out = append(p.out, r)
+	return parts
+}
+
+// withdrawals is what a bound proxy is to shut out or let back, beside these parts. A replica that it may shut
+// out unknown to us is let back when it is first given a line there.
+func (b *book) withdrawals(m *member, parts []part) (p part) {
+	if len(m.table) == 0 {
+		return p
+	}
+	back := map[rules.ReplicaID]bool{}
+	for _, told := range parts {
+		for _, l := range told.lines {
+			if m.told != nil && l.weight > 0 && !m.told[l.replica] {
+				m.told[l.replica], back[l.replica] = true, !b.out[l.replica]
+			}
 		}
 	}
-	for _, r := range slices.Sorted(maps.Keys(was)) {
-		if !b.out[r] {
+	for r := range m.shut {
+		back[r] = back[r] || !b.out[r]
+	}
+	for _, r := range slices.Sorted(maps.Keys(back)) {
+		if back[r] {
 			p.in = append(p.in, r)
 		}
 	}
-	if p.count() > 0 {
-		b.shut[id] = maps.Clone(b.out)
-		parts = append(parts, p)
+	for _, r := range slices.Sorted(maps.Keys(b.out)) {
+		if !m.shut[r] {
+			p.out = append(p.out, r)
+		}
 	}
-	return parts
+	m.shut = maps.Clone(b.out)
+	return p
 }
 
 // tell makes parts of a table for some groups. Groups under one level go into one part; where all do, it goes
--- a/internal/clients/codec.go
+++ b/internal/clients/codec.go
@@ -130,7 +130,7 @@
 		out = rules.Joined{Proxy: c.proxy(&f), Zone: rules.ZoneID(f.place("az", c.zones)),
 			Rate: f.figure("share", 0), Fresh: f.whole("standing", 1) == 1}
 	case "done":
-		f.needs("version")
+		f.needs("sidecar", "version")
 		out = rules.Applied{Proxy: c.proxy(&f), Version: uint16(f.whole("version", math.MaxUint16)), Took: f.span("lag_ms")}
 	case "upstream_stats":
 		f.needs("az", "host")
@@ -234,10 +234,11 @@
 		add("admit", strconv.FormatFloat(p.level.Level, 'f', -1, 32))
 		add("policy", strconv.Itoa(int(p.level.Retry)))
 	}
-	for word, ids := range map[string][]rules.ReplicaID{"eject": p.out, "restore": p.in} {
-		if len(ids) > 0 {
-			add(word, c.join(ids))
-		}
+	if len(p.out) > 0 {
+		add("eject", c.join(p.out))
+	}
+	if len(p.in) > 0 {
+		add("restore", c.join(p.in))
 	}
 	if p.mark != nil {
 		add("nonce_out", strconv.Itoa(int(p.mark.Version)))
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -20,21 +21,33 @@
 	side  *Side
 	since time.Time
 
+	// The reader's own.
+	role  role
+	proxy rules.ProxyID // of a stream
+
 	mu      sync.Mutex
 	named   bool
+	owes    bool   // the peer owes an answer
+	mark    uint16 // the last mark that it was sent
 	pending []byte
 	more    chan struct{} // something is pending, or the connection has ended
 	ended   bool
 	cause   string
 }
 
+type role string
+
+const (
+	stranger       role = "stranger"
+	stream         role = "stream"
+	collectorsRole role = "collector"
+)
+
 // read takes in messages until the connection ends. It is the only one that posts this connection's events, so
 // they keep their order.
 func (c *conn) read() {
 	b := c.side.bounds
 	in := resp.NewReader(c, b.FirstBytes, b.Words)
-	var proxy rules.ProxyID
-	var stream, named bool
 	err := c.SetReadDeadline(c.since.Add(b.FirstWord))
 	for err == nil {
 		var words []string
@@ -45,63 +58,102 @@
 		if m, err = c.side.codec.decode(words); err != nil {
 			break
 		}
-		switch m := m.(type) {
-		case beat:
-			c.send(beatAnswer)
-		case unknown:
-			c.side.passed.Add(1)
-		case collector:
-			if stream {
-				err = errors.New("a stream that names itself a collector")
-			}
-			named = true
-		case rules.Joined:
-			if named {
-				err = errors.New("a second joining on one connection")
-				break
-			}
-			named, stream, proxy = true, true, m.Proxy
-			c.side.post(exchange.Event{From: c, Fact: m})
-		case rules.Intake:
-			if !named || stream && m.Proxy != proxy {
-				err = fmt.Errorf("usage of proxy %d on a connection that is not its own", m.Proxy)
-				break
-			}
-			c.side.post(exchange.Event{From: c, Fact: m})
-		case rules.Applied:
-			if !stream {
-				err = errors.New("a mark on a connection that is no stream")
-				break
-			}
-			m.Proxy = proxy
-			c.side.post(exchange.Event{From: c, Fact: m})
-		case rules.Sums:
-			if !named || stream {
-				err = errors.New("sums on a connection that is no collector")
-				break
-			}
-			c.side.post(exchange.Event{From: c, Fact: m})
+		if err = c.hear(m); err == nil {
+			err = c.await(m)
 		}
-		if err == nil && named && in.Limit != b.MessageBytes {
+		if c.role != stranger {
 			in.Limit = b.MessageBytes
-			c.mu.Lock()
-			c.named = true
-			c.mu.Unlock()
-			err = c.SetReadDeadline(time.Time{})
 		}
 	}
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		err = errors.New("closed by the peer")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		err = errors.New("silent")
 	}
 	c.end(err.Error())
-	if stream {
-		c.side.post(exchange.Event{From: c, Fact: rules.Left{Proxy: proxy}})
+	if c.role == stream {
+		c.side.post(exchange.Event{From: c, Fact: rules.Left{Proxy: c.proxy}})
 	} else {
-		c.side.log.Info().Stringer("peer", c.RemoteAddr()).Str("cause", c.ending()).Msg("connection ended")
+		c.side.log.Info().Stringer("peer", c.RemoteAddr()).Str("role", string(c.role)).Str("cause", c.ending()).
+			Msg("connection ended")
 	}
 	c.side.remove(c)
 }
 
+// hear does as a message says. An error means that it has no place on this connection.
+func (c *conn) hear(m any) error {
+	switch m := m.(type) {
+	case beat:
+		c.send(beatAnswer)
+		return nil
+	case unknown:
+		c.side.passed.Add(1)
+		return nil
+	case collector:
+		if c.role == stream {
+			return errors.New("a stream that names itself a collector")
+		}
+		c.role = collectorsRole
+		c.side.collects(c, m.zone)
+		return nil
+	case rules.Joined:
+		if c.role != stranger {
+			return errors.New("a joining on a connection that has named itself")
+		}
+		c.role, c.proxy = stream, m.Proxy
+	case rules.Applied:
+		if c.role != stream || m.Proxy != c.proxy {
+			return fmt.Errorf("a mark of proxy %d on a connection that is not its stream", m.Proxy)
+		}
+	case rules.Intake:
+		if c.role == stranger || c.role == stream && m.Proxy != c.proxy {
+			return fmt.Errorf("usage of proxy %d on a connection that is not its own", m.Proxy)
+		}
+	case rules.Sums:
+		if c.role != collectorsRole {
+			return errors.New("sums on a connection that is no collector's")
+		}
+	}
+	c.side.post(exchange.Event{From: c, Fact: m.(rules.Event)})
+	return nil
+}
+
+// await sets the time until which the peer must say something: always while it is a stranger, and as a stream
+// while it owes an answer. This one guard ends whatever has fallen silent: peers that vanished, that stopped
+// inside a message, or that send it byte by byte. A proxy that owes nothing may be quiet for long. Collectors
+// owe nothing ever; a new one takes the old one's place.
+func (c *conn) await(m any) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.named = c.role != stranger
+	if a, ok := m.(rules.Applied); ok && a.Version == c.mark {
+		c.owes = false
+	}
+	switch {
+	case !c.named:
+		return c.SetReadDeadline(time.Now().Add(c.side.bounds.FirstWord))
+	case c.owes:
+		return c.SetReadDeadline(time.Now().Add(c.side.bounds.Silence))
+	}
+	return c.SetReadDeadline(time.Time{})
+}
+
+// ask sends a message that is to be answered.
+func (c *conn) ask(b []byte, mark uint16) {
+	c.mu.Lock()
+	c.mark = mark
+	var err error
+	if !c.owes {
+		c.owes = true
+		err = c.SetReadDeadline(time.Now().Add(c.side.bounds.Silence))
+	}
+	c.mu.Unlock()
+	if err == nil { // else it has ended
+		c.send(b)
+	}
+}
+
 // send puts bytes in line for the peer and never waits. A peer that does not read is cut off.
 func (c *conn) send(b []byte) {
 	c.mu.Lock()
--- a/internal/clients/side.go
+++ b/internal/clients/side.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,16 +32,17 @@
 	post   func(exchange.Event)
 	passed atomic.Int64 // messages passed over
 
-	mu      sync.Mutex
-	conns   map[*conn]struct{}
-	closing bool
-	running sync.WaitGroup
+	mu         sync.Mutex
+	conns      map[*conn]struct{}
+	collectors map[rules.ZoneID][]*conn // oldest first
+	closing    bool
+	running    sync.WaitGroup
 }
 
 // New returns a client side that serves nobody yet. What it hears goes to post.
 func New(c config.Config, names Names, log zerolog.Logger, post func(exchange.Event)) *Side {
 	return &Side{book: newBook(len(c.Settings.Groups)), codec: newCodec(c.Settings, names), bounds: c.Bounds, log: log,
-		post: post, conns: map[*conn]struct{}{}}
+		post: post, conns: map[*conn]struct{}{}, collectors: map[rules.ZoneID][]*conn{}}
 }
 
 // Serve takes connections until the listener is closed. When none can be taken, as when descriptors have run
@@ -62,16 +64,16 @@
 // add starts a connection. Where there are too many the oldest that has not named itself makes room: strangers
 // may not keep proxies out.
 func (s *Side) add(nc net.Conn) {
-	c := &conn{Conn: nc, side: s, since: time.Now(), more: make(chan struct{}, 1)}
+	c := &conn{Conn: nc, side: s, role: stranger, since: time.Now(), more: make(chan struct{}, 1)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.conns) >= s.bounds.Connections {
 		var oldest *conn
 		for o := range s.conns {
 			o.mu.Lock()
-			stranger := !o.named && !o.ended
+			open := !o.named && !o.ended
 			o.mu.Unlock()
-			if stranger && (oldest == nil || o.since.Before(oldest.since)) {
+			if open && (oldest == nil || o.since.Before(oldest.since)) {
 				oldest = o
 			}
 		}
@@ -98,6 +100,21 @@
 	delete(s.conns, c)
 }
 
+// collects notes a collector of a zone. The oldest of too many is let go: it has most likely vanished without a
+// word, as nothing is ever written that could tell.
+func (s *Side) collects(c *conn, zone rules.ZoneID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	open := slices.DeleteFunc(s.collectors[zone], func(o *conn) bool {
+		_, known := s.conns[o]
+		return o == c || !known
+	})
+	if open = append(open, c); len(open) > s.bounds.Collectors {
+		open[0].end("replaced by a new collector")
+	}
+	s.collectors[zone] = open
+}
+
 // Close ends all connections and returns when nothing runs any more.
 func (s *Side) Close() {
 	s.mu.Lock()
@@ -120,7 +137,7 @@
 			s.log.Info().Uint16("proxy", uint16(fact.Proxy)).Str("cause", "replaced by a new stream").Msg("leave")
 			m.conn.end("replaced by a new stream")
 		}
-		s.join(fact.Proxy, c)
+		s.join(fact.Proxy, c, fact.Fresh)
 		s.log.Info().Uint16("proxy", uint16(fact.Proxy)).Bool("fresh", fact.Fresh).Msg("join")
 	case rules.Left:
 		m := s.members[fact.Proxy]
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,8 @@
 	"os"
 	"strconv"
 	"time"
+
+	"zincloft.example/zincloft/rules"
 )
 
 // Config is what one governor is told at its start.
@@ -38,7 +40,9 @@
 	FirstBytes   int           // of a message before its connection has named itself
 	MessageBytes int           // of any later message
 	Words        int           // of a message
-	FirstWord    time.Duration // a connection names itself within this time
+	FirstWord    time.Duration // a connection that has not named itself says something within this time
+	Silence      time.Duration // a proxy that owes an answer says something within this time
+	Collectors   int           // connections of collectors for a zone
 	Unread       int           // bytes that may wait for a peer to read
 	WriteMost    time.Duration // a write makes its way within this time
 	AcceptPause  time.Duration // after a connection could not be accepted
@@ -48,13 +52,18 @@
 	ListBytes    int64         // of an answer of discovery
 }
 
-func bounds(l Limits) Bounds {
+// slowChannel is how many times slower than usual a channel may be and still bring answers.
+const slowChannel = 12
+
+func bounds(l Limits, s rules.Settings) Bounds {
+	slow := slowChannel * s.LineCap / s.LinePace * float64(time.Second)
 	return Bounds{
 		Inbox: 4096, Connections: max(l.Sockets*7/8-32, 16),
 		FirstBytes: 4 << 10, MessageBytes: 1 << 20, Words: 64, FirstWord: 10 * time.Second,
+		Silence: time.Duration(slow) + s.TravelMost, Collectors: 2,
 		Unread: 1 << 20, WriteMost: 10 * time.Second, AcceptPause: 50 * time.Millisecond,
 		LateLoop: 50 * time.Millisecond,
-		ListWait: 10 * time.Second, ListMore: 1500 * time.Millisecond, ListBytes: 16 << 20,
+		ListWait: min(max(s.AskWithin/2, time.Second), time.Minute), ListMore: 1500 * time.Millisecond, ListBytes: 16 << 20,
 	}
 }
 
@@ -120,6 +129,6 @@
 	if c.Settings, err = ReadSettings(f.Settings); err != nil {
 		return Config{}, fmt.Errorf("settings: %w", err)
 	}
-	c.Bounds = bounds(c.Limits)
+	c.Bounds = bounds(c.Limits, c.Settings.Settings)
 	return c, nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,6 +71,7 @@
 	d.clients = clients.New(d.conf, d.exchange, d.log, d.exchange.Post)
 	d.exchange.Connect(d.clients, d.list)
 	runtime.GOMAXPROCS(max(int(d.conf.Limits.Cores), 1))
+	debug.SetMemoryLimit(d.conf.Limits.MemoryMB << 20 / 2)
 	first := []rules.Event{rules.Start{Seed: d.conf.Seed, Settings: d.conf.Settings.Settings}}
 	if len(d.conf.Known) > 0 {
 		known, err := d.list.Known(d.conf.Known)
--- a/internal/list/call.go
+++ b/internal/list/call.go
@@ -19,10 +19,11 @@
 	trips *trips
 }
 
-func newCaller(address string, most int64) *caller {
+// newCaller returns a caller to an address. Dials end by themselves: one that never comes up may not keep the
+// next call waiting.
+func newCaller(address string, most int64, dial time.Duration) *caller {
 	t := &trips{most: most, base: &http.Transport{
-		DialContext:            (&net.Dialer{}).DialContext,
-		MaxConnsPerHost:        2, // a watch and a fetch
+		DialContext:            (&net.Dialer{Timeout: dial}).DialContext,
 		MaxIdleConnsPerHost:    1,
 		MaxResponseHeaderBytes: 64 << 10,
 		DisableCompression:     true,
