--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -76,10 +76,11 @@
 	first := []rules.Event{rules.Start{Seed: d.conf.Seed, Settings: d.conf.Settings.Settings}}
 	if len(d.conf.Known) > 0 {
 		known, err := d.list.Known(d.conf.Known)
-		if err != nil {
-			return err
+		if err == nil {
+			first = append(first, known)
+		} else { // no reason not to serve: discovery has the whole list
+			d.log.Warn().Err(err).Msg("list failure")
 		}
-		first = append(first, known)
 	}
 	l, err := listen()
 	if err != nil {
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -41,7 +41,7 @@
 	}
 }
 
-// Known reads the list as this governor last held it.
+// Known reads the list as this governor last held it. Where there is none, the first call asks for the whole list.
 func (l *List) Known(text []byte) (rules.List, error) {
 	known, version, err := l.decode(text)
 	if err != nil {
--- a/internal/pipes/pipes.go
+++ b/internal/testkit/listener.go
@@ -1,6 +1,5 @@
-// Package pipes has a listener whose connections are net.Pipe, so that tests can run sockets in a bubble of
-// testing/synctest.
-package pipes
+// Package testkit is what the tests of several packages share.
+package testkit
 
 import (
 	"context"
@@ -8,15 +7,16 @@
 	"sync"
 )
 
-// Listener takes what Dial connects.
+// Listener takes what Dial connects. Its connections are net.Pipe, so that sockets can run in a bubble of
+// testing/synctest.
 type Listener struct {
 	conns  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
 }
 
-// New returns a Listener.
-func New() *Listener {
+// Listen returns a Listener.
+func Listen() *Listener {
 	return &Listener{conns: make(chan net.Conn), closed: make(chan struct{})}
 }
 
--- /dev/null
+++ b/internal/testkit/trace.go
@@ -0,0 +1,31 @@
+package testkit
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "write the traces anew")
+
+// Compare compares a trace with the one that testdata keeps under the test's name.
+func Compare(t *testing.T, got string) {
+	t.Helper()
+	file := filepath.Join("testdata", strings.ToLower(strings.TrimPrefix(t.Name(), "Test"))+".trace")
+	if *update {
+		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	kept, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(strings.Split(string(kept), "\n"), strings.Split(got, "\n")); d != "" {
+		t.Errorf("differs from %s (-kept +now):\n%s", file, d)
+	}
+}
