--- a/cmd/zincloft/main.go
+++ b/cmd/zincloft/main.go
@@ -21,6 +21,7 @@
 		fmt.Fprintln(os.Stderr, "zincloft:", err)
 		os.Exit(2)
 	}
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("governor", conf.Name).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
