--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -105,8 +105,8 @@
 		}
 	}
 	if *f.Interval <= 0 || *f.LinesPerS <= 0 || *f.QueueCap <= 0 {
-		return Settings{}, fmt.Errorf("familyInfo.interval, familyInfo.linesPerS and familyInfo.queueCap must be above 0: got %d, %v, %v",
-			*f.Interval, *f.LinesPerS, *f.QueueCap)
+		return Settings{}, fmt.Errorf("familyInfo.interval, familyInfo.linesPerS and familyInfo.queueCap must be above 0,"+
+			" got %d, %v and %v", *f.Interval, *f.LinesPerS, *f.QueueCap)
 	}
 	s := rules.Settings{
 		Governors: in.Balancers, Proxies: f.DataPlane, Zone: rules.ZoneID(in.MyZone), Zones: len(in.Zones),
