--- a/internal/clients/codec.go
+++ b/internal/clients/codec.go
@@ -20,7 +20,7 @@
 type (
 	beat    struct{}                    // asks for a sign of life
 	naming  struct{ zone rules.ZoneID } // makes its connection a collector
-	unknown struct{ word string }       // well-formed, and not for us
+	unknown struct{}                    // well-formed, and not for us
 )
 
 var beatAnswer = resp.Append(nil, "hb_ok")
@@ -140,7 +140,7 @@
 		out = rules.Sums{Replica: replica, Zone: rules.ZoneID(zone), Tries: f.whole("n", math.MaxInt32),
 			Dropped: f.whole("bad", math.MaxInt32), Took: f.span("avg"), Over: f.span("window"), Report: f.report("report")}
 		if zone < 0 || !known {
-			out = unknown{f.values["az"] + " " + f.values["host"]}
+			out = unknown{}
 		}
 	case "client_stats":
 		f.needs("sidecar", "kind")
@@ -148,10 +148,10 @@
 		out = rules.Intake{Proxy: c.proxy(&f), Group: rules.GroupID(group), Flows: f.whole("n", math.MaxInt32),
 			Dropped: f.whole("bad", math.MaxInt32), Over: f.span("window")}
 		if group < 0 {
-			out = unknown{f.values["kind"]}
+			out = unknown{}
 		}
 	default:
-		out = unknown{words[0]}
+		out = unknown{}
 	}
 	return out, f.err
 }
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -24,9 +24,6 @@
 
 const chunk = 4 << 10
 
-// Buffered tells whether bytes of a further message have been read already.
-func (r *Reader) Buffered() bool { return r.r.Buffered() > 0 }
-
 // Next reads one message. It returns io.EOF only where the input ends between messages.
 func (r *Reader) Next() ([]string, error) {
 	r.left = r.Limit
