--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -8,10 +8,10 @@
 	"zincloft.example/zincloft/rules"
 )
 
-// MissingError names a figure that a rule needs and the settings lack.
-type MissingError string
+// SettingsError names a figure that the governor can't do without and that the settings lack or misstate.
+type SettingsError string
 
-func (e MissingError) Error() string { return fmt.Sprintf("the settings lack %s", string(e)) }
+func (e SettingsError) Error() string { return string(e) }
 
 // Settings are a site's settings in the words of package rules, and the site's names for what those number.
 type Settings struct {
@@ -101,12 +101,11 @@
 	}
 	for _, n := range needed {
 		if !n.has {
-			return Settings{}, MissingError(n.name)
+			return Settings{}, SettingsError("the settings lack " + n.name)
 		}
 	}
 	if *f.Interval <= 0 || *f.LinesPerS <= 0 || *f.QueueCap <= 0 {
-		return Settings{}, fmt.Errorf("familyInfo.interval, familyInfo.linesPerS and familyInfo.queueCap must be above 0,"+
-			" got %d, %v and %v", *f.Interval, *f.LinesPerS, *f.QueueCap)
+		return Settings{}, SettingsError("familyInfo.interval, familyInfo.linesPerS and familyInfo.queueCap must be above 0")
 	}
 	s := rules.Settings{
 		Governors: in.Balancers, Proxies: f.DataPlane, Zone: rules.ZoneID(in.MyZone), Zones: len(in.Zones),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -141,8 +141,8 @@
 			return err
 		}
 		settings, err := config.ReadSettings(text)
-		var missing config.MissingError
-		if errors.As(err, &missing) {
+		var fault config.SettingsError
+		if errors.As(err, &fault) {
 			s.Fault = err
 			return nil
 		} else if err != nil {
