Tidy: work out what a table shows once a Step, and drop state that can be derived

Tables' parts were made anew for each of their proxies, sorted lines and levels alike. Whether a connection has named itself follows from its role, whether a watch counts from its context; both were kept beside.

--- a/internal/clients/book.go
+++ b/internal/clients/book.go
@@ -16,7 +16,15 @@
 	tables  map[rules.TableID]*table
 	out     map[rules.ReplicaID]bool // withdrawn
 
-	mark *rules.Mark
+	mark  *rules.Mark        // in this Step
+	shown map[showing][]part // what tell has made in this Step
+}
+
+// showing is what a table shows of itself to some traffic groups: the same for all proxies that it concerns.
+type showing struct {
+	table rules.TableID
+	set   rules.GroupSet
+	full  bool
 }
 
 // table is what a table holds. The one numbered AllTables has levels only, which hold for all proxies.
@@ -43,7 +51,7 @@
 
 func newBook(groups int) book {
 	return book{groups: groups, members: map[rules.ProxyID]*member{}, tables: map[rules.TableID]*table{},
-		out: map[rules.ReplicaID]bool{}}
+		out: map[rules.ReplicaID]bool{}, shown: map[showing][]part{}}
 }
 
 func (b *book) join(j rules.Joined, c *conn) {
@@ -114,7 +122,8 @@
 	for _, id := range slices.Sorted(maps.Keys(b.members)) {
 		m := b.members[id]
 		parts := b.parts(m)
-		if b.mark != nil && (len(parts) > 0 || b.mark.ToAll) {
+		marked := b.mark != nil && (len(parts) > 0 || b.mark.ToAll)
+		if marked {
 			if len(parts) == 0 {
 				parts = append(parts, part{})
 			}
@@ -125,7 +134,7 @@
 			parts[i].followed = i < len(parts)-1
 			message = c.encode(message, &parts[i])
 		}
-		if len(parts) > 0 && parts[len(parts)-1].mark != nil {
+		if marked {
 			m.conn.ask(message, b.mark.Version)
 		} else if len(parts) > 0 {
 			m.conn.send(message)
@@ -136,6 +145,7 @@
 		t.cleared, t.leveled = false, 0
 		clear(t.altered)
 	}
+	clear(b.shown)
 	b.mark = nil
 }
 
@@ -151,13 +161,12 @@
 		sets[t] |= 1 << g
 	}
 	for _, t := range slices.Sorted(maps.Keys(sets)) {
-		set := sets[t]
+		whole := sets[t] & m.bound
 		if b.table(t).cleared {
-			parts = append(parts, b.tell(t, set, true)...)
-			continue
+			whole = sets[t]
 		}
-		parts = append(parts, b.tell(t, set&m.bound, true)...)
-		parts = append(parts, b.tell(t, set&^m.bound, false)...)
+		parts = append(parts, b.tell(showing{t, whole, true})...)
+		parts = append(parts, b.tell(showing{t, sets[t] &^ whole, false})...)
 	}
 	if p := b.withdrawals(m, parts); p.count() > 0 {
 		parts = append(parts, p)
@@ -196,14 +205,23 @@
 	return p
 }
 
-// tell makes parts of a table for some groups. Groups under one level go into one part; where all do, it goes
-// with the lines.
-func (b *book) tell(id rules.TableID, set rules.GroupSet, full bool) (parts []part) {
-	if set == 0 {
+// tell makes parts of a table for some groups, once a Step.
+func (b *book) tell(s showing) []part {
+	if s.set == 0 {
 		return nil
 	}
-	t := b.table(id)
-	p := part{groups: set, full: full && id != rules.AllTables}
+	parts, made := b.shown[s]
+	if !made {
+		parts = b.show(s)
+		b.shown[s] = parts
+	}
+	return parts
+}
+
+// show makes the parts. Groups under one level go into one part; where all do, it goes with the lines.
+func (b *book) show(s showing) (parts []part) {
+	t := b.table(s.table)
+	p := part{groups: s.set, full: s.full && s.table != rules.AllTables}
 	ids := maps.Keys(t.altered)
 	if p.full {
 		ids = maps.Keys(t.lines)
@@ -215,8 +233,8 @@
 		parts = append(parts, p)
 	}
 	var levels []part
-	for _, g := range b.each(set) {
-		if set&(1<<g) == 0 || !full && (t.leveled|b.table(rules.AllTables).leveled)&(1<<g) == 0 {
+	for _, g := range b.each(s.set) {
+		if !s.full && (t.leveled|b.table(rules.AllTables).leveled)&(1<<g) == 0 {
 			continue
 		}
 		level, ok := b.level(t, g)
@@ -231,7 +249,7 @@
 		}
 		levels[at].groups |= 1 << g
 	}
-	if len(parts) == 1 && len(levels) == 1 && levels[0].groups == set {
+	if len(parts) == 1 && len(levels) == 1 && levels[0].groups == s.set {
 		parts[0].level = levels[0].level
 		return parts
 	}
--- a/internal/clients/codec.go
+++ b/internal/clients/codec.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"zincloft.example/zincloft/internal/config"
+	"zincloft.example/zincloft/internal/exchange"
 	"zincloft.example/zincloft/internal/resp"
 	"zincloft.example/zincloft/rules"
 )
@@ -33,7 +34,7 @@
 	name          func(rules.ReplicaID) (string, bool)
 }
 
-func newCodec(s config.Settings, n Names) codec {
+func newCodec(s config.Settings, n exchange.Names) codec {
 	c := codec{zones: s.Zones, proxies: s.Proxies, replica: n.ID, name: n.Name}
 	for _, tg := range s.Groups {
 		c.groups = append(c.groups, tg.Name)
@@ -74,11 +75,11 @@
 	return n
 }
 
-// figure reads a figure from 0; absent if it is left out.
-func (f *fields) figure(name string, absent float64) float64 {
+// figure reads a figure from 0; 0 if it is left out.
+func (f *fields) figure(name string) float64 {
 	text, ok := f.values[name]
 	if !ok {
-		return absent
+		return 0
 	}
 	v, ok := figure(text)
 	if !ok {
@@ -94,7 +95,7 @@
 
 // span reads milliseconds.
 func (f *fields) span(name string) time.Duration {
-	v := f.figure(name, 0) * float64(time.Millisecond)
+	v := f.figure(name) * float64(time.Millisecond)
 	if v > math.MaxInt64/2 {
 		f.fail(name)
 		return 0
@@ -129,7 +130,7 @@
 		f.needs("sidecar")
 		fresh := f.whole("standing", 1) == 1
 		out = rules.Joined{Proxy: c.proxy(&f), Zone: rules.ZoneID(f.place("az", c.zones)),
-			Rate: f.figure("share", 0), Fresh: fresh, Unsure: !fresh}
+			Rate: f.figure("share"), Fresh: fresh, Unsure: !fresh}
 	case "done":
 		f.needs("sidecar", "version")
 		out = rules.Applied{Proxy: c.proxy(&f), Version: uint16(f.whole("version", math.MaxUint16)), Took: f.span("lag_ms")}
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -21,12 +21,10 @@
 	side  *Side
 	since time.Time
 
-	// The reader's own.
-	role  role
-	proxy rules.ProxyID // of a stream
+	proxy rules.ProxyID // of a stream; the reader's own
 
 	mu      sync.Mutex
-	named   bool
+	role    role   // written by the reader only, which need not lock to read it
 	owes    bool   // the peer owes an answer
 	mark    uint16 // the last mark that it was sent
 	pending []byte
@@ -94,14 +92,15 @@
 		if c.role == stream {
 			return errors.New("a stream that names itself a collector")
 		}
-		c.role = collector
+		c.become(collector)
 		c.side.collect(c, m.zone)
 		return nil
 	case rules.Joined:
 		if c.role != stranger {
 			return errors.New("a joining on a connection that has named itself")
 		}
-		c.role, c.proxy = stream, m.Proxy
+		c.proxy = m.Proxy
+		c.become(stream)
 	case rules.Applied:
 		if c.role != stream || m.Proxy != c.proxy {
 			return fmt.Errorf("a mark of proxy %d on a connection that is not its stream", m.Proxy)
@@ -119,6 +118,12 @@
 	return nil
 }
 
+func (c *conn) become(r role) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.role = r
+}
+
 // await sets the time until which the peer must say something: always while it is a stranger, and as a stream
 // while it owes an answer. This one guard ends whatever has fallen silent: peers that vanished, that stopped
 // inside a message, or that send it byte by byte. A proxy that owes nothing may be quiet for long. Collectors
@@ -126,12 +131,11 @@
 func (c *conn) await(m any) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.named = c.role != stranger
 	if a, ok := m.(rules.Applied); ok && a.Version == c.mark {
 		c.owes = false
 	}
 	switch {
-	case !c.named:
+	case c.role == stranger:
 		return c.SetReadDeadline(time.Now().Add(c.side.bounds.FirstWord))
 	case c.owes:
 		return c.SetReadDeadline(time.Now().Add(c.side.bounds.Silence))
--- a/internal/clients/side.go
+++ b/internal/clients/side.go
@@ -17,12 +17,6 @@
 	"zincloft.example/zincloft/rules"
 )
 
-// Names finds replicas by name, and names by replica.
-type Names interface {
-	ID(name string) (rules.ReplicaID, bool)
-	Name(rules.ReplicaID) (string, bool)
-}
-
 // Side is the client side.
 type Side struct {
 	book
@@ -40,7 +34,7 @@
 }
 
 // New returns a client side that serves nobody yet. What it hears goes to post.
-func New(c config.Config, names Names, log zerolog.Logger, post func(exchange.Event)) *Side {
+func New(c config.Config, names exchange.Names, log zerolog.Logger, post func(exchange.Event)) *Side {
 	return &Side{book: newBook(len(c.Settings.Groups)), codec: newCodec(c.Settings, names), bounds: c.Bounds, log: log,
 		post: post, conns: map[*conn]struct{}{}, collectors: map[rules.ZoneID][]*conn{}}
 }
@@ -71,7 +65,7 @@
 		var oldest *conn
 		for o := range s.conns {
 			o.mu.Lock()
-			open := !o.named && !o.ended
+			open := o.role == stranger && !o.ended
 			o.mu.Unlock()
 			if open && (oldest == nil || o.since.Before(oldest.since)) {
 				oldest = o
@@ -133,10 +127,10 @@
 	c := e.From.(*conn)
 	switch fact := e.Fact.(type) {
 	case rules.Joined:
-		m := s.members[fact.Proxy]
-		if m != nil {
-			s.log.Info().Uint16("proxy", uint16(fact.Proxy)).Str("cause", "replaced by a new stream").Msg("leave")
-			m.conn.end("replaced by a new stream")
+		if m := s.members[fact.Proxy]; m != nil {
+			const cause = "replaced by a new stream"
+			m.conn.end(cause)
+			s.leave(fact.Proxy, cause)
 		}
 		s.join(fact, c)
 		s.log.Info().Uint16("proxy", uint16(fact.Proxy)).Bool("fresh", fact.Fresh).Msg("join")
@@ -145,8 +139,7 @@
 		if m == nil || m.conn != c {
 			return false
 		}
-		s.log.Info().Uint16("proxy", uint16(fact.Proxy)).Str("cause", c.ending()).Msg("leave")
-		delete(s.members, fact.Proxy)
+		s.leave(fact.Proxy, c.ending())
 	case rules.Applied:
 		m := s.members[fact.Proxy]
 		return m != nil && m.conn == c
@@ -156,6 +149,11 @@
 	return true
 }
 
+func (s *Side) leave(id rules.ProxyID, cause string) {
+	s.log.Info().Uint16("proxy", uint16(id)).Str("cause", cause).Msg("leave")
+	delete(s.members, id)
+}
+
 // Carry writes the orders of one Step, as one message to each proxy concerned. It never waits for a peer.
 func (s *Side) Carry(orders []rules.Order) {
 	for _, o := range orders {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,6 +2,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -181,14 +182,8 @@
 	for _, o := range d.exchange.Deliver(d.gov.Step(now, facts)) {
 		switch o := o.(type) {
 		case rules.WakeAfter:
-			w := wake{now + rules.Time(o.After), o.Mark}
-			at, _ := slices.BinarySearchFunc(d.wakes, w, func(a, b wake) int {
-				if a.at <= b.at {
-					return -1
-				}
-				return 1
-			})
-			d.wakes = slices.Insert(d.wakes, at, w)
+			d.wakes = append(d.wakes, wake{now + rules.Time(o.After), o.Mark})
+			slices.SortStableFunc(d.wakes, func(a, b wake) int { return cmp.Compare(a.at, b.at) })
 		case rules.Log:
 			d.log.Info().Msg(o.Text)
 		default:
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -17,12 +17,17 @@
 	Carry([]rules.Order)
 }
 
+// Names finds replicas by the name that discovery gives them, and names by replica.
+type Names interface {
+	ID(name string) (rules.ReplicaID, bool)
+	Name(rules.ReplicaID) (string, bool)
+}
+
 // List is the side of discovery. Its answers come as events.
 type List interface {
+	Names
 	Observe(on bool)
 	Fetch()
-	ID(name string) (rules.ReplicaID, bool)
-	Name(rules.ReplicaID) (string, bool)
 }
 
 // Exchange carries events to the one goroutine that decides, and its orders back to both sides.
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -25,11 +25,10 @@
 	running      sync.WaitGroup
 
 	posting sync.Mutex
-	held    sync.Mutex // never while posting, as the poster may have to wait for one who calls Observe
-	version Version    // of the list as posted last
-	based   bool       // there is such a version, so changes from it can be asked for
-	watch   int        // the watch that counts: later ones end earlier ones
-	end     context.CancelFunc
+	held    sync.Mutex         // never while posting, as the poster may have to wait for one who calls Observe
+	version Version            // of the list as posted last
+	based   bool               // there is such a version, so changes from it can be asked for
+	end     context.CancelFunc // of the watch that counts
 }
 
 // New returns a List that calls discovery until ctx ends. What it hears goes to post.
@@ -56,11 +55,10 @@
 	l.held.Lock()
 	defer l.held.Unlock()
 	l.end()
-	l.watch++
 	ctx, cancel := context.WithCancel(l.ctx)
 	if l.end = cancel; on {
 		l.running.Add(1)
-		go l.follow(ctx, l.watch)
+		go l.follow(ctx)
 	}
 }
 
@@ -69,11 +67,9 @@
 	l.running.Add(1)
 	go func() {
 		defer l.running.Done()
-		l.held.Lock()
-		asked := l.version
-		l.held.Unlock()
+		asked, _ := l.last()
 		body, err := l.calls.get(l.ctx, "/v1/servers", l.bounds.ListMore)
-		l.hear(body, err, asked, false, func() bool { return true })
+		l.hear(l.ctx, body, err, asked, false)
 	}()
 }
 
@@ -82,32 +78,37 @@
 
 // follow asks for what was missed, then call after call for what changes. The first answer is posted even if it
 // tells nothing, as it answers the order; the next call begins at once, so that the watch is one.
-func (l *List) follow(ctx context.Context, watch int) {
+func (l *List) follow(ctx context.Context) {
 	defer l.running.Done()
-	counts := func() bool { return l.watch == watch }
-	for first := true; ctx.Err() == nil; first = false {
+	for first := true; ; first = false {
 		wait := l.bounds.ListWait
 		if first {
 			wait = 0
 		}
 		target := "/v1/servers"
-		l.held.Lock()
-		asked, based := l.version, l.based
-		l.held.Unlock()
+		asked, based := l.last()
 		if based {
 			target = fmt.Sprintf("%s?index=%d&wait=%d", target, asked, wait.Milliseconds())
 		}
 		body, err := l.calls.get(ctx, target, wait+l.bounds.ListMore)
-		if ctx.Err() != nil || !l.hear(body, err, asked, !first, counts) {
+		if !l.hear(ctx, body, err, asked, !first) {
 			return
 		}
 	}
 }
 
-// hear takes in an answer to a call made when version asked was held, and tells whether it was good. What is
+// last is the version of the list as posted last, and whether there is one.
+func (l *List) last() (Version, bool) {
+	l.held.Lock()
+	defer l.held.Unlock()
+	return l.version, l.based
+}
+
+// hear takes in an answer to a call made when version asked was held, and tells whether it was good; that of a
+// call whose context has ended is about nobody, as Observe ends an earlier watch while it holds the lock. What is
 // older than what has come since would undo it, and so would changes from before it: both count as failures,
 // after which the whole list is asked for.
-func (l *List) hear(body []byte, err error, asked Version, mayBeEmpty bool, counts func() bool) bool {
+func (l *List) hear(ctx context.Context, body []byte, err error, asked Version, mayBeEmpty bool) bool {
 	var got rules.List
 	var version Version
 	if err == nil {
@@ -116,7 +117,7 @@
 	l.posting.Lock() // posts keep the order in which versions were taken in
 	defer l.posting.Unlock()
 	l.held.Lock()
-	if !counts() || l.ctx.Err() != nil {
+	if ctx.Err() != nil {
 		l.held.Unlock()
 		return false
 	}
