A message cut inside its first head is a cut, not a clean end

At fault: head in resp.go joined both errors, so a stream that broke within a message's first digits was logged as closed by the peer, against what Next promises. The test fails without the change.

--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -34,15 +34,20 @@
 	words := make([]string, n)
 	for i := range words {
 		if words[i], err = r.word(); err != nil {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
-			return nil, err
+			return nil, inside(err)
 		}
 	}
 	return words, nil
 }
 
+// inside is what an error means within a message: an end there is a cut.
+func inside(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 func (r *Reader) word() (string, error) {
 	n, err := r.head('$', r.left)
 	if err != nil {
@@ -77,7 +82,7 @@
 	}
 	for i := range digits {
 		if digits[i], err = r.r.ReadByte(); err != nil {
-			return 0, errors.Join(io.ErrUnexpectedEOF, err)
+			return 0, inside(err)
 		}
 		if digits[i] != '\n' {
 			continue
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -44,9 +44,13 @@
 		"*1\r\n$65\r\n": "more than", "*1\r\n$2\r\nabc\r\n": "a word without its end", "*1\r\n$2\r\nab": "unexpected EOF",
 		"*2\r\n$40\r\n" + strings.Repeat("x", 40) + "\r\n$40\r\n": "more than", "*1": "unexpected EOF", "*1\r\n": "unexpected EOF",
 	} {
-		if got, err := NewReader(strings.NewReader(in), 64, 4).Next(); err == nil || !strings.Contains(err.Error(), want) {
+		got, err := NewReader(strings.NewReader(in), 64, 4).Next()
+		if err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: want an error with %q, got %q, %v", in, want, got, err)
 		}
+		if errors.Is(err, io.EOF) {
+			t.Errorf("%q: a cut inside a message reads as an end between two", in)
+		}
 	}
 }
 
