--- a/cmd/zincloft/main.go
+++ b/cmd/zincloft/main.go
@@ -16,6 +16,8 @@
 )
 
 func main() {
+	hups := make(chan os.Signal, 1) // one that waits stands for all that came since
+	signal.Notify(hups, syscall.SIGHUP)
 	conf, err := config.Load(os.Getenv)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "zincloft:", err)
@@ -26,7 +28,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	listen := func() (net.Listener, error) { return net.Listen("tcp", conf.Listen) }
-	if err := daemon.New(conf, log).Run(ctx, listen); err != nil {
+	reload := func(now config.Config) (config.Config, []string, error) { return config.Reload(os.Getenv, now) }
+	if err := daemon.New(conf, log).Run(ctx, listen, hups, reload); err != nil {
 		log.Error().Err(err).Msg("exit")
 		os.Exit(1)
 	}
--- /dev/null
+++ b/cmd/zincloft/main_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"bufio"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// TestMain lets the test start this program as a process of its own.
+func TestMain(m *testing.M) {
+	if os.Getenv("ZINCLOFT_MAIN") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// TestSignals has SIGHUP come from the first line of the log on: it never ends the program, and SIGTERM does.
+func TestSignals(t *testing.T) {
+	c := exec.CommandContext(t.Context(), os.Args[0])
+	c.Env = append(os.Environ(), "ZINCLOFT_MAIN=1", "LB_CONFIG=../../deploy/example.json", "LB_LISTEN=127.0.0.1:0")
+	out, err := c.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	signals := map[string]syscall.Signal{`"phase":"starting"`: syscall.SIGHUP, `"message":"reload failed"`: syscall.SIGTERM}
+	for lines := bufio.NewScanner(out); lines.Scan(); {
+		for mark, signal := range signals {
+			if strings.Contains(lines.Text(), mark) {
+				delete(signals, mark)
+				if err := c.Process.Signal(signal); err != nil {
+					t.Error(err)
+				}
+			}
+		}
+	}
+	if err := c.Wait(); err != nil || len(signals) > 0 {
+		t.Error(err, signals)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,11 +3,13 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -77,9 +79,34 @@
 	Settings  json.RawMessage `json:"settings"`
 }
 
-// Load reads the environment and the file that LB_CONFIG names. What the environment says of name and addresses
-// goes before the file.
-func Load(getenv func(string) string) (Config, error) {
+// Load reads the environment and the file that LB_CONFIG names, at the start. What the environment says of name and
+// addresses goes before the file.
+func Load(getenv func(string) string) (Config, error) { return read(getenv, false) }
+
+// Reload reads the file again while a governor runs on what now holds. The file goes before the environment, which
+// is as old as the process. Only discovery can change: a new name or listen address is a fault, and the rest is
+// left as it is until the next start, named in later where it differs.
+func Reload(getenv func(string) string, now Config) (c Config, later []string, err error) {
+	c, err = read(getenv, true)
+	switch {
+	case err != nil:
+		return now, nil, err
+	case c.Name != now.Name:
+		return now, nil, fmt.Errorf("name: %q can't become %q while the governor runs", now.Name, c.Name)
+	case c.Listen != now.Listen:
+		return now, nil, fmt.Errorf("listen: %s can't become %s while the governor runs", now.Listen, c.Listen)
+	}
+	if c.Limits != now.Limits {
+		later = append(later, "limits")
+	}
+	if !reflect.DeepEqual(c.Settings, now.Settings) {
+		later = append(later, "settings")
+	}
+	now.Discovery = c.Discovery
+	return now, later, nil
+}
+
+func read(getenv func(string) string, fileFirst bool) (Config, error) {
 	path := getenv("LB_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("LB_CONFIG is not set: it names the configuration file")
@@ -102,8 +129,8 @@
 		{"LB_LISTEN", "listen", f.Listen, &c.Listen, true},
 		{"LB_DISCOVERY", "discovery", f.Discovery, &c.Discovery, true},
 	} {
-		if *k.to = getenv(k.env); *k.to == "" {
-			*k.to = k.inFile
+		if *k.to = cmp.Or(getenv(k.env), k.inFile); fileFirst {
+			*k.to = cmp.Or(k.inFile, *k.to)
 		}
 		if *k.to == "" {
 			return Config{}, fmt.Errorf("%s is not set, and %s lacks %s", k.env, path, k.key)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -80,3 +80,43 @@
 		t.Error("no environment: ", err)
 	}
 }
+
+func TestReload(t *testing.T) {
+	whole := example(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := map[string]string{"LB_CONFIG": path, "LB_DISCOVERY": "127.0.0.9:1"}
+	put := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	getenv := func(name string) string { return env[name] }
+	put(whole)
+	first, err := Load(getenv)
+	if err != nil || first.Discovery != "127.0.0.9:1" {
+		t.Fatal("the environment goes first at the start: ", first.Discovery, err)
+	}
+	for _, f := range []struct{ old, new, discovery, later, fault string }{
+		{"", "", "127.0.0.1:8500", "", ""},
+		{":8500", ":8501", "127.0.0.1:8501", "", ""},
+		{`"discovery":"127.0.0.1:8500",`, ``, "127.0.0.9:1", "", ""},
+		{`"sockets":1024`, `"sockets":256`, "127.0.0.1:8500", "limits", ""},
+		{`"perMessage":6`, `"perMessage":7`, "127.0.0.1:8500", "settings", ""},
+		{`"name":"n3"`, `"name":"n4"`, "", "", "name"}, {`:3000"`, `:3001"`, "", "", "listen"},
+		{`127.0.0.1:8500`, `nowhere`, "", "", "LB_DISCOVERY (discovery)"}, {whole, "{", "", "", "LB_CONFIG"},
+		{`"perMessage":6,`, ``, "", "", "familyInfo.perMessage"},
+	} {
+		put(strings.Replace(whole, f.old, f.new, 1))
+		got, later, err := Reload(getenv, first)
+		want := first
+		if f.fault == "" {
+			want.Discovery = f.discovery
+		}
+		if d := cmp.Diff(want, got); d != "" || strings.Join(later, " ") != f.later {
+			t.Errorf("%s for %s: %s, later %q", f.new, f.old, d, later)
+		}
+		if (err != nil) != (f.fault != "") || err != nil && !strings.Contains(err.Error(), f.fault) {
+			t.Errorf("%s for %s: want a fault with %q, got %v", f.new, f.old, f.fault, err)
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"net"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -26,10 +27,11 @@
 
 // Phases, in their order.
 const (
-	Starting Phase = "starting" // settings and known list are stepped; nothing is listened on
-	Serving  Phase = "serving"  // proxies join
-	Stopping Phase = "stopping" // connections are being closed
-	Stopped  Phase = "stopped"
+	Starting  Phase = "starting"  // settings and known list are stepped; nothing is listened on
+	Serving   Phase = "serving"   // proxies join
+	Reloading Phase = "reloading" // the configuration is read again; then it serves on
+	Stopping  Phase = "stopping"  // connections are being closed
+	Stopped   Phase = "stopped"
 )
 
 // Daemon owns the governor, the clock and the timers. All of it is used by the goroutine of Run alone.
@@ -42,6 +44,9 @@
 	wakes []wake // soonest first
 	gov   rules.Governor
 
+	hups <-chan os.Signal
+	read Reload
+
 	exchange *exchange.Exchange
 	clients  *clients.Side
 	list     *list.List
@@ -62,11 +67,16 @@
 	d.phase = p
 }
 
-// Run goes through all phases. It returns when ctx ends and all is closed, or with what failed.
-func (d *Daemon) Run(ctx context.Context, listen func() (net.Listener, error)) (err error) {
+// Reload reads the configuration again, given the one that holds. It returns the one that holds from now on, and
+// the keys whose changes wait for the next start.
+type Reload func(config.Config) (c config.Config, later []string, err error)
+
+// Run goes through all phases. Each signal from hups is one to reload. It returns when ctx ends and all is closed,
+// or with what failed.
+func (d *Daemon) Run(ctx context.Context, listen func() (net.Listener, error), hups <-chan os.Signal, reload Reload) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	d.begun = time.Now()
+	d.begun, d.hups, d.read = time.Now(), hups, reload
 	d.enter(Starting)
 	d.exchange = exchange.New(d.conf.Bounds.Inbox)
 	d.list = list.New(ctx, d.conf, d.log, func(l rules.List) { d.exchange.Post(exchange.Event{Fact: l}) })
@@ -104,6 +114,22 @@
 	return d.loop(ctx)
 }
 
+// reload takes on what the configuration says now. One that faults leaves the old one serving.
+func (d *Daemon) reload() {
+	d.enter(Reloading)
+	defer d.enter(Serving)
+	c, later, err := d.read(d.conf)
+	if err != nil {
+		d.log.Error().Err(err).Msg("reload failed")
+		return
+	}
+	d.log.Info().Str("discovery", c.Discovery).Str("from", d.conf.Discovery).Strs("at the next start", later).Msg("reload")
+	if c.Discovery != d.conf.Discovery {
+		d.list.Move(c.Discovery)
+	}
+	d.conf = c
+}
+
 // now is the wall clock at the start and a steady clock from then on, so that steps of the wall clock do not
 // reach decisions.
 func (d *Daemon) now() rules.Time {
@@ -136,6 +162,9 @@
 	select {
 	case <-ctx.Done():
 		return nil
+	case <-d.hups:
+		d.reload()
+		return nil
 	case e := <-d.exchange.Inbox():
 		events = append(events, e)
 	case <-timer.C:
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,7 +34,8 @@
 }
 
 // TestLife goes from start to exit: a sign of life, two joinings that arrive together, their tables in one
-// message each, and a stop that closes what is open.
+// message each, three signals to reload, of which one meets a faulty file, and a stop at once after them that closes
+// what is open. No reload writes to a proxy.
 func TestLife(t *testing.T) {
 	var trace, log strings.Builder
 	synctest.Test(t, func(t *testing.T) {
@@ -40,7 +43,15 @@
 		l := testkit.Listen()
 		d := New(conf(), zerolog.New(&log))
 		done := make(chan error)
-		go func() { done <- d.Run(ctx, func() (net.Listener, error) { return l, nil }) }()
+		hups := make(chan os.Signal)
+		files := []string{"127.0.0.1:1", "", "127.0.0.1:1"}
+		reload := func(now config.Config) (config.Config, []string, error) {
+			if now.Discovery, files = files[0], files[1:]; now.Discovery == "" {
+				return conf(), nil, errors.New("settings: the key is missing")
+			}
+			return now, []string{"limits"}, nil
+		}
+		go func() { done <- d.Run(ctx, func() (net.Listener, error) { return l, nil }, hups, reload) }()
 		var heard [3]chan string
 		for i, first := range []string{"hb", "attach sidecar 0 az a share 2 standing 1", "attach sidecar 1 az a share 2 standing 1"} {
 			c, err := l.Dial(ctx, "", "")
@@ -64,6 +75,9 @@
 		}
 		time.Sleep(10 * time.Millisecond) // on the bubble's clock
 		synctest.Wait()
+		for range 3 {
+			hups <- syscall.SIGHUP
+		}
 		stop()
 		begun := time.Now()
 		if err := <-done; err != nil {
@@ -110,7 +124,7 @@
 
 func TestStartFails(t *testing.T) {
 	no := func() (net.Listener, error) { return nil, errors.New("address in use") }
-	if err := New(conf(), zerolog.Nop()).Run(t.Context(), no); err == nil || !strings.Contains(err.Error(), "LB_LISTEN: address in use") {
+	if err := New(conf(), zerolog.Nop()).Run(t.Context(), no, nil, nil); err == nil || !strings.Contains(err.Error(), "LB_LISTEN: address in use") {
 		t.Error(err)
 	}
 	var log strings.Builder
@@ -119,7 +133,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	serves := func() (net.Listener, error) { return testkit.Listen(), nil }
-	if err := New(c, zerolog.New(&log)).Run(ctx, serves); err != nil || !strings.Contains(log.String(), "known: the list lacks version") {
+	if err := New(c, zerolog.New(&log)).Run(ctx, serves, nil, nil); err != nil || !strings.Contains(log.String(), "known: the list lacks version") {
 		t.Error("a list that can't be read keeps it from serving: ", err, log.String())
 	}
 }
--- a/internal/list/call.go
+++ b/internal/list/call.go
@@ -12,21 +12,27 @@
 	"time"
 )
 
-// caller makes calls to discovery through a reverse proxy that is run in-process: the transport below is all
-// that touches the network, and a caller never sees half an answer.
+type dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// caller makes calls to discovery at one address through a reverse proxy that is run in-process: the transport
+// below is all that touches the network, and a caller never sees half an answer.
 type caller struct {
 	proxy *httputil.ReverseProxy
 	trips *trips
+	ctx   context.Context // ends when another address has taken this one's place
+	end   context.CancelFunc
 }
 
-func newCaller(address string, most int64) *caller {
+func newCaller(ctx context.Context, address string, most int64, dial dialer) *caller {
+	ctx, end := context.WithCancel(ctx)
 	t := &trips{most: most, base: &http.Transport{
-		DialContext:            (&net.Dialer{}).DialContext,
+		DialContext:            dial,
 		MaxIdleConnsPerHost:    1,
 		MaxResponseHeaderBytes: 64 << 10,
 		DisableCompression:     true,
 	}}
-	return &caller{trips: t, proxy: &httputil.ReverseProxy{
+	context.AfterFunc(ctx, t.base.CloseIdleConnections)
+	return &caller{trips: t, ctx: ctx, end: end, proxy: &httputil.ReverseProxy{
 		Rewrite: func(r *httputil.ProxyRequest) {
 			r.Out.URL.Scheme, r.Out.URL.Host, r.Out.Host = "http", address, address
 		},
--- a/internal/list/codec.go
+++ b/internal/list/codec.go
@@ -31,36 +31,41 @@
 
 var states = map[string]rules.State{"ready": rules.Ready, "draining": rules.Draining, "gone": rules.Gone}
 
-// decode reads an answer whole before it names any replica, so that a bad one leaves nothing behind. Zones and
-// kinds that the settings lack stand past those that they have.
-func (l *List) decode(text []byte) (rules.List, Version, error) {
+// read decodes an answer and checks it whole, so that a bad one leaves nothing behind.
+func read(text []byte) (answer, error) {
 	var a answer
 	if err := json.Unmarshal(text, &a); err != nil {
-		return rules.List{}, 0, fmt.Errorf("the list is not the expected JSON: %w", err)
+		return answer{}, fmt.Errorf("the list is not the expected JSON: %w", err)
 	}
 	if a.Version == nil {
-		return rules.List{}, 0, errors.New("the list lacks version")
+		return answer{}, errors.New("the list lacks version")
 	}
 	for _, s := range a.Servers {
 		switch _, ok := states[s.State]; {
 		case s.ID == "":
-			return rules.List{}, 0, errors.New("an entry of the list lacks id")
+			return answer{}, errors.New("an entry of the list lacks id")
 		case !ok:
-			return rules.List{}, 0, fmt.Errorf("%s: unknown state %q", s.ID, s.State)
+			return answer{}, fmt.Errorf("%s: unknown state %q", s.ID, s.State)
 		case s.Weight != nil && *s.Weight < 0:
-			return rules.List{}, 0, fmt.Errorf("%s: a weight below 0", s.ID)
+			return answer{}, fmt.Errorf("%s: a weight below 0", s.ID)
 		case s.Started < 0 || s.Started > math.MaxInt64/int64(time.Millisecond):
-			return rules.List{}, 0, fmt.Errorf("%s: impossible started_ms %d", s.ID, s.Started)
+			return answer{}, fmt.Errorf("%s: impossible started_ms %d", s.ID, s.Started)
 		}
 	}
+	return a, nil
+}
+
+// number puts an answer that counts into the words of package rules. Zones and kinds that the settings lack stand
+// past those that they have.
+func (l *List) number(a answer) rules.List {
 	out := rules.List{Scope: rules.Changes}
 	if a.Full {
 		out.Scope = rules.Whole
 	}
 	for _, s := range a.Servers {
 		e := rules.Entry{
-			Replica: l.add(s.ID), Zone: rules.ZoneID(place(l.zones, s.Zone)), Kind: rules.KindID(place(l.kinds, s.Kind)),
-			Cell: rules.CellID(s.Cell), State: states[s.State], Listed: 1,
+			Replica: l.add(s.ID), Zone: rules.ZoneID(place(l.zones, s.Zone)),
+			Kind: rules.KindID(place(l.kinds, s.Kind)), Cell: rules.CellID(s.Cell), State: states[s.State], Listed: 1,
 			StartedAt: rules.Time(s.Started) * rules.Time(time.Millisecond),
 		}
 		if s.Weight != nil {
@@ -68,7 +73,7 @@
 		}
 		out.Entries = append(out.Entries, e)
 	}
-	return out, *a.Version, nil
+	return out
 }
 
 func place(in []string, name string) int {
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -20,56 +21,83 @@
 	bounds       config.Bounds
 	log          zerolog.Logger
 	post         func(rules.List)
-	calls        *caller
 	ctx          context.Context
+	dial         dialer
 	running      sync.WaitGroup
 
 	posting sync.Mutex
 	held    sync.Mutex         // never while posting, as the poster may have to wait for one who calls Observe
+	calls   *caller            // to the address that counts
 	version Version            // of the list as posted last
 	based   bool               // there is such a version, so changes from it can be asked for
+	watched bool               // a watch is wanted and has not failed
 	end     context.CancelFunc // of the watch that counts
 }
 
 // New returns a List that calls discovery until ctx ends. What it hears goes to post.
 func New(ctx context.Context, c config.Config, log zerolog.Logger, post func(rules.List)) *List {
-	return &List{
+	l := &List{
 		names: names{ids: map[string]rules.ReplicaID{}}, zones: c.Settings.Zones, kinds: c.Settings.Kinds,
-		bounds: c.Bounds, log: log, post: post, calls: newCaller(c.Discovery, c.Bounds.ListBytes), ctx: ctx,
-		end: func() {},
+		bounds: c.Bounds, log: log, post: post, ctx: ctx,
+		dial: (&net.Dialer{}).DialContext, end: func() {},
 	}
+	l.calls = newCaller(ctx, c.Discovery, c.Bounds.ListBytes, l.dial)
+	return l
 }
 
 // Known reads the list as this governor last held it. Where there is none, the first call asks for the whole list.
 func (l *List) Known(text []byte) (rules.List, error) {
-	known, version, err := l.decode(text)
+	known, err := read(text)
 	if err != nil {
 		return rules.List{}, fmt.Errorf("known: %w", err)
 	}
-	l.version, l.based, known.Scope = version, true, rules.Cached
-	return known, nil
+	l.version, l.based = *known.Version, true
+	out := l.number(known)
+	out.Scope = rules.Cached
+	return out, nil
 }
 
 // Observe begins a watch, which ends any earlier one, or ends it.
 func (l *List) Observe(on bool) {
 	l.held.Lock()
 	defer l.held.Unlock()
+	l.watch(on)
+}
+
+// watch is Observe with the lock held.
+func (l *List) watch(on bool) {
 	l.end()
-	ctx, cancel := context.WithCancel(l.ctx)
-	if l.end = cancel; on {
+	ctx, cancel := context.WithCancel(l.calls.ctx)
+	if l.end, l.watched = cancel, on; on {
 		l.running.Add(1)
-		go l.follow(ctx)
+		go l.follow(ctx, l.calls)
+	}
+}
+
+// Move goes over to another address of discovery at once. Calls to the old one are given up; the watch goes on at
+// the new one from the version held, so that nothing is missed that changed in between.
+func (l *List) Move(address string) {
+	l.held.Lock()
+	defer l.held.Unlock()
+	l.calls.end()
+	l.calls = newCaller(l.ctx, address, l.bounds.ListBytes, l.dial)
+	if l.watched {
+		l.watch(true)
 	}
 }
 
-// Fetch asks for the whole list once.
+// Fetch asks for the whole list once, again where the address changes meanwhile.
 func (l *List) Fetch() {
 	l.running.Add(1)
 	go func() {
 		defer l.running.Done()
-		asked, _ := l.last()
-		body, err := l.calls.get(l.ctx, "/v1/servers", l.bounds.ListMore)
-		l.hear(l.ctx, body, err, asked, false)
+		for l.ctx.Err() == nil {
+			asked, _, calls := l.last()
+			body, err := calls.get(calls.ctx, "/v1/servers", l.bounds.ListMore)
+			if l.hear(calls.ctx, body, err, asked, false); calls.ctx.Err() == nil {
+				return
+			}
+		}
 	}()
 }
 
@@ -78,7 +106,7 @@
 
 // follow asks for what was missed, then call after call for what changes. The first answer is posted even if it
 // tells nothing, as it answers the order; the next call begins at once, so that the watch is one.
-func (l *List) follow(ctx context.Context) {
+func (l *List) follow(ctx context.Context, calls *caller) {
 	defer l.running.Done()
 	for first := true; ; first = false {
 		wait := l.bounds.ListWait
@@ -86,22 +114,22 @@
 			wait = 0
 		}
 		target := "/v1/servers"
-		asked, based := l.last()
+		asked, based, _ := l.last()
 		if based {
 			target = fmt.Sprintf("%s?index=%d&wait=%d", target, asked, wait.Milliseconds())
 		}
-		body, err := l.calls.get(ctx, target, wait+l.bounds.ListMore)
+		body, err := calls.get(ctx, target, wait+l.bounds.ListMore)
 		if !l.hear(ctx, body, err, asked, !first) {
 			return
 		}
 	}
 }
 
-// last is the version of the list as posted last, and whether there is one.
-func (l *List) last() (Version, bool) {
+// last is the version of the list as posted last, whether there is one, and who is asked for more.
+func (l *List) last() (Version, bool, *caller) {
 	l.held.Lock()
 	defer l.held.Unlock()
-	return l.version, l.based
+	return l.version, l.based, l.calls
 }
 
 // hear takes in an answer to a call made when version asked was held, and tells whether it was good; that of a
@@ -109,10 +137,9 @@
 // older than what has come since would undo it, and so would changes from before it: both count as failures,
 // after which the whole list is asked for.
 func (l *List) hear(ctx context.Context, body []byte, err error, asked Version, mayBeEmpty bool) bool {
-	var got rules.List
-	var version Version
+	var got answer
 	if err == nil {
-		got, version, err = l.decode(body)
+		got, err = read(body)
 	}
 	l.posting.Lock() // posts keep the order in which versions were taken in
 	defer l.posting.Unlock()
@@ -121,18 +148,19 @@
 		l.held.Unlock()
 		return false
 	}
-	if stale := version < l.version; err == nil && stale && (got.Scope == rules.Changes || l.version != asked) {
-		err = fmt.Errorf("the list went back from version %d to %d", l.version, version)
+	if err == nil && *got.Version < l.version && (!got.Full || l.version != asked) {
+		err = fmt.Errorf("the list went back from version %d to %d", l.version, *got.Version)
 		l.based = false
 	} else if err == nil {
-		l.version, l.based = version, true
+		l.version, l.based = *got.Version, true
 	}
+	l.watched = l.watched && err == nil
 	l.held.Unlock()
 	if err != nil {
 		l.log.Warn().Err(err).Msg("list failure")
 		l.post(rules.List{Scope: rules.Failed})
-	} else if !mayBeEmpty || got.Scope == rules.Whole || len(got.Entries) > 0 {
-		l.post(got)
+	} else if !mayBeEmpty || got.Full || len(got.Servers) > 0 {
+		l.post(l.number(got))
 	}
 	return err == nil
 }
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -19,25 +19,33 @@
 )
 
 // An act is what the stand-in of discovery does with one call.
-type act func(w http.ResponseWriter, r *http.Request)
+type act func(l *List, w http.ResponseWriter, r *http.Request)
 
 func tells(version int, full bool, servers ...string) act {
-	return func(w http.ResponseWriter, _ *http.Request) {
+	return func(_ *List, w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprintf(w, `{"version":%d,"full":%v,"servers":[%s]}`, version, full, strings.Join(servers, ","))
 	}
 }
 
 // after lets a call wait for so long, or until the caller gives up.
 func after(d time.Duration, a act) act {
-	return func(w http.ResponseWriter, r *http.Request) {
+	return func(l *List, w http.ResponseWriter, r *http.Request) {
 		select {
 		case <-time.After(d):
-			a(w, r)
+			a(l, w, r)
 		case <-r.Context().Done():
 		}
 	}
 }
 
+// moves tells the list of another address while a call to the old one waits.
+func moves(address string) act {
+	return func(l *List, _ http.ResponseWriter, r *http.Request) {
+		l.Move(address)
+		<-r.Context().Done()
+	}
+}
+
 func server(id, state string) string {
 	return fmt.Sprintf(`{"id":%q,"addr":"10.1.0.18:3000","zone":"b","kind":"m2","cell":3,"state":%q,"weight":1.5,"started_ms":7}`, id, state)
 }
@@ -60,7 +68,8 @@
 				}
 			})
 		socket := testkit.Listen()
-		l.calls.trips.base.DialContext = socket.Dial
+		l.dial = socket.Dial
+		l.Move("10.2.0.1:8500")
 		begun, connections, over := time.Now(), atomic.Int32{}, atomic.Bool{}
 		s := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			lines <- fmt.Sprintf("%v call %s of %s", time.Since(begun), r.URL, r.Host)
@@ -71,7 +80,7 @@
 			}
 			a := acts[0]
 			acts = acts[1:]
-			a(w, r)
+			a(l, w, r)
 		}), ConnState: func(_ net.Conn, s http.ConnState) {
 			if s == http.StateNew {
 				connections.Add(1)
@@ -120,14 +129,14 @@
 }
 
 func TestFailures(t *testing.T) {
-	status := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
-	reset := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
-	cut := func(w http.ResponseWriter, _ *http.Request) {
+	status := func(_ *List, w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+	reset := func(*List, http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	cut := func(_ *List, w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "500")
 		_, _ = w.Write([]byte(`{"version":42,"full":true,"servers":[`))
 		panic(http.ErrAbortHandler)
 	}
-	words := func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "no list") }
+	words := func(_ *List, w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "no list") }
 	long := tells(42, true, strings.Repeat(" ", 3000))
 	follows(t, known, 0, status, reset, cut, words, long, after(30*time.Second, status), tells(42, false, `{"id":"s-9","state":"lost"}`),
 		tells(42, false, server("s-3", "ready")))
@@ -141,3 +150,20 @@
 func TestConnectionsDoNotComeUp(t *testing.T) {
 	follows(t, known, 20500*time.Millisecond, tells(42, false, server("s-2", "ready")))
 }
+
+// TestMove has the address change while a call waits, before the first answer, twice in a row, and while a failure is
+// not mended yet: nothing that changed in between is missed, and what the old address still says counts for nothing.
+func TestMove(t *testing.T) {
+	twice := func(l *List, w http.ResponseWriter, r *http.Request) {
+		l.Move("10.2.0.8:8500")
+		l.Move("10.2.0.9:8500")
+		tells(70, true)(l, w, r)
+	}
+	failed := func(l *List, w http.ResponseWriter, _ *http.Request) {
+		time.AfterFunc(500*time.Millisecond, func() { l.Move("10.2.0.3:8500") })
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	follows(t, known, 0, moves("10.2.0.2:8500"), tells(42, false, server("s-2", "ready")), after(time.Second, moves("10.2.0.4:8500")),
+		tells(43, false, server("s-2", "draining")), failed, tells(44, false, server("s-2", "gone")), twice,
+		tells(45, false, server("s-3", "ready")))
+}
