Strangers have one bound, spoilt messages cost themselves alone, good collectors stay

A stranger has 1.5 s from its accept. A collector that works is never ended for another. Bytes that wait are bounded in all. Counts by cause go to one line every 10 s in place of a line for each stranger.

--- a/internal/clients/side.go
+++ b/internal/clients/side.go
@@ -24,30 +24,34 @@
 	bounds config.Bounds
 	log    zerolog.Logger
 	post   func(exchange.Event)
-	passed atomic.Int64 // messages passed over
+	counts counts
+	unread atomic.Int64 // bytes that wait for all peers
 
 	mu         sync.Mutex
 	conns      map[*conn]struct{}
-	collectors map[rules.ZoneID][]*conn // oldest first
-	closing    bool
+	freed      chan struct{} // a connection has gone
+	collectors map[rules.ZoneID][]*conn
+	closing    chan struct{}
 	running    sync.WaitGroup
 }
 
 // New returns a client side that serves nobody yet. What it hears goes to post.
 func New(c config.Config, names exchange.Names, log zerolog.Logger, post func(exchange.Event)) *Side {
 	return &Side{book: newBook(len(c.Settings.Groups)), codec: newCodec(c.Settings, names), bounds: c.Bounds, log: log,
-		post: post, conns: map[*conn]struct{}{}, collectors: map[rules.ZoneID][]*conn{}}
+		post: post, conns: map[*conn]struct{}{}, freed: make(chan struct{}, 1), collectors: map[rules.ZoneID][]*conn{},
+		closing: make(chan struct{})}
 }
 
 // Serve takes connections until the listener is closed. When none can be taken, as when descriptors have run
 // out, it waits a little and goes on.
 func (s *Side) Serve(l net.Listener) {
+	go s.report()
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		} else if err != nil {
-			s.log.Warn().Err(err).Msg("accept failed")
+			s.counts.add(refused, err.Error())
 			<-time.After(s.bounds.AcceptPause)
 			continue
 		}
@@ -55,70 +59,176 @@
 	}
 }
 
-// add starts a connection. Where there are too many the oldest that has not named itself makes room: strangers
-// may not keep proxies out.
+// report writes what was counted, a line at intervals.
+func (s *Side) report() {
+	for {
+		select {
+		case <-time.After(s.bounds.Counts):
+			s.counts.log(s.log)
+		case <-s.closing:
+			return
+		}
+	}
+}
+
+// add starts a connection, as soon as there is room for it.
 func (s *Side) add(nc net.Conn) {
 	c := &conn{Conn: nc, side: s, role: stranger, since: time.Now(), more: make(chan struct{}, 1)}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.conns) >= s.bounds.Connections {
-		var oldest *conn
-		for o := range s.conns {
-			o.mu.Lock()
-			open := o.role == stranger && !o.ended
-			o.mu.Unlock()
-			if open && (oldest == nil || o.since.Before(oldest.since)) {
-				oldest = o
-			}
+	for {
+		s.mu.Lock()
+		if s.closed() {
+			s.mu.Unlock()
+			nc.Close()
+			return
 		}
-		if oldest == nil {
-			s.log.Warn().Stringer("peer", nc.RemoteAddr()).Msg("no room for a connection")
+		if len(s.conns) < s.bounds.Connections {
+			break
+		}
+		wait := s.makeRoom()
+		s.mu.Unlock()
+		if wait == 0 {
+			s.counts.add(refused, "no room")
 			nc.Close()
 			return
 		}
-		oldest.end("made room for another connection")
-	}
-	if s.closing {
-		nc.Close()
-		return
+		select {
+		case <-s.freed:
+		case <-time.After(wait):
+		}
 	}
+	defer s.mu.Unlock()
+	c.since = time.Now()
 	s.conns[c] = struct{}{}
 	s.running.Add(2)
 	go func() { defer s.running.Done(); c.read() }()
 	go func() { defer s.running.Done(); c.write() }()
 }
 
+func (s *Side) closed() bool {
+	select {
+	case <-s.closing:
+		return true
+	default:
+		return false
+	}
+}
+
+// makeRoom lets the oldest stranger go, or where there are none the collector that has been of no use for longest,
+// and tells how long to wait before another look; 0 if all others are of use. A stranger has its turn first: a
+// proxy's joining comes with its connection, and many strangers at once must not keep it from being read.
+func (s *Side) makeRoom() time.Duration {
+	var out *conn
+	for c := range s.conns {
+		c.mu.Lock()
+		role, ended := c.role, c.ended
+		c.mu.Unlock()
+		if ended {
+			return s.bounds.AcceptPause
+		}
+		if role == stranger && (out == nil || c.since.Before(out.since)) {
+			out = c
+		}
+	}
+	if out != nil {
+		if turn := s.bounds.Turn - time.Since(out.since); turn > 0 {
+			return turn
+		}
+	} else {
+		for _, zone := range s.collectors {
+			if c := s.idlest(zone); c != nil && (out == nil || c.use().Before(out.use())) {
+				out = c
+			}
+		}
+	}
+	if out == nil {
+		return 0
+	}
+	out.end("made room", "")
+	return s.bounds.AcceptPause
+}
+
 func (s *Side) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	if c.role == collector {
+		s.collectors[c.zone] = slices.DeleteFunc(s.collectors[c.zone], func(o *conn) bool { return o == c })
+	}
+	select {
+	case s.freed <- struct{}{}:
+	default:
+	}
+}
+
+// collect notes a collector of a zone. Of too many the idlest goes: it has most likely vanished without a word, as
+// nothing is ever written that could tell. Where the others all work, it is the new one: whoever names a zone must
+// not end its good collector.
+func (s *Side) collect(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log.Info().Str("collector", s.codec.zones[c.zone]).Msg("join")
+	others := s.collectors[c.zone]
+	s.collectors[c.zone] = append(slices.Clone(others), c)
+	if len(others) >= s.bounds.Collectors {
+		out := s.idlest(others)
+		if out == nil {
+			out = c
+		}
+		out.end("too many collectors", "")
+	}
+}
+
+// idlest is the collector that has been of no use for longest, nil where all have lately passed something on.
+func (s *Side) idlest(zone []*conn) (idlest *conn) {
+	for _, c := range zone {
+		c.mu.Lock()
+		idle := time.Since(c.worked) > s.bounds.Idle
+		c.mu.Unlock()
+		if idle && (idlest == nil || c.use().Before(idlest.use())) {
+			idlest = c
+		}
+	}
+	return idlest
 }
 
-// collect notes a collector of a zone. The oldest of too many is let go: it has most likely vanished without a
-// word, as nothing is ever written that could tell.
-func (s *Side) collect(c *conn, zone rules.ZoneID) {
+// use is when a collector was last of use, or came.
+func (c *conn) use() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.worked.IsZero() {
+		return c.since
+	}
+	return c.worked
+}
+
+// relieve ends the connection that leaves most unread: too much waits in all.
+func (s *Side) relieve() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	open := slices.DeleteFunc(s.collectors[zone], func(o *conn) bool {
-		_, known := s.conns[o]
-		return o == c || !known
-	})
-	if open = append(open, c); len(open) > s.bounds.Collectors {
-		open[0].end("replaced by a new collector")
+	var most *conn
+	bytes := 0
+	for c := range s.conns {
+		c.mu.Lock()
+		if !c.ended && c.waiting > bytes {
+			most, bytes = c, c.waiting
+		}
+		c.mu.Unlock()
+	}
+	if most != nil {
+		most.end("does not read", "too much waits for all peers")
 	}
-	s.collectors[zone] = open
 }
 
 // Close ends all connections and returns when nothing runs any more.
 func (s *Side) Close() {
 	s.mu.Lock()
-	s.closing = true
+	close(s.closing)
 	for c := range s.conns {
-		c.end("the governor stops")
+		c.end("the governor stops", "")
 	}
 	s.mu.Unlock()
 	s.running.Wait()
-	s.log.Info().Int64("messages", s.passed.Load()).Msg("passed over")
+	s.counts.log(s.log)
 }
 
 // Heed takes note of what a connection told and tells whether it counts. A new stream of a proxy takes the
@@ -129,8 +239,8 @@
 	case rules.Joined:
 		if m := s.members[fact.Proxy]; m != nil {
 			const cause = "replaced by a new stream"
-			m.conn.end(cause)
-			s.leave(fact.Proxy, cause)
+			m.conn.end(cause, "")
+			s.leave(fact.Proxy, m.conn.ending())
 		}
 		s.join(fact, c)
 		s.log.Info().Uint16("proxy", uint16(fact.Proxy)).Bool("fresh", fact.Fresh).Msg("join")
@@ -149,8 +259,8 @@
 	return true
 }
 
-func (s *Side) leave(id rules.ProxyID, cause string) {
-	s.log.Info().Uint16("proxy", uint16(id)).Str("cause", cause).Msg("leave")
+func (s *Side) leave(id rules.ProxyID, e ending) {
+	s.log.Info().Uint16("proxy", uint16(id)).Str("cause", e.cause).Str("detail", e.detail).Msg("leave")
 	delete(s.members, id)
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -39,33 +39,53 @@
 type Bounds struct {
 	Inbox        int           // events that may wait for the next Step
 	Connections  int           // at the governor's address
-	FirstBytes   int           // of a message before its connection has named itself
+	FirstBytes   int           // of a message before its connection has joined
 	MessageBytes int           // of any later message
 	Words        int           // of a message
-	FirstWord    time.Duration // a connection that has not named itself says something within this time
+	FirstWord    time.Duration // a connection joins within this time of being accepted
+	Turn         time.Duration // one that has not joined makes room for another no sooner than this
 	Silence      time.Duration // a proxy that owes an answer says something within this time
 	Collectors   int           // connections of collectors for a zone
+	Idle         time.Duration // a collector that has passed nothing on for so long may make room for another
 	Unread       int           // bytes that may wait for a peer to read
+	UnreadAll    int64         // bytes that may wait for all peers together
 	WriteMost    time.Duration // a write makes its way within this time
 	AcceptPause  time.Duration // after a connection could not be accepted
+	Counts       time.Duration // lines of counts are so far apart
 	LateLoop     time.Duration // a timer later than this tells that the process was held up
 	ListWait     time.Duration // a watch waits so long for a change
 	ListMore     time.Duration // a call takes so much longer than its wait
 	ListBytes    int64         // of an answer of discovery
 }
 
-// slowChannel is how many times slower than usual a channel may be and still bring answers.
-const slowChannel = 12
+const (
+	slowChannel = 12 // a channel may be so many times slower than usual and still bring answers
+	idlePeriods = 5  // a zone's sums come every period, up to two periods late
+	toBeOpened  = 7  // the poller's two, the listener, two calls, a file, a connection that waits for room
+)
+
+// descriptors are those open at the start: the runtime and whoever started us have some of their own.
+func descriptors() int {
+	const usual = 5 // the standard streams and the runtime's two
+	open, err := os.ReadDir("/proc/self/fd")
+	if err != nil { // not every system tells
+		return usual
+	}
+	return len(open)
+}
 
-func bounds(l Limits, s rules.Settings) Bounds {
+func bounds(l Limits, s rules.Settings, open int) Bounds {
 	slow := slowChannel * s.LineCap / s.LinePace * float64(time.Second)
+	memory := l.MemoryMB << 20
 	return Bounds{
-		Inbox: 4096, Connections: max(l.Sockets*7/8-32, 16),
-		FirstBytes: 4 << 10, MessageBytes: 1 << 20, Words: 64, FirstWord: 10 * time.Second,
-		Silence: time.Duration(slow) + s.TravelMost, Collectors: 2,
-		Unread: 1 << 20, WriteMost: 10 * time.Second, AcceptPause: 50 * time.Millisecond,
-		LateLoop: 50 * time.Millisecond,
-		ListWait: min(max(s.AskWithin/2, time.Second), time.Minute), ListMore: 1500 * time.Millisecond, ListBytes: 16 << 20,
+		Inbox: 4096, Connections: max(l.Sockets-open-toBeOpened, 1),
+		FirstBytes: 4 << 10, MessageBytes: int(min(1<<20, memory/256)), Words: 64,
+		FirstWord: 1500 * time.Millisecond, Turn: 20 * time.Millisecond,
+		Silence: time.Duration(slow) + s.TravelMost, Collectors: 4, Idle: idlePeriods * s.Period,
+		Unread: int(min(1<<20, memory/64)), UnreadAll: memory / 8, WriteMost: 10 * time.Second,
+		AcceptPause: 50 * time.Millisecond, Counts: 10 * time.Second, LateLoop: 50 * time.Millisecond,
+		ListWait: min(max(s.AskWithin/2, time.Second), time.Minute), ListMore: 1500 * time.Millisecond,
+		ListBytes: min(16<<20, memory/8),
 	}
 }
 
@@ -156,6 +176,6 @@
 	if c.Settings, err = ReadSettings(f.Settings); err != nil {
 		return Config{}, fmt.Errorf("settings: %w", err)
 	}
-	c.Bounds = bounds(c.Limits, c.Settings.Settings)
+	c.Bounds = bounds(c.Limits, c.Settings.Settings, descriptors())
 	return c, nil
 }
