Forget replicas that are gone: an order of the module frees names and what is held of them

The module forgot its own record in remove already.

There it now orders Forget, once a gone replica has no line in any table. The exchange carries it out behind the Step's writing, whose last removals name the replica. Tests fail when the order is carried out too early, and when one that is listed again is forgotten.

--- a/internal/clients/book.go
+++ b/internal/clients/book.go
@@ -117,6 +117,15 @@
 	}
 }
 
+// Forget drops what is held of a replica that is gone.
+func (b *book) Forget(r rules.ReplicaID) {
+	delete(b.out, r)
+	for _, m := range b.members {
+		delete(m.shut, r)
+		delete(m.told, r)
+	}
+}
+
 // write sends each proxy what this Step changed for it.
 func (b *book) write(c *codec) {
 	for _, id := range slices.Sorted(maps.Keys(b.members)) {
--- a/internal/clients/side_test.go
+++ b/internal/clients/side_test.go
@@ -55,6 +55,10 @@
 		p.order(bind(1, 0, 0), mark(2))
 		p.order(set(0, 1, 3), set(0, 3, 1), mark(3))
 		p.order(rules.Withdraw{Replica: 2}, mark(4))
+		p.order(set(0, 3, 0), rules.Withdraw{Replica: 3, Out: true}, mark(5))
+		p.note("what is gone is forgotten; under its number again, it is new to every proxy")
+		p.side.Forget(3)
+		p.order(set(0, 3, 1), mark(6))
 	})
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -15,6 +15,8 @@
 	Heed(Event) bool
 	// Carry writes the orders of one Step to the proxies concerned.
 	Carry([]rules.Order)
+	// Forget drops what is held of a replica that is gone.
+	Forget(rules.ReplicaID)
 }
 
 // Names finds replicas by the name that discovery gives them, and names by replica.
@@ -28,6 +30,8 @@
 	Names
 	Observe(on bool)
 	Fetch()
+	// Forget frees the name of a replica that is gone.
+	Forget(rules.ReplicaID)
 }
 
 // Exchange carries events to the one goroutine that decides, and its orders back to both sides.
@@ -75,12 +79,15 @@
 // caller itself: timers and log lines.
 func (x *Exchange) Deliver(orders []rules.Order) (own []rules.Order) {
 	var lines []rules.Order
+	var gone []rules.ReplicaID
 	for _, o := range orders {
 		switch o := o.(type) {
 		case rules.Observe:
 			x.list.Observe(o.On)
 		case rules.FetchList:
 			x.list.Fetch()
+		case rules.Forget:
+			gone = append(gone, o.Replica)
 		case rules.WakeAfter, rules.Log, rules.Probe, rules.Tell:
 			own = append(own, o)
 		default:
@@ -90,6 +97,10 @@
 	if len(lines) > 0 {
 		x.clients.Carry(lines)
 	}
+	for _, r := range gone { // the Step's last removals have named them
+		x.clients.Forget(r)
+		x.list.Forget(r)
+	}
 	return own
 }
 
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,33 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"zincloft.example/zincloft/rules"
+)
+
+// sides stands for both and writes down what is asked of them.
+type sides struct{ asked []string }
+
+func (s *sides) note(format string, a ...any)        { s.asked = append(s.asked, fmt.Sprintf(format, a...)) }
+func (s *sides) Heed(Event) bool                     { return false }
+func (s *sides) Carry(o []rules.Order)               { s.note("carry %+v", o) }
+func (s *sides) Forget(r rules.ReplicaID)            { s.note("forget %d", r) }
+func (s *sides) Observe(on bool)                     { s.note("observe %v", on) }
+func (s *sides) Fetch()                              { s.note("fetch") }
+func (s *sides) ID(string) (rules.ReplicaID, bool)   { return 0, false }
+func (s *sides) Name(rules.ReplicaID) (string, bool) { return "", false }
+
+// TestDeliver has a replica's last removal in the Step that forgets it: it is written before its name goes.
+func TestDeliver(t *testing.T) {
+	x, s := New(1), &sides{}
+	x.Connect(s, s)
+	own := x.Deliver([]rules.Order{rules.Observe{On: true}, rules.Line{Replica: 4}, rules.Forget{Replica: 4}, rules.WakeAfter{Mark: 1}, rules.FetchList{}})
+	want := []string{"observe true", "fetch", "carry [{Table:0 Replica:4 Weight:0}]", "forget 4", "forget 4"}
+	if d := cmp.Diff(want, s.asked); d != "" || len(own) != 1 {
+		t.Error(d, own)
+	}
+}
--- a/internal/list/codec.go
+++ b/internal/list/codec.go
@@ -18,15 +18,17 @@
 type answer struct {
 	Version *Version `json:"version"`
 	Full    bool     `json:"full"`
-	Servers []struct {
-		ID      string   `json:"id"`
-		Zone    string   `json:"zone"`
-		Kind    string   `json:"kind"`
-		Cell    int64    `json:"cell"`
-		State   string   `json:"state"`
-		Weight  *float64 `json:"weight"`
-		Started int64    `json:"started_ms"`
-	} `json:"servers"`
+	Servers []entry  `json:"servers"`
+}
+
+type entry struct {
+	ID      string   `json:"id"`
+	Zone    string   `json:"zone"`
+	Kind    string   `json:"kind"`
+	Cell    int64    `json:"cell"`
+	State   string   `json:"state"`
+	Weight  *float64 `json:"weight"`
+	Started int64    `json:"started_ms"`
 }
 
 var states = map[string]rules.State{"ready": rules.Ready, "draining": rules.Draining, "gone": rules.Gone}
@@ -61,10 +63,11 @@
 	out := rules.List{Scope: rules.Changes}
 	if a.Full {
 		out.Scope = rules.Whole
+		l.unlist()
 	}
 	for _, s := range a.Servers {
 		e := rules.Entry{
-			Replica: l.add(s.ID), Zone: rules.ZoneID(place(l.zones, s.Zone)),
+			Replica: l.add(s.ID, states[s.State] != rules.Gone), Zone: rules.ZoneID(place(l.zones, s.Zone)),
 			Kind: rules.KindID(place(l.kinds, s.Kind)), Cell: rules.CellID(s.Cell), State: states[s.State], Listed: 1,
 			StartedAt: rules.Time(s.Started) * rules.Time(time.Millisecond),
 		}
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -37,7 +37,7 @@
 // New returns a List that calls discovery until ctx ends. What it hears goes to post.
 func New(ctx context.Context, c config.Config, log zerolog.Logger, post func(rules.List)) *List {
 	l := &List{
-		names: names{ids: map[string]rules.ReplicaID{}}, zones: c.Settings.Zones, kinds: c.Settings.Kinds,
+		names: newNames(), zones: c.Settings.Zones, kinds: c.Settings.Kinds,
 		bounds: c.Bounds, log: log, post: post, ctx: ctx,
 		dial: (&net.Dialer{}).DialContext, end: func() {},
 	}
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -167,3 +167,33 @@
 		tells(43, false, server("s-2", "draining")), failed, moves("10.2.0.3:8500"), tells(44, true, server("s-2", "draining")), twice,
 		tells(45, false, server("s-3", "ready")))
 }
+
+// TestForget has replicas come under ever new names: only those that are listed are held, and one that is listed
+// again before the module's Forget has come keeps its number.
+func TestForget(t *testing.T) {
+	l := List{names: newNames()}
+	hear := func(full bool, id string, state string) rules.ReplicaID {
+		return l.number(answer{Full: full, Servers: []entry{{ID: id, State: state}}}).Entries[0].Replica
+	}
+	back := hear(false, "s-back", "ready")
+	for i := range 1000 {
+		name := fmt.Sprint("s-", i)
+		id := hear(i%2 == 0, name, "ready")
+		if i%2 == 1 {
+			hear(false, name, "gone")
+			l.Forget(id)
+		}
+	}
+	l.Forget(back)
+	for id := range rules.ReplicaID(998) {
+		l.Forget(id)
+	}
+	id := hear(false, "s-back", "ready")
+	hear(false, "s-back", "gone")
+	again := hear(false, "s-back", "draining")
+	l.Forget(id)
+	name, held := l.Name(id)
+	if len(l.ids) != 2 || len(l.named) != 2 || !held || name != "s-back" || again != id || id == back {
+		t.Error(l.ids, l.named, name, held, again, id, back)
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -329,6 +329,7 @@
 		rec := r.record(orWritePeer)
 		put16(rec, 1, uint16(o.To))
 		r.text(rec, 3, o.Data)
+	case rules.Forget: // the simulator numbers replicas itself
 	case rules.Log:
 		r.text(r.record(orSayLog), 1, []byte(o.Text))
 	default:
--- a/rules/api.go
+++ b/rules/api.go
@@ -288,6 +288,9 @@
 	Observe struct{ On bool }
 	// FetchList asks for the whole list, once.
 	FetchList struct{}
+	// Forget tells that a replica is gone and that no table holds it: nothing will be said of it any more, and its
+	// number may be dropped. Listed again, it is another.
+	Forget struct{ Replica ReplicaID }
 	// Probe checks a replica; it costs the replica work.
 	Probe struct{ Replica ReplicaID }
 	// Tell sends a message to another governor.
@@ -308,6 +311,7 @@
 func (WakeAfter) order()  {}
 func (Observe) order()    {}
 func (FetchList) order()  {}
+func (Forget) order()     {}
 func (Probe) order()      {}
 func (Tell) order()       {}
 func (Log) order()        {}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -613,6 +613,7 @@
 		}
 		if r.state == Gone && r.lines == 0 {
 			delete(g.byID, r.id)
+			g.orders = append(g.orders, Forget{r.id})
 		}
 	}
 	for _, t := range g.tables {
