Less to replicas that hold more than they answer in time; speeds lean on their kind's

Reports were fresh (9 of 12 differed from the one before) and nobody was held out, so neither age nor health was at fault.

TestKindsTeach and TestLongQueue fail when either is taken out.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -30,7 +30,7 @@
 	coldFill      = 0.8     // part of a cold replica's least capacity that it may be sent
 	avoidShare    = 0.6     // with this share of tries dropped, a cold replica gets no line; less in small parts
 	speedPeriods  = 8.0     // speeds, and shares of traffic groups, are learnt over so many periods
-	speedFlows    = 8.0     // flows after which a replica's own speed counts as much as the fleet's
+	speedFlows    = 8.0     // flows after which a replica's own speed counts as much as its kind's
 	doubtAbove    = 1.5     // a measured speed is believed up to so many times what answer times tell
 	taughtDrops   = 0.2     // share of dropped tries above which a replica's answers do not tell its speed
 	healthPeriods = 4.0     // answers count in a replica's health for about so many periods
@@ -142,9 +142,7 @@
 		}
 		g.fig.groups[kind] |= 1 << i
 		budget := max(tg.LatencyBudget.Seconds(), math.SmallestNonzeroFloat32)
-		if i == 0 || budget < g.fig.budget {
-			g.fig.budget = budget
-		}
+		g.fig.budget = min(cmp.Or(g.fig.budget, budget), budget)
 		g.groups = append(g.groups, group{id: GroupID(i), budget: budget, merit: tg.Utility / budget})
 	}
 	slices.SortStableFunc(g.groups, func(a, b group) int { return cmp.Compare(a.merit, b.merit) })
@@ -214,7 +212,7 @@
 		if n.StartedAt != r.started || n.State == Ready && r.state == Gone {
 			*r = replica{id: r.id, started: n.StartedAt, heardAt: now, table: r.table, sent: r.sent, lines: r.lines}
 		}
-		r.zone, r.state, r.listed, r.inList = n.Zone, n.State, n.Listed, g.lists
+		r.zone, r.kind, r.state, r.listed, r.inList = n.Zone, n.Kind, n.State, n.Listed, g.lists
 		if !(r.listed > 0) || math.IsInf(r.listed, 0) {
 			r.listed = 1
 		}
@@ -240,9 +238,9 @@
 	g.sumsCame, g.longest, r.newOver = true, max(g.longest, e.Over), max(r.newOver, e.Over)
 	r.newTries, r.newDrops = r.newTries+float64(e.Tries), r.newDrops+float64(e.Dropped)
 	r.newTime += e.Took.Seconds() * float64(e.Tries-e.Dropped)
-	if e.Report.Util >= 0 {
-		r.newLoad, r.newReports = r.newLoad+min(e.Report.Util, 1), r.newReports+1
-	}
+	known := one(e.Report.Util >= 0)
+	r.newLoad, r.newReports = r.newLoad+known*min(e.Report.Util, 1), r.newReports+known
+	r.newHeld += known * max(e.Report.InFlight, 0)
 }
 
 // review takes in the sums that came since the last one: health first, then speeds, then how much to let
@@ -254,7 +252,7 @@
 	}
 	periods := float64(since) / float64(g.fig.period)
 	speedKept, healthKept := keep(periods, speedPeriods), keep(periods, healthPeriods)
-	var f fleet
+	f := fleet{kinds: map[KindID]pace{}}
 	for _, r := range g.replicas {
 		if r.newTries > 0 {
 			heard := float64(min(now-r.heardAt, Time(r.newOver))) / float64(g.fig.period)
@@ -274,17 +272,14 @@
 		}
 		r.tries = r.tries*healthKept + r.newTries
 		r.drops = r.drops*healthKept + r.newDrops
-		if r.state == Ready {
-			f.ready++
-		}
-		if r.state == Ready && r.out {
-			f.out++
-		}
+		f.ready, f.out = f.ready+one(r.state == Ready), f.out+one(r.state == Ready && r.out)
 		f.goodTime, f.time, f.listed = f.goodTime+r.newTime, f.time+r.time, f.listed+r.listed*r.served
 		f.over += r.newTries * float64(r.newOver)
 		f.tries, f.drops = f.tries+r.newTries, f.drops+r.newDrops
 		f.allTries, f.allDrops = f.allTries+r.tries, f.allDrops+r.drops
 		f.served, f.busy, f.sent = f.served+r.served, f.busy+r.busy*r.listed, f.sent+r.ordered(common)
+		k := f.kinds[r.kind]
+		f.kinds[r.kind] = pace{k.served + r.served, k.busy + r.busy*r.listed}
 	}
 	if f.tries > 0 {
 		g.cover += (max(time.Duration(f.over/f.tries), g.fig.period) - g.cover) / 2
@@ -294,7 +289,7 @@
 	for _, r := range g.replicas {
 		r.size = r.listed
 		if speed > 0 {
-			own := (r.served + speedFlows) / (r.busy*r.listed*speed + speedFlows)
+			own := pace{r.served, r.busy * r.listed}.by(speed, f.kinds[r.kind].by(speed, 1))
 			r.size *= min(max(own, 1/manyTimes), manyTimes)
 			// A replica that answers too slowly for its measured speed shows less load than it has.
 			usual := f.time / f.served
@@ -303,13 +298,16 @@
 				r.size, r.load = most, max(r.load, g.meanLoad)
 			}
 		}
+		if r.wait = max(r.wait-since.Seconds(), 0); r.newReports > 0 && speed > 0 { // else it works off what it has
+			r.wait = r.newHeld / r.newReports / (r.size * speed) * g.fig.period.Seconds()
+		}
 		if r.known && r.state == Ready && !r.out {
 			f.size, f.work = f.size+r.size, f.work+r.size*r.load
 			if sent := r.ordered(common); r.newReports > 0 {
 				f.reported, f.latest = f.reported+sent, f.latest+sent*r.reported()
 			}
 		}
-		r.newTries, r.newDrops, r.newLoad, r.newReports, r.newOver, r.newTime = 0, 0, 0, 0, 0, 0
+		r.newTries, r.newDrops, r.newLoad, r.newReports, r.newOver, r.newTime, r.newHeld = 0, 0, 0, 0, 0, 0, 0
 	}
 	g.dropShare = max(f.allDrops/max(f.allTries, 1), f.drops/max(f.tries, 1))
 	if f.size > 0 {
@@ -328,6 +326,12 @@
 	}
 }
 
+// by is a speed as a multiple of the fleet's. Where few flows tell, what is alike does: for a replica its
+// kind, for a kind the fleet.
+func (p pace) by(fleet, alike float64) float64 {
+	return (p.served + speedFlows) / (p.busy*fleet + speedFlows/alike)
+}
+
 // setLevel sets how much of the work asked for is let in, and whether a fleet that can block nothing is
 // jammed, by the load that flows met; beyond 1 drops tell how far the fleet is over. Where good answers take
 // over the least latency budget, drops count whatever load is reported: against reports that hide overload;
@@ -335,9 +339,7 @@
 // from the part of the flows that was tried. Harm: drops not from load block flows for a while.
 func (g *Governor) setLevel(now Time, f *fleet) {
 	if now < g.holdUntil && len(g.waiting) > 0 {
-		for i := range g.let {
-			g.let[i] = min(max(f.tries/max(g.newFlows, 1), levelLeast), 1)
-		}
+		g.let = slices.Repeat([]float64{min(max(f.tries/max(g.newFlows, 1), levelLeast), 1)}, len(g.let))
 	}
 	g.holdUntil = min(g.holdUntil, now)
 	met := f.latest / f.reported * (1 + g.dropShare)
@@ -491,6 +493,10 @@
 // cold at once or a high load. Where proxies avoid replicas that failed them, a fleet that drops much sends
 // a cold one far more than its weight says; so its line shrinks, then goes. Before the first sums it gets
 // none. Harm: under heavy drops, new replicas help late.
+//
+// One that holds more than it answers within the least latency budget is cut by the square of that: what it
+// is sent comes late. Against replicas that slow down while their load, at 1, tells no more; it also catches
+// stolen cores and speeds taken too high. Harm: it comes back some seconds after its queue has gone.
 func (g *Governor) bound(now Time, r *replica) float64 {
 	if r.out {
 		return trickle
@@ -500,6 +506,9 @@
 	if a := manyTimes * age(r.backAt) / rampSpan; r.backAt > 0 && a < 1 {
 		most = trickle + (1-trickle)*a
 	}
+	if late := r.wait / g.fig.budget; late > 1 && !g.jammed {
+		most = min(most, 1/late/late)
+	}
 	if g.warm(now, r) {
 		return most
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -107,6 +108,40 @@
 	p.check(t)
 }
 
+// TestKindsTeach has replicas of two kinds do the same work, one at a third of the load: what is new and unheard of
+// counts as fast as its kind.
+func TestKindsTeach(t *testing.T) {
+	p := newPlay(site(), 4, 2)
+	for i := range p.list {
+		p.list[i].Kind = KindID(i % 2)
+	}
+	p.load = map[ReplicaID]float64{1: 0.25, 2: 0.75, 3: 0.25, 4: 0.75}
+	p.step(List{Scope: Whole, Entries: p.list})
+	p.run(3)
+	p.note("one more of each")
+	p.step(List{Entries: []Entry{{Replica: 5, Kind: 0, State: Ready, Listed: 1}, {Replica: 6, Kind: 1, State: Ready, Listed: 1}}})
+	p.hung = map[ReplicaID]bool{5: true, 6: true}
+	p.run(1)
+	p.check(t)
+}
+
+// TestLongQueue has one replica hold ever more while its load, at 1, tells no more; then all do.
+func TestLongQueue(t *testing.T) {
+	p := newPlay(site(), 4, 2)
+	p.run(3)
+	p.load[2] = 1
+	p.run(3)
+	for _, held := range []float64{30, 60, 0} {
+		p.note(fmt.Sprintf("it holds %v", held))
+		p.held = map[ReplicaID]float64{2: held}
+		p.run(3)
+	}
+	p.note("all hold as much")
+	p.held = map[ReplicaID]float64{1: 80, 2: 80, 3: 80, 4: 80}
+	p.run(3)
+	p.check(t)
+}
+
 func TestSilentReplica(t *testing.T) {
 	p := newPlay(site(), 4, 2)
 	p.run(3)
--- a/rules/state.go
+++ b/rules/state.go
@@ -40,12 +40,14 @@
 type replica struct {
 	id      ReplicaID
 	zone    ZoneID
+	kind    KindID
 	state   State
 	listed  float64
 	started Time
 	inList  int // the last list that named it
 
 	newTries, newDrops, newLoad, newReports float64 // since the last review
+	newHeld, wait                           float64 // flows that it holds, by its reports; seconds that they take
 	newTime, time                           float64 // seconds that good tries took: new, over the speed window
 	newOver                                 time.Duration
 	heardAt                                 Time // the last review that had sums of it
@@ -159,12 +161,16 @@
 	lines, written float64 // lines and messages put into it by this Step
 }
 
+// pace is flows answered, and periods spent busy for them by listed weight.
+type pace struct{ served, busy float64 }
+
 // fleet is what the latest sums show of all replicas together.
 type fleet struct {
 	tries, drops, allTries, allDrops float64 // since the last review; over the health window
 	served, busy                     float64 // over the speed window, busy by listed weight
 	sent, reported, latest           float64 // weights in common tables: all, those that reported, times load
 	size, work                       float64 // of the replicas in service, and their busy part
+	kinds                            map[KindID]pace
 	ready, out, over                 float64 // replicas; what the tries were counted over, by tries
 	goodTime, time, listed           float64 // seconds of good tries: new, over the window; listed by flows
 }
@@ -193,6 +199,14 @@
 	return r.started == 0 || now-r.started >= Time(g.fig.warmAfter)
 }
 
+// one counts what is true.
+func one(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
 // keep is what is left of a sum over a window after some periods.
 func keep(periods, window float64) float64 { return math.Exp(-periods / window) }
 
--- a/rules/trace_test.go
+++ b/rules/trace_test.go
@@ -21,6 +21,7 @@
 	failing map[ReplicaID]float64
 	hung    map[ReplicaID]bool
 	load    map[ReplicaID]float64
+	held    map[ReplicaID]float64
 	flows   int // a period, over all replicas
 	took    time.Duration
 	slow    ReplicaID // takes three times as long
@@ -132,7 +133,7 @@
 	for _, r := range p.g.replicas {
 		tries := int(float64(p.flows)*r.ordered(common)/max(total, 1) + 0.5)
 		s := Sums{Replica: r.id, Tries: tries * p.turns, Over: time.Second * time.Duration(p.turns),
-			Dropped: int(float64(tries*p.turns)*p.failing[r.id] + 0.5), Took: p.took, Report: Report{Util: p.load[r.id]}}
+			Dropped: int(float64(tries*p.turns)*p.failing[r.id] + 0.5), Took: p.took, Report: Report{Util: p.load[r.id], InFlight: p.held[r.id]}}
 		if r.id == p.slow {
 			s.Took *= 3
 		}
