Replicas that refuse connections get less and are not held out

So it was neither faults nor load: 400 proxies keep connections for 15 s, 190 of them to a replica with 17 flows a second, and replicas accept 75 to 95. health took the refusals for fast drops, and holding out two of the fastest took a seventh of the capacity away.

Now config reads smallestConnTable and connIdle; health works out the connections that proxies keep to a replica, and one that answers though these are more than replicas surely accept is bounded to the part of its tries that pass.

TestRefusedConnections holds it.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -53,7 +53,7 @@
 				Governors: 2, Proxies: 8, Zone: 1, Zones: 2, ListOnRequest: true, Period: time.Second, LinePace: 1000, LineCap: 2000,
 				HeadLines: 6, MessageCap: 20, TravelMost: 400 * time.Millisecond, MessageSpan: 10 * time.Second,
 				BareMost: 5 * time.Second, DrainGrace: 3 * time.Second, AskWithin: 10 * time.Second, WarmAfter: 18 * time.Second,
-				ColdFrom: 0.2, FallMultiple: 4, FallAfter: 2 * time.Second}}}
+				ColdFrom: 0.2, FallMultiple: 4, FallAfter: 2 * time.Second, LinksLeast: 70, LinkIdle: 15 * time.Second}}}
 	want.Bounds = bounds(want.Limits, want.Settings.Settings, descriptors())
 	if d := cmp.Diff(want, got); d != "" {
 		t.Error(d)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -56,6 +56,7 @@
 		QueueCap     *float64       `json:"queueCap"`
 		ReloadSpan   *time.Duration `json:"reloadSpan"`
 		Slices       int            `json:"slices"`
+		LinksLeast   float64        `json:"smallestConnTable"`
 		UpdateCap    int            `json:"updateCap"`
 	} `json:"familyInfo"`
 	Guarantees struct {
@@ -67,7 +68,8 @@
 		WarmAfter         *time.Duration `json:"warmAfter"`
 	} `json:"guarantees"`
 	Permissions struct {
-		Probing bool `json:"probing"`
+		Probing  bool          `json:"probing"`
+		LinkIdle time.Duration `json:"connIdle"`
 	} `json:"permissions"`
 	Report struct {
 		Fields []string `json:"fields"`
@@ -113,7 +115,7 @@
 		ListOnRequest: in.Discovery == "on_request", ProbesAllowed: in.Permissions.Probing,
 		Period: *f.Interval, LinePace: *f.LinesPerS, LineCap: *f.QueueCap, HeadLines: *f.PerMessage,
 		MessageCap: f.UpdateCap, MessageSpan: *f.ReloadSpan, TravelMost: f.PushDelayMax,
-		FirstWait: f.FirstWait, FailsToAvoid: f.FailsToEject,
+		FirstWait: f.FirstWait, FailsToAvoid: f.FailsToEject, LinksLeast: f.LinksLeast, LinkIdle: in.Permissions.LinkIdle,
 		BareMost: *f.Bare, DrainGrace: *gu.StopSendingWithin, AskWithin: *gu.AskWithin, WarmAfter: *gu.WarmAfter,
 		ColdFrom: *gu.ColdFrom, FallMultiple: *gu.FallMultiple, FallAfter: *gu.OverloadFor,
 	}
--- a/rules/api.go
+++ b/rules/api.go
@@ -80,6 +80,9 @@
 	FailsToAvoid int     // a proxy avoids a replica after so many failures in a row; 0: never
 	FirstWait    float64 // a try that may be followed waits so many latency budgets
 
+	LinksLeast float64       // connections that the smallest replicas accept; 0: not told
+	LinkIdle   time.Duration // a proxy closes connections that lie idle this long
+
 	BareMost     time.Duration // the longest time that a proxy may lack a line
 	DrainGrace   time.Duration // sending to a draining or gone replica ends within this time
 	AskWithin    time.Duration // on request: the list must have been asked for within this time
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -130,7 +130,9 @@
 		fillLines: s.LinePace * min(fillShare, s.DrainGrace.Seconds()*removeShare), head: s.HeadLines + 1,
 		ledgerSpan: time.Duration(span) + s.TravelMost, messageCap: cmp.Or(s.MessageCap, math.MaxInt32),
 		messageSpan: s.MessageSpan, askWait: s.AskWithin / askParts,
-		removeWait: Time(float64(s.DrainGrace) * removeShare),
+		removeWait: Time(float64(s.DrainGrace) * removeShare), allProxies: float64(s.Proxies),
+		linkSpan: float64(s.LinkIdle) / float64(s.Period) / healthPeriods,
+		links:    cmp.Or(s.LinksLeast, math.MaxFloat64),
 	}
 	if s.Levels == LevelRate {
 		g.fig.unblocked = math.MaxInt32 // flows a second: more than any proxy gets
@@ -220,11 +222,8 @@
 			g.holdUntil = now // what proxies hold may still send there
 		}
 	}
-	if e.Scope == Changes {
-		return
-	}
 	for _, r := range g.replicas {
-		if r.inList != g.lists {
+		if e.Scope != Changes && r.inList != g.lists {
 			r.state, g.holdUntil = Gone, now
 		}
 	}
@@ -356,8 +355,9 @@
 // health holds out replicas that drop flows though less busy than the fleet, and those silent though flows
 // go there: against fast drops and hangs; it also catches a crash before the list tells, a cut path, and a
 // false report of nought. The load of full ones has lowered their weight already. When all others drop as
-// much, the fault is shared. One held out keeps a trickle and returns by its good answers. Harm: a few drops
-// by chance on a quiet day hold one out for some seconds.
+// much, the fault is shared. One that answers, though proxies keep more connections to it than replicas must
+// accept, refuses some: it gets less, else the fastest would be held out first. One held out keeps a trickle
+// and returns by its good answers. Harm: a few drops by chance on a quiet day hold one out for some seconds.
 func (g *Governor) health(now Time, f *fleet) {
 	for _, r := range g.replicas {
 		good := r.newTries - r.newDrops
@@ -378,6 +378,10 @@
 		rest := (f.allDrops - r.drops) / max(f.allTries-r.tries, 1)
 		full := r.newReports > 0 && r.reported() > g.meanLoad
 		dropping := !full && r.drops >= dropsToJudge && r.drops > r.tries*max(dropShareBad, manyTimes*rest)
+		links := g.fig.allProxies * (1 - math.Exp(-r.tries*g.fig.linkSpan/float64(len(g.proxies)+1)))
+		if r.refused = 0; dropping && good > 0 && links > g.fig.links {
+			dropping, r.refused = false, r.drops/r.tries
+		}
 		if r.state == Ready && (dropping || r.owed >= owedToJudge) && f.out < f.ready*outMost {
 			r.out, r.streak = true, 0
 			f.out++
@@ -400,11 +404,10 @@
 		if r.size == 0 || g.jammed {
 			r.size = r.listed
 		}
-		if r.spare = r.size * max(1-r.load, spareFloor); !r.known {
-			r.spare = r.size * max(1-g.meanLoad, spareFloor)
-		}
-		if g.jammed {
+		if r.spare = r.size * max(1-r.load, spareFloor); g.jammed {
 			r.spare = r.size
+		} else if !r.known {
+			r.spare = r.size * max(1-g.meanLoad, spareFloor)
 		}
 		spare += r.spare
 	}
@@ -482,9 +485,6 @@
 	}
 }
 
-// usable is what a replica's bound leaves of its spare capacity.
-func (r *replica) usable() float64 { return r.spare * min(r.most, 1) }
-
 // rest is a replica's weight in a table that leans on others.
 func (t *table) rest(r *replica) float64 { return 100 * restShare * r.size / t.whole }
 
@@ -506,6 +506,9 @@
 	if a := manyTimes * age(r.backAt) / rampSpan; r.backAt > 0 && a < 1 {
 		most = trickle + (1-trickle)*a
 	}
+	if r.refused > 0 {
+		most = min(most, 1-r.refused)
+	}
 	if late := r.wait / g.fig.budget; late > 1 && !g.jammed {
 		most = min(most, 1/late/late)
 	}
@@ -561,11 +564,7 @@
 // messages, tables whose changes move most first; each sends all, largest first, as heads cost much.
 func (g *Governor) publish(now Time, due bool) {
 	g.replicas = slices.DeleteFunc(g.replicas, func(r *replica) bool { return g.byID[r.id] != r })
-	old := 0
-	for old < len(g.channel) && now-g.channel[old].at > Time(g.fig.ledgerSpan) {
-		old++
-	}
-	g.forget(old)
+	g.expire(now)
 	g.remove(now)
 	for _, r := range g.replicas {
 		for kind, t := range r.table {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -156,6 +156,25 @@
 	p.check(t)
 }
 
+// TestRefusedConnections has one replica drop half of its tries while proxies keep more connections to it than
+// replicas surely accept.
+func TestRefusedConnections(t *testing.T) {
+	s := site()
+	s.Proxies, s.LinksLeast, s.LinkIdle = 100, 20, 15*time.Second
+	p := newPlay(s, 4, 2)
+	p.run(3)
+	p.note("it answers half: it gets less")
+	p.failing[2] = 0.5
+	p.run(4)
+	p.note("it answers nothing: it is held out")
+	p.failing[2] = 1
+	p.run(3)
+	p.note("it answers half again, where replicas accept more: it stays out")
+	p.failing[2], p.g.fig.links = 0.5, 200
+	p.run(3)
+	p.check(t)
+}
+
 func TestFastDrops(t *testing.T) {
 	p := newPlay(site(), 4, 2)
 	p.run(3)
--- a/rules/state.go
+++ b/rules/state.go
@@ -25,6 +25,8 @@
 	ledgerSpan, warmAfter        time.Duration
 	removeWait                   Time
 	budget                       float64 // the least latency budget
+	allProxies, links            float64 // proxies of all governors; connections that each replica surely accepts
+	linkSpan                     float64 // a connection stays open so long, by the health window
 	coldFrom                     float64
 }
 
@@ -60,6 +62,7 @@
 	tries, drops float64 // over the health window
 	owed         float64 // answers expected since the last good one
 	out          bool    // held out
+	refused      float64 // share of tries dropped, if they were connections refused
 	streak       float64 // good answers in a row while held out
 	backAt       Time    // end of the last time out
 
@@ -177,6 +180,9 @@
 
 func (s GroupSet) has(id GroupID) bool { return s&(1<<id) != 0 }
 
+// usable is what a replica's bound leaves of its spare capacity.
+func (r *replica) usable() float64 { return r.spare * min(r.most, 1) }
+
 // ordered is a replica's weight as last ordered in the table whose part it is in.
 func (r *replica) ordered(kind int) float64 {
 	if r.table[kind] == nil {
@@ -243,6 +249,15 @@
 	}
 }
 
+// expire takes parcels out of the ledger that are older than it covers.
+func (g *Governor) expire(now Time) {
+	old := 0
+	for old < len(g.channel) && now-g.channel[old].at > Time(g.fig.ledgerSpan) {
+		old++
+	}
+	g.forget(old)
+}
+
 // forget takes the channel's first parcels out of the ledger.
 func (g *Governor) forget(n int) {
 	for _, c := range g.channel[:n] {
