--- a/internal/clients/codec.go
+++ b/internal/clients/codec.go
@@ -36,12 +36,13 @@
 type codec struct {
 	zones, groups []string
 	proxies       int
+	longest       time.Duration // that a message may speak of
 	replica       func(string) (rules.ReplicaID, bool)
 	name          func(rules.ReplicaID) (string, bool)
 }
 
-func newCodec(s config.Settings, n exchange.Names) codec {
-	c := codec{zones: s.Zones, proxies: s.Proxies, replica: n.ID, name: n.Name}
+func newCodec(s config.Settings, b config.Bounds, n exchange.Names) codec {
+	c := codec{zones: s.Zones, proxies: s.Proxies, longest: b.Span, replica: n.ID, name: n.Name}
 	for _, tg := range s.Groups {
 		c.groups = append(c.groups, tg.Name)
 	}
@@ -50,8 +51,9 @@
 
 // fields are the names and values of a message. The first that is of no use is remembered.
 type fields struct {
-	values map[string]string
-	bad    string
+	values  map[string]string
+	longest time.Duration
+	bad     string
 }
 
 func (f *fields) fail(name string) { f.bad = cmp.Or(f.bad, name) }
@@ -92,13 +94,14 @@
 
 func figure(text string) (float64, bool) {
 	v, err := strconv.ParseFloat(text, 64)
-	return v, err == nil && v >= 0 && !math.IsInf(v, 0)
+	return v, err == nil && v >= 0 && v <= math.MaxInt32
 }
 
-// span reads milliseconds.
+// span reads milliseconds. A time that nothing here can have taken is spoilt: taken for good, it would be learnt from
+// for the rest of the day.
 func (f *fields) span(name string) time.Duration {
 	v := f.figure(name) * float64(time.Millisecond)
-	if v > math.MaxInt64/2 {
+	if v > float64(f.longest) {
 		f.fail(name)
 		return 0
 	}
@@ -119,7 +122,7 @@
 	if len(words)%2 == 0 {
 		return spoilt{cause: "words without a pair"}
 	}
-	f := fields{values: map[string]string{}}
+	f := fields{values: map[string]string{}, longest: c.longest}
 	for i := 1; i < len(words); i += 2 {
 		f.values[words[i]] = words[i+1]
 	}
--- a/internal/clients/side.go
+++ b/internal/clients/side.go
@@ -37,7 +37,7 @@
 
 // New returns a client side that serves nobody yet. What it hears goes to post.
 func New(c config.Config, names exchange.Names, log zerolog.Logger, post func(exchange.Event)) *Side {
-	return &Side{book: newBook(len(c.Settings.Groups)), codec: newCodec(c.Settings, names), bounds: c.Bounds, log: log,
+	return &Side{book: newBook(len(c.Settings.Groups)), codec: newCodec(c.Settings, c.Bounds, names), bounds: c.Bounds, log: log,
 		post: post, conns: map[*conn]struct{}{}, freed: make(chan struct{}, 1), collectors: map[rules.ZoneID][]*conn{},
 		closing: make(chan struct{})}
 }
--- a/internal/clients/side_test.go
+++ b/internal/clients/side_test.go
@@ -119,7 +119,9 @@
 			"upstream_stats az a host r1 n 99999999999 bad 0 avg 1 window 1", "upstream_stats az a host r77 n 1 bad 0 avg 1 window 1",
 			"upstream_stats az x host r1 n 1 bad 0 avg 1 window 1", "upstream_stats az a host r1 n 1 bad 2 avg 1 window 1",
 			"upstream_stats az a host r1 n 1 bad 0 window 1", "upstream_stats az a host r1 n 1 bad 0 avg 1 window 0",
-			"upstream_stats az a host r1 n 1 bad 0 avg soon window 1", "upstream_stats az a", "upstream_stats",
+			"upstream_stats az a host r1 n 1 bad 0 avg soon window 1", "upstream_stats az a host r1 n 1 bad 0 avg 1 window 38654705664",
+			"upstream_stats az a host r1 n 1 bad 0 avg 38654705664 window 1", "upstream_stats az a host r1 n 1 bad 0 avg 1 window 1 report inflight:4e10",
+			"client_stats sidecar 0 kind pay n 1 bad 0 window 1e9", "upstream_stats az a", "upstream_stats",
 			"client_stats sidecar 0 kind wash n 1 bad 0 window 1", "client_stats sidecar 5 kind pay n 1 bad 0 window 1",
 			"attach sidecar 1 az a", "telemetry az b", "gossip about r1", "done sidecar 0 version 1 lag_ms 1",
 		} {
--- a/internal/clients/trace_test.go
+++ b/internal/clients/trace_test.go
@@ -52,7 +52,7 @@
 		conf := config.Config{Settings: config.Settings{Zones: []string{"a", "b"}, Settings: rules.Settings{Proxies: 5,
 			Groups: []rules.TrafficGroup{{Name: "look"}, {Name: "edit"}, {Name: "pay"}}}},
 			Bounds: config.Bounds{Connections: 4, FirstBytes: 1 << 10, MessageBytes: 1 << 20, Words: 64, Collectors: 2, Idle: 5 * time.Second,
-				FirstWord: 1500 * time.Millisecond, Turn: 20 * time.Millisecond, Unread: 4 << 10, UnreadAll: 6 << 10, Silence: 30 * time.Second,
+				Span: time.Minute, FirstWord: 1500 * time.Millisecond, Turn: 20 * time.Millisecond, Unread: 4 << 10, UnreadAll: 6 << 10, Silence: 30 * time.Second,
 				WriteMost: 10 * time.Second, AcceptPause: 50 * time.Millisecond, Counts: 24 * time.Hour}}
 		var log strings.Builder
 		p.side = New(conf, names{}, zerolog.New(zerolog.SyncWriter(&log)), func(e exchange.Event) { p.events <- e })
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -42,6 +42,7 @@
 	FirstBytes   int           // of a message before its connection has joined
 	MessageBytes int           // of any later message
 	Words        int           // of a message
+	Span         time.Duration // the longest time that a message may speak of
 	FirstWord    time.Duration // a connection joins within this time of being accepted
 	Turn         time.Duration // one that has not joined makes room for another no sooner than this
 	Silence      time.Duration // a proxy that owes an answer says something within this time
@@ -61,6 +62,7 @@
 const (
 	slowChannel = 12 // a channel may be so many times slower than usual and still bring answers
 	idlePeriods = 5  // a zone's sums come every period, up to two periods late
+	spanPeriods = 60 // sums of what is rarely tried cover some periods; after a cut of the path, more
 	toBeOpened  = 7  // the poller's two, the listener, two calls, a file, a connection that waits for room
 )
 
@@ -80,7 +82,7 @@
 	return Bounds{
 		Inbox: 4096, Connections: max(l.Sockets-open-toBeOpened, 1),
 		FirstBytes: 4 << 10, MessageBytes: int(min(1<<20, memory/256)), Words: 64,
-		FirstWord: 1500 * time.Millisecond, Turn: 20 * time.Millisecond,
+		Span: spanPeriods * s.Period, FirstWord: 1500 * time.Millisecond, Turn: 20 * time.Millisecond,
 		Silence: time.Duration(slow) + s.TravelMost, Collectors: 4, Idle: idlePeriods * s.Period,
 		Unread: int(min(1<<20, memory/64)), UnreadAll: memory / 8, WriteMost: 10 * time.Second,
 		AcceptPause: 50 * time.Millisecond, Counts: 10 * time.Second, LateLoop: 50 * time.Millisecond,
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -30,7 +30,7 @@
 			Governors: 1, Proxies: 3, Zones: 1, Period: time.Second, LinePace: 1000, LineCap: 2000, HeadLines: 6,
 			MessageSpan: 10 * time.Second, MessageCap: 20, DrainGrace: 3 * time.Second, WarmAfter: 18 * time.Second, ColdFrom: 0.2}},
 		Bounds: config.Bounds{Inbox: 100, Connections: 10, FirstBytes: 1 << 10, MessageBytes: 1 << 20, Words: 64, Collectors: 2,
-			FirstWord: 10 * time.Second, Silence: time.Minute, Unread: 1 << 20, UnreadAll: 1 << 20, Counts: time.Hour, WriteMost: time.Second, LateLoop: 50 * time.Millisecond}}
+			Span: time.Minute, FirstWord: 10 * time.Second, Silence: time.Minute, Unread: 1 << 20, UnreadAll: 1 << 20, Counts: time.Hour, WriteMost: time.Second, LateLoop: 50 * time.Millisecond}}
 }
 
 // TestLife goes from start to exit: a sign of life, two joinings that arrive together, their tables in one
