Connections kept at a replica are told by the tries while they stay open

TestRefusedConnections, now with flows that fall, fails with the old estimate, with the test of one review, and without the exception.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -131,8 +131,8 @@
 		ledgerSpan: time.Duration(span) + s.TravelMost, messageCap: cmp.Or(s.MessageCap, math.MaxInt32),
 		messageSpan: s.MessageSpan, askWait: s.AskWithin / askParts,
 		removeWait: Time(float64(s.DrainGrace) * removeShare), allProxies: float64(s.Proxies),
-		linkSpan: float64(s.LinkIdle) / float64(s.Period) / healthPeriods,
-		links:    cmp.Or(s.LinksLeast, math.MaxFloat64),
+		linkPeriods: float64(s.LinkIdle) / float64(s.Period),
+		links:       cmp.Or(s.LinksLeast, math.MaxFloat64),
 	}
 	if s.Levels == LevelRate {
 		g.fig.unblocked = math.MaxInt32 // flows a second: more than any proxy gets
@@ -269,8 +269,8 @@
 				}
 			}
 		}
-		r.tries = r.tries*healthKept + r.newTries
-		r.drops = r.drops*healthKept + r.newDrops
+		r.tries, r.drops = r.tries*healthKept+r.newTries, r.drops*healthKept+r.newDrops
+		r.met = r.met*keep(periods, g.fig.linkPeriods) + r.newTries
 		f.ready, f.out = f.ready+one(r.state == Ready), f.out+one(r.state == Ready && r.out)
 		f.goodTime, f.time, f.listed = f.goodTime+r.newTime, f.time+r.time, f.listed+r.listed*r.served
 		f.over += r.newTries * float64(r.newOver)
@@ -378,7 +378,7 @@
 		rest := (f.allDrops - r.drops) / max(f.allTries-r.tries, 1)
 		full := r.newReports > 0 && r.reported() > g.meanLoad
 		dropping := !full && r.drops >= dropsToJudge && r.drops > r.tries*max(dropShareBad, manyTimes*rest)
-		links := g.fig.allProxies * (1 - math.Exp(-r.tries*g.fig.linkSpan/float64(len(g.proxies)+1)))
+		links := g.fig.allProxies * (1 - math.Exp(-r.met/float64(len(g.proxies)+1)))
 		if r.refused = 0; dropping && r.drops < r.tries-1 && links > g.fig.links {
 			dropping, r.refused = false, r.drops/r.tries
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -160,12 +160,13 @@
 // replicas surely accept.
 func TestRefusedConnections(t *testing.T) {
 	s := site()
-	s.Proxies, s.LinksLeast, s.LinkIdle = 100, 20, 15*time.Second
-	p := newPlay(s, 4, 2)
-	p.run(3)
-	p.note("it answers half, and is not heard of in each review: it gets less")
+	s.Proxies, s.LinksLeast, s.LinkIdle = 60, 50, 15*time.Second
+	p := newPlay(s, 4, 60)
+	p.trace.Reset()
+	p.run(15)
+	p.note("it answers half, and is not heard of in each review: it gets less, also once it meets fewer flows")
 	p.failing[2], p.turns = 0.5, 2
-	p.run(6)
+	p.run(8)
 	p.turns = 1
 	p.note("it answers nothing: less and less, until its silence tells")
 	p.failing[2] = 1
--- a/rules/state.go
+++ b/rules/state.go
@@ -26,7 +26,7 @@
 	removeWait                   Time
 	budget                       float64 // the least latency budget
 	allProxies, links            float64 // proxies of all governors; connections that each replica surely accepts
-	linkSpan                     float64 // a connection stays open so long, by the health window
+	linkPeriods                  float64 // a connection that lies idle stays open for so long
 	coldFrom                     float64
 }
 
@@ -62,6 +62,7 @@
 	tries, drops float64 // over the health window
 	owed         float64 // answers expected since the last good one
 	out          bool    // held out
+	met          float64 // tries while a connection stays open
 	refused      float64 // share of tries dropped, if they were connections refused
 	streak       float64 // good answers in a row while held out
 	backAt       Time    // end of the last time out
