Tidy: one line of code for a leave, one search for the idlest collector

Read over the whole change. conn.read and Side.leave wrote the same log fields, and makeRoom compared idle collectors again where idlest does. Behaviour, traces and tests are the same.

--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"zincloft.example/zincloft/internal/exchange"
 	"zincloft.example/zincloft/internal/resp"
 	"zincloft.example/zincloft/rules"
@@ -39,6 +41,11 @@
 // ending is why a connection has ended. Causes are few; the detail may quote the peer or an address.
 type ending struct{ cause, detail string }
 
+// log writes the line of a leave, whose peer it begins with.
+func (e ending) log(line *zerolog.Event) {
+	line.Str("cause", e.cause).Str("detail", e.detail).Msg("leave")
+}
+
 type role string
 
 const (
@@ -80,8 +87,7 @@
 	case stream:
 		c.side.post(exchange.Event{From: c, Fact: rules.Left{Proxy: c.proxy}})
 	case collector:
-		e := c.ending()
-		c.side.log.Info().Str("collector", c.side.codec.zones[c.zone]).Str("cause", e.cause).Str("detail", e.detail).Msg("leave")
+		c.ending().log(c.side.log.Info().Str("collector", c.side.codec.zones[c.zone]))
 	default:
 		c.side.counts.add(strangers, c.ending().cause)
 	}
--- a/internal/clients/side.go
+++ b/internal/clients/side.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -134,11 +135,7 @@
 			return turn
 		}
 	} else {
-		for _, zone := range s.collectors {
-			if c := s.idlest(zone); c != nil && (out == nil || c.use().Before(out.use())) {
-				out = c
-			}
-		}
+		out = s.idlest(slices.Concat(slices.Collect(maps.Values(s.collectors))...))
 	}
 	if out == nil {
 		return 0
@@ -179,8 +176,8 @@
 }
 
 // idlest is the collector that has been of no use for longest, nil where all have lately passed something on.
-func (s *Side) idlest(zone []*conn) (idlest *conn) {
-	for _, c := range zone {
+func (s *Side) idlest(collectors []*conn) (idlest *conn) {
+	for _, c := range collectors {
 		c.mu.Lock()
 		idle := time.Since(c.worked) > s.bounds.Idle
 		c.mu.Unlock()
@@ -260,7 +257,7 @@
 }
 
 func (s *Side) leave(id rules.ProxyID, e ending) {
-	s.log.Info().Uint16("proxy", uint16(id)).Str("cause", e.cause).Str("detail", e.detail).Msg("leave")
+	e.log(s.log.Info().Uint16("proxy", uint16(id)))
 	delete(s.members, id)
 }
 
