--- /dev/null
+++ b/cmd/zinclab/main.go
@@ -0,0 +1,74 @@
+// Command zinclab plays loads against a governor and prints what was measured.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"zincloft.example/zincloft/internal/load"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "zinclab:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	root := &cobra.Command{Use: "zinclab", Short: "Plays loads against a governor", SilenceUsage: true, SilenceErrors: true}
+	var sizes []int
+	var binaries []string
+	var repeats int
+	plan := load.Plan{}
+	c := &cobra.Command{Use: "load", Short: "Plays proxies, collectors and discovery on loopback; a line a run", Args: cobra.NoArgs}
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		fmt.Fprintln(c.OutOrStdout(), "| binary | proxies | bound s | cut, calm | cut, all | CPU s/s | MB | down s | drain p99 ms | drain most ms | part s | right | wrong | messages |")
+		fmt.Fprintln(c.OutOrStdout(), "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+		for n := range repeats {
+			for _, size := range sizes {
+				for _, binary := range binaries {
+					plan.Binary, plan.Proxies, plan.Seed = binary, size, uint64(n+1)
+					r, err := load.Run(c.Context(), plan)
+					if err != nil {
+						fmt.Fprintf(c.OutOrStdout(), "| %s | %d | %v |\n", binary, size, err)
+						continue
+					}
+					fmt.Fprintf(c.OutOrStdout(), "| %s | %d | %.2f | %d | %d | %.3f | %.0f | %.2f | %d | %d | %.2f | %d | %d | %d |\n", binary, size, r.Bound.Seconds(),
+						r.CutBefore, r.Cut, r.CPU, r.MemoryMB, r.Down.Seconds(), r.Drain.Milliseconds(), r.DrainMost.Milliseconds(), r.Part.Seconds(),
+						r.PartRight, r.PartWrong, r.Messages)
+				}
+			}
+		}
+		return nil
+	}
+	f := c.Flags()
+	f.StringSliceVar(&binaries, "bin", []string{"bin/zincloft"}, "governors' programs, in turn")
+	f.IntSliceVar(&sizes, "proxies", []int{500}, "sizes, in turn")
+	f.IntVar(&repeats, "repeats", 1, "times that all is played")
+	f.IntVar(&plan.Replicas, "replicas", 60, "replicas")
+	f.IntVar(&plan.Zones, "zones", 4, "zones")
+	f.Float64Var(&plan.Rate, "rate", 6, "flows a second of a proxy")
+	f.Float64Var(&plan.Pace, "pace", 60, "lines a second of the channel, for each proxy")
+	f.DurationVar(&plan.Phase, "phase", 0, "between one collector's writing and the next one's")
+	f.DurationVar(&plan.Spread, "spread", 40*time.Millisecond, "a collector takes so long to write its sums")
+	f.DurationVar(&plan.Late, "late", 0, "the last collector writes so much later")
+	f.BoolVar(&plan.Met, "met", false, "proxies tell what each met at each replica")
+	f.BoolVar(&plan.Flood, "flood", false, "a proxy floods while a replica drains")
+	f.DurationVar(&plan.HangAt, "hang", 12*time.Second, "a replica swallows flows from then on")
+	f.DurationVar(&plan.DrainAt, "drain", 22*time.Second, "a replica drains")
+	f.DurationVar(&plan.PartAt, "part", 26*time.Second, "a replica swallows the flows of 1% of the proxies")
+	f.DurationVar(&plan.Length, "length", 45*time.Second, "the run's length")
+	f.StringVar(&plan.Operator, "operator", "", "the governor's operator file")
+	f.StringVar(&plan.Profile, "profile", "", "where a governor that can writes its CPU profile")
+	root.AddCommand(c)
+	return root
+}
--- /dev/null
+++ b/intake/sample.go
@@ -0,0 +1,177 @@
+package intake
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"zincloft.example/zincloft/rules"
+)
+
+const (
+	failedPart = 0.75 // part of a stratum's room that records with drops take before those without
+	roomLeast  = 2    // records that any stratum may keep: one with drops, one without
+	fewStrata  = 16   // rooms are by no fewer strata than this, until it is known how many there are
+)
+
+// item is a record that is kept, and what is known of its sender.
+type item struct {
+	replica        rules.ReplicaID
+	proxy          rules.ProxyID
+	zone           rules.ZoneID
+	tries, dropped int32
+	took, over     time.Duration
+	worth          float64 // by a fresh record
+	rank           float64
+}
+
+// size is what an item's chance to be kept goes by.
+func (it *item) size() float64 { return float64(it.tries) * it.worth }
+
+// counts are an item's tries and drops, by its worth, where it stands for so many like it.
+func (it *item) counts(stands float64) (tries, dropped float64) {
+	return float64(it.tries) * it.worth * stands, float64(it.dropped) * it.worth * stands
+}
+
+// sampler keeps records by strata, each of which has its room. In a stratum, records with drops come before those
+// without, which keep a quarter of the room; in each of the two classes the records of highest rank stay (priority
+// sampling: rank is size by a uniform draw, and one that stays stands for max(size, threshold), where the threshold
+// is the highest rank that did not; Duffield, Lund and Thorup, 2007). Totals of any choice of records are then
+// unbiased. Rooms never grow within a period, so what stays is always the highest of all that came.
+type sampler struct {
+	seed   uint64
+	draws  uint64
+	budget int
+	kept   int
+	strata map[uint32]*stratum
+	before int // strata of the period before
+	spare  []*stratum
+}
+
+type stratum struct {
+	room          int
+	failed, clean class
+}
+
+// class is a heap of items, lowest rank first.
+type class struct {
+	items     []item
+	threshold float64
+}
+
+func newSampler(seed uint64, budget int) sampler {
+	return sampler{seed: seed, budget: budget, strata: map[uint32]*stratum{}}
+}
+
+// draw is uniform over (0, 1].
+func (s *sampler) draw() float64 {
+	s.draws++
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], s.seed)
+	binary.LittleEndian.PutUint64(b[8:], s.draws)
+	return float64(xxhash.Sum64(b[:])>>11+1) / (1 << 53)
+}
+
+// offer takes an item in and tells whether it is kept for now.
+func (s *sampler) offer(key uint32, it item) bool {
+	st := s.strata[key]
+	if st == nil {
+		st = s.open(key)
+	}
+	it.rank = it.size() / s.draw()
+	c, most := &st.clean, max(int(failedPart*float64(st.room)), 1)
+	if it.dropped > 0 {
+		c = &st.failed
+	}
+	failed, clean := len(st.failed.items), len(st.clean.items)
+	switch {
+	case failed+clean < st.room:
+		s.kept++
+		c.push(it)
+	case it.dropped > 0 && failed < most:
+		st.clean.drop()
+		c.push(it)
+	case it.dropped == 0 && clean < st.room-most: // failed ones came first and hold the others' part
+		st.failed.drop()
+		c.push(it)
+	case it.rank > c.items[0].rank:
+		c.threshold = max(c.threshold, c.items[0].rank)
+		c.items[0] = it
+		heap.Fix(c, 0)
+	default:
+		c.threshold = max(c.threshold, it.rank)
+		return false
+	}
+	return true
+}
+
+func (s *sampler) open(key uint32) *stratum {
+	st := &stratum{}
+	if n := len(s.spare); n > 0 {
+		st, s.spare = s.spare[n-1], s.spare[:n-1]
+	}
+	if st.room = s.budget / max(s.before, len(s.strata)+1, fewStrata); s.kept >= s.budget {
+		st.room = 0
+	}
+	st.room = max(st.room, roomLeast)
+	s.strata[key] = st
+	return st
+}
+
+// each calls f for all that is kept, with how many records like it each stands for.
+func (s *sampler) each(f func(key uint32, it *item, stands float64)) {
+	for _, key := range slices.Sorted(maps.Keys(s.strata)) {
+		st := s.strata[key]
+		for _, c := range []*class{&st.failed, &st.clean} {
+			for i := range c.items {
+				it := &c.items[i]
+				f(key, it, max(it.size(), c.threshold)/it.size())
+			}
+		}
+	}
+}
+
+// cut begins a new period.
+func (s *sampler) cut() {
+	s.before = len(s.strata)
+	for _, st := range s.strata {
+		st.failed.items, st.clean.items = st.failed.items[:0], st.clean.items[:0]
+		st.failed.threshold, st.clean.threshold = 0, 0
+		if len(s.spare) < len(s.strata) {
+			s.spare = append(s.spare, st)
+		}
+	}
+	clear(s.strata)
+	s.kept = 0
+}
+
+// push adds an item. Unlike heap.Push it makes no garbage.
+func (c *class) push(it item) {
+	c.items = append(c.items, it)
+	heap.Fix(c, len(c.items)-1)
+}
+
+// drop lets the lowest go, for which the others stand from now on.
+func (c *class) drop() {
+	last := len(c.items) - 1
+	c.threshold = max(c.threshold, c.items[0].rank)
+	c.items[0] = c.items[last]
+	if c.items = c.items[:last]; last > 0 {
+		heap.Fix(c, 0)
+	}
+}
+
+// Len, Less and Swap are sort.Interface's, Push and Pop heap.Interface's.
+func (c *class) Len() int           { return len(c.items) }
+func (c *class) Less(i, j int) bool { return c.items[i].rank < c.items[j].rank }
+func (c *class) Swap(i, j int)      { c.items[i], c.items[j] = c.items[j], c.items[i] }
+func (c *class) Push(x any)         { c.items = append(c.items, x.(item)) }
+func (c *class) Pop() any {
+	last := c.items[len(c.items)-1]
+	c.items = c.items[:len(c.items)-1]
+	return last
+}
--- a/internal/clients/book.go
+++ b/internal/clients/book.go
@@ -1,6 +1,7 @@
 package clients
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -13,11 +14,16 @@
 type book struct {
 	groups  int
 	members map[rules.ProxyID]*member
+	order   []rules.ProxyID // members, by number
 	tables  map[rules.TableID]*table
 	out     map[rules.ReplicaID]bool // withdrawn
 
-	mark  *rules.Mark        // in this Step
-	shown map[showing][]part // what tell has made in this Step
+	mark    *rules.Mark        // in this Step, like what follows
+	outs    bool               // withdrawals have changed
+	shown   map[showing][]part // what tell has made
+	written map[string][]byte  // messages, by what they show
+	shows   []showing          // scratch
+	key     []byte
 }
 
 // showing is what a table shows of itself to some traffic groups: the same for all proxies that it concerns.
@@ -39,9 +45,11 @@
 
 // member is a joined proxy.
 type member struct {
-	conn  *conn
-	table map[rules.GroupID]rules.TableID
-	bound rules.GroupSet // in this Step
+	conn    *conn
+	table   map[rules.GroupID]rules.TableID
+	bound   rules.GroupSet           // in this Step
+	shuns   map[rules.ReplicaID]bool // replicas that it is to shut out on its own account
+	shunned bool                     // these have changed in this Step
 
 	// A proxy keeps what it was told to shut out over a change of streams, by a former life of ours or another
 	// governor too. So it is known only of a fresh one.
@@ -51,7 +59,7 @@
 
 func newBook(groups int) book {
 	return book{groups: groups, members: map[rules.ProxyID]*member{}, tables: map[rules.TableID]*table{},
-		out: map[rules.ReplicaID]bool{}, shown: map[showing][]part{}}
+		out: map[rules.ReplicaID]bool{}, shown: map[showing][]part{}, written: map[string][]byte{}}
 }
 
 func (b *book) join(j rules.Joined, c *conn) {
@@ -60,6 +68,16 @@
 		m.told = map[rules.ReplicaID]bool{}
 	}
 	b.members[j.Proxy] = m
+	if at, is := slices.BinarySearch(b.order, j.Proxy); !is {
+		b.order = slices.Insert(b.order, at, j.Proxy)
+	}
+}
+
+func (b *book) drop(id rules.ProxyID) {
+	delete(b.members, id)
+	if at, is := slices.BinarySearch(b.order, id); is {
+		b.order = slices.Delete(b.order, at, at+1)
+	}
 }
 
 func (b *book) table(id rules.TableID) *table {
@@ -109,9 +127,20 @@
 			}
 		}
 	case rules.Withdraw:
+		b.outs = true
 		if b.out[o.Replica] = o.Out; !o.Out {
 			delete(b.out, o.Replica)
 		}
+	case rules.Shun:
+		if m := b.members[o.Proxy]; m != nil {
+			if m.shuns == nil {
+				m.shuns = map[rules.ReplicaID]bool{}
+			}
+			m.shunned = true
+			if m.shuns[o.Replica] = o.Out; !o.Out {
+				delete(m.shuns, o.Replica)
+			}
+		}
 	case rules.Mark:
 		b.mark = &o
 	}
@@ -123,64 +152,124 @@
 	for _, m := range b.members {
 		delete(m.shut, r)
 		delete(m.told, r)
+		delete(m.shuns, r)
 	}
 }
 
-// write sends each proxy what this Step changed for it.
+// write sends each proxy what this Step changed for it. Proxies that are told the same share the bytes.
 func (b *book) write(c *codec) {
-	for _, id := range slices.Sorted(maps.Keys(b.members)) {
+	toAll := b.mark != nil && b.mark.ToAll
+	for _, id := range b.order {
 		m := b.members[id]
-		parts := b.parts(m)
-		marked := b.mark != nil && (len(parts) > 0 || b.mark.ToAll)
-		if marked {
-			if len(parts) == 0 {
-				parts = append(parts, part{})
-			}
-			parts[len(parts)-1].mark = b.mark
-		}
-		var message []byte
-		for i := range parts {
-			parts[i].followed = i < len(parts)-1
-			message = c.encode(message, &parts[i])
+		if !toAll && b.quiet(m) {
+			continue
 		}
-		if marked {
+		shows := b.shows[:0]
+		shows = b.concerns(m, shows)
+		b.shows = shows
+		if message := b.message(c, m, shows); len(message) == 0 {
+		} else if b.mark != nil {
 			m.conn.ask(message, b.mark.Version)
-		} else if len(parts) > 0 {
+		} else {
 			m.conn.send(message)
 		}
-		m.bound = 0
+		m.bound, m.shunned = 0, false
 	}
 	for _, t := range b.tables {
 		t.cleared, t.leveled = false, 0
 		clear(t.altered)
 	}
 	clear(b.shown)
-	b.mark = nil
+	clear(b.written)
+	b.mark, b.outs = nil, false
 }
 
-// parts are what a proxy is to be told: for each of its tables the whole of it or its changes, and then its
-// withdrawals. Groups of one table go together, so the parts are at most two for each group and one more.
-func (b *book) parts(m *member) (parts []part) {
-	sets := map[rules.TableID]rules.GroupSet{}
-	for _, g := range b.each(0) {
-		t, ok := m.table[g]
-		if !ok {
-			t = rules.AllTables
+// message is what a proxy is to be told, empty if nothing.
+func (b *book) message(c *codec, m *member, shows []showing) []byte {
+	plain := len(b.out) == 0 && len(m.shut) == 0 && len(m.shuns) == 0 && m.told == nil
+	if plain {
+		b.key = b.key[:0]
+		for _, s := range shows {
+			full := byte(0)
+			if s.full {
+				full = 1
+			}
+			b.key = append(b.key, byte(s.table), byte(s.table>>8), byte(s.set), byte(s.set>>8), full)
 		}
-		sets[t] |= 1 << g
-	}
-	for _, t := range slices.Sorted(maps.Keys(sets)) {
-		whole := sets[t] & m.bound
-		if b.table(t).cleared {
-			whole = sets[t]
+		if message, made := b.written[string(b.key)]; made {
+			return message
 		}
-		parts = append(parts, b.tell(showing{t, whole, true})...)
-		parts = append(parts, b.tell(showing{t, sets[t] &^ whole, false})...)
+	}
+	var parts []part
+	for _, s := range shows {
+		parts = append(parts, b.tell(s)...)
 	}
 	if p := b.withdrawals(m, parts); p.count() > 0 {
 		parts = append(parts, p)
 	}
-	return parts
+	if b.mark != nil && (len(parts) > 0 || b.mark.ToAll) {
+		if len(parts) == 0 {
+			parts = append(parts, part{})
+		}
+		parts[len(parts)-1].mark = b.mark
+	}
+	var message []byte
+	for i := range parts {
+		parts[i].followed = i < len(parts)-1
+		message = c.encode(message, &parts[i])
+	}
+	if plain {
+		b.written[string(b.key)] = message
+	}
+	return message
+}
+
+// quiet tells that this Step has changed nothing for a proxy.
+func (b *book) quiet(m *member) bool {
+	if m.bound != 0 || m.shunned || b.outs || b.changed(rules.AllTables) {
+		return false
+	}
+	for _, t := range m.table {
+		if b.changed(t) {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *book) changed(id rules.TableID) bool {
+	t := b.tables[id]
+	return t != nil && (t.cleared || t.leveled != 0 || len(t.altered) > 0)
+}
+
+// concerns adds what of which table a proxy is to be told: the whole of it or its changes. Groups of one table go
+// together, and one stays for withdrawals, so the parts are at most two for each group and one more.
+func (b *book) concerns(m *member, shows []showing) []showing {
+	type use struct {
+		table rules.TableID
+		set   rules.GroupSet
+	}
+	var room [16]use
+	uses := room[:0]
+	for g := range b.groups {
+		t, ok := m.table[rules.GroupID(g)]
+		if !ok {
+			t = rules.AllTables
+		}
+		at, is := slices.BinarySearchFunc(uses, t, func(u use, t rules.TableID) int { return cmp.Compare(u.table, t) })
+		if !is {
+			uses = slices.Insert(uses, at, use{table: t})
+		}
+		uses[at].set |= 1 << g
+	}
+	for _, u := range uses {
+		whole := u.set & m.bound
+		if b.table(u.table).cleared {
+			whole = u.set
+		}
+		shows = append(shows, showing{u.table, whole, true}, showing{u.table, u.set &^ whole, false})
+	}
+	return shows
 }
 
 // withdrawals is what a bound proxy is to shut out or let back, beside these parts. A replica that it may shut
@@ -193,24 +282,26 @@
 	for _, told := range parts {
 		for _, l := range told.lines {
 			if m.told != nil && l.weight > 0 && !m.told[l.replica] {
-				m.told[l.replica], back[l.replica] = true, !b.out[l.replica]
+				m.told[l.replica], back[l.replica] = true, !b.out[l.replica] && !m.shuns[l.replica]
 			}
 		}
 	}
 	for r := range m.shut {
-		back[r] = back[r] || !b.out[r]
+		back[r] = back[r] || !b.out[r] && !m.shuns[r]
 	}
 	for _, r := range slices.Sorted(maps.Keys(back)) {
 		if back[r] {
 			p.in = append(p.in, r)
 		}
 	}
-	for _, r := range slices.Sorted(maps.Keys(b.out)) {
+	shut := maps.Clone(b.out)
+	maps.Copy(shut, m.shuns)
+	for _, r := range slices.Sorted(maps.Keys(shut)) {
 		if !m.shut[r] {
 			p.out = append(p.out, r)
 		}
 	}
-	m.shut = maps.Clone(b.out)
+	m.shut = shut
 	return p
 }
 
--- a/internal/clients/codec.go
+++ b/internal/clients/codec.go
@@ -1,13 +1,14 @@
 package clients
 
 import (
+	"bytes"
 	"cmp"
 	"math"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"zincloft.example/zincloft/intake"
 	"zincloft.example/zincloft/internal/config"
 	"zincloft.example/zincloft/internal/exchange"
 	"zincloft.example/zincloft/internal/resp"
@@ -30,6 +31,7 @@
 var (
 	beatAnswer = resp.Append(nil, "hb_ok")
 	misplaced  = spoilt{cause: "out of place"}
+	noRoom     = spoilt{cause: "no room for reports"}
 )
 
 // codec knows the site's names.
@@ -37,12 +39,14 @@
 	zones, groups []string
 	proxies       int
 	longest       time.Duration // that a message may speak of
-	replica       func(string) (rules.ReplicaID, bool)
+	batches       bool          // of single proxies' reports are taken
+	replica       func([]byte) (rules.ReplicaID, bool)
 	name          func(rules.ReplicaID) (string, bool)
 }
 
-func newCodec(s config.Settings, b config.Bounds, n exchange.Names) codec {
-	c := codec{zones: s.Zones, proxies: s.Proxies, longest: b.Span, replica: n.ID, name: n.Name}
+func newCodec(conf config.Config, n exchange.Names) codec {
+	s := conf.Settings
+	c := codec{zones: s.Zones, proxies: s.Proxies, longest: conf.Bounds.Span, replica: n.ID, name: n.Name, batches: conf.Operator.Intake.Taken()}
 	for _, tg := range s.Groups {
 		c.groups = append(c.groups, tg.Name)
 	}
@@ -51,16 +55,26 @@
 
 // fields are the names and values of a message. The first that is of no use is remembered.
 type fields struct {
-	values  map[string]string
+	pairs   [][]byte // name, value, name, value
 	longest time.Duration
 	bad     string
 }
 
 func (f *fields) fail(name string) { f.bad = cmp.Or(f.bad, name) }
 
+// value is that of a name; of one that is given twice, the later.
+func (f *fields) value(name string) (v []byte, given bool) {
+	for i := 0; i+1 < len(f.pairs); i += 2 {
+		if string(f.pairs[i]) == name {
+			v, given = f.pairs[i+1], true
+		}
+	}
+	return v, given
+}
+
 func (f *fields) needs(names ...string) {
 	for _, name := range names {
-		if _, ok := f.values[name]; !ok {
+		if _, ok := f.value(name); !ok {
 			f.fail(name)
 		}
 	}
@@ -68,20 +82,25 @@
 
 // whole reads a whole number from 0 to most; 0 if it is left out.
 func (f *fields) whole(name string, most int) int {
-	text, ok := f.values[name]
+	text, ok := f.value(name)
 	if !ok {
 		return 0
 	}
-	n, err := strconv.Atoi(text)
-	if err != nil || n < 0 || n > most {
+	n, ok := whole(text, most)
+	if !ok {
 		f.fail(name)
 	}
 	return n
 }
 
+func whole(text []byte, most int) (int, bool) {
+	n, err := strconv.Atoi(string(text))
+	return n, err == nil && n >= 0 && n <= most
+}
+
 // figure reads a figure from 0; 0 if it is left out.
 func (f *fields) figure(name string) float64 {
-	text, ok := f.values[name]
+	text, ok := f.value(name)
 	if !ok {
 		return 0
 	}
@@ -92,42 +111,49 @@
 	return v
 }
 
-func figure(text string) (float64, bool) {
-	v, err := strconv.ParseFloat(text, 64)
+func figure(text []byte) (float64, bool) {
+	v, err := strconv.ParseFloat(string(text), 64)
 	return v, err == nil && v >= 0 && v <= math.MaxInt32
 }
 
 // span reads milliseconds. A time that nothing here can have taken is spoilt: taken for good, it would be learnt from
 // for the rest of the day.
 func (f *fields) span(name string) time.Duration {
-	v := f.figure(name) * float64(time.Millisecond)
-	if v > float64(f.longest) {
+	d, ok := f.millis(f.figure(name))
+	if !ok {
 		f.fail(name)
-		return 0
 	}
-	return time.Duration(math.Round(v))
+	return d
+}
+
+func (f *fields) millis(ms float64) (time.Duration, bool) {
+	v := ms * float64(time.Millisecond)
+	if v > float64(f.longest) {
+		return 0, false
+	}
+	return time.Duration(math.Round(v)), true
 }
 
 func (f *fields) place(name string, in []string) int {
-	i := slices.Index(in, f.values[name])
-	if i < 0 {
-		f.fail(name)
+	text, _ := f.value(name)
+	for i, known := range in {
+		if string(text) == known {
+			return i
+		}
 	}
-	return i
+	f.fail(name)
+	return -1
 }
 
 // decode makes a typed value of a message; spoilt, if any field of it is missing or impossible, or names what is not
 // known.
-func (c *codec) decode(words []string) any {
+func (c *codec) decode(words [][]byte) any {
 	if len(words)%2 == 0 {
 		return spoilt{cause: "words without a pair"}
 	}
-	f := fields{values: map[string]string{}, longest: c.longest}
-	for i := 1; i < len(words); i += 2 {
-		f.values[words[i]] = words[i+1]
-	}
+	f := fields{pairs: words[1:], longest: c.longest}
 	var out any
-	switch words[0] {
+	switch string(words[0]) {
 	case "hb":
 		out = beat{}
 	case "telemetry":
@@ -143,7 +169,8 @@
 	case "upstream_stats":
 		f.needs("host", "n", "bad", "window")
 		zone := f.place("az", c.zones)
-		replica, known := c.replica(f.values["host"])
+		host, _ := f.value("host")
+		replica, known := c.replica(host)
 		if !known {
 			f.fail("host")
 		}
@@ -160,11 +187,19 @@
 		f.needs("sidecar", "n", "bad", "window")
 		out = rules.Intake{Proxy: c.proxy(&f), Group: rules.GroupID(f.place("kind", c.groups)), Over: f.over("window"),
 			Flows: f.whole("n", math.MaxInt32), Dropped: f.whole("bad", math.MaxInt32)} // which may have come before
+	case "met":
+		if !c.batches {
+			return spoilt{cause: "unknown kind"}
+		}
+		out = c.batch(&f)
 	default:
 		return spoilt{cause: "unknown kind"}
 	}
 	if f.bad != "" {
-		return spoilt{cause: words[0] + " " + f.bad, answer: words[0] == "done"}
+		if b, is := out.(*intake.Batch); is {
+			b.Free()
+		}
+		return spoilt{cause: string(words[0]) + " " + f.bad, answer: string(words[0]) == "done"}
 	}
 	return out
 }
@@ -184,13 +219,16 @@
 
 // report reads a load report. Figures that are not known are passed over.
 func (f *fields) report(name string) rules.Report {
-	r := rules.Report{Util: rules.Absent, InFlight: rules.Absent, ServiceTime: rules.Absent, Rate: rules.Absent}
-	for pair := range strings.SplitSeq(f.values[name], ",") {
-		key, text, paired := strings.Cut(pair, ":")
-		if pair == "" {
+	r := noReport
+	text, _ := f.value(name)
+	for len(text) > 0 {
+		var pair []byte
+		pair, text, _ = bytes.Cut(text, comma)
+		key, of, paired := bytes.Cut(pair, colon)
+		if len(pair) == 0 {
 			continue
 		}
-		v, ok := figure(text)
+		v, ok := figure(of)
 		if !paired || !ok {
 			f.fail(name)
 		}
@@ -199,6 +237,69 @@
 	return r
 }
 
+var (
+	comma, colon = []byte(","), []byte(":")
+	noReport     = rules.Report{Util: rules.Absent, InFlight: rules.Absent, ServiceTime: rules.Absent, Rate: rules.Absent}
+)
+
+// batch reads what a proxy met at each replica (docs/reports.md). A record of a replica that is not known is passed
+// over alone, as one that has just gone is no fault of the sender; any other fault spoils the whole.
+func (c *codec) batch(f *fields) *intake.Batch {
+	f.needs("sidecar", "window", "records")
+	b := intake.NewBatch()
+	b.Proxy, b.Over, b.Age = c.proxy(f), f.over("window"), f.span("age")
+	b.Seq, b.Sent = uint32(f.whole("seq", math.MaxUint32)), rules.Time(f.whole("sent", math.MaxInt64/int(time.Millisecond)))*rules.Time(time.Millisecond)
+	text, _ := f.value("records")
+	for len(text) > 0 {
+		var record []byte
+		record, text, _ = bytes.Cut(text, comma)
+		r, known, ok := c.record(f, record)
+		if !ok {
+			f.fail("records")
+			break
+		}
+		if known {
+			b.Records = append(b.Records, r)
+		} else {
+			b.Unknown++
+		}
+	}
+	return b
+}
+
+// record reads replica:tries:dropped:milliseconds, and where there is a load report :util:inflight:milliseconds since
+// it was heard.
+func (c *codec) record(f *fields, text []byte) (r intake.Record, known, ok bool) {
+	var words [7][]byte
+	n := 0
+	for more := true; more; n++ {
+		if n == len(words) {
+			return r, false, false
+		}
+		words[n], text, more = bytes.Cut(text, colon)
+	}
+	if n != 4 && n != 7 {
+		return r, false, false
+	}
+	var good [6]bool
+	var ms [2]float64
+	r.Report = noReport
+	r.Tries, good[0] = whole(words[1], math.MaxInt32)
+	r.Dropped, good[1] = whole(words[2], r.Tries)
+	ms[0], good[2] = figure(words[3])
+	good[3], good[4], good[5] = true, true, true
+	if n == 7 {
+		r.Report.Util, good[3] = figure(words[4])
+		r.Report.InFlight, good[4] = figure(words[5])
+		ms[1], good[5] = figure(words[6])
+	}
+	took, inTime := f.millis(ms[0])
+	heard, lately := f.millis(ms[1])
+	r.Took, r.Heard = took, heard
+	r.Replica, known = c.replica(words[0])
+	return r, known, r.Tries > 0 && inTime && lately && good == [6]bool{true, true, true, true, true, true}
+}
+
 // part is one part of a message to a proxy. What is empty is left out.
 type part struct {
 	groups   rules.GroupSet // 0: all
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
+	"zincloft.example/zincloft/intake"
 	"zincloft.example/zincloft/internal/exchange"
 	"zincloft.example/zincloft/internal/resp"
 	"zincloft.example/zincloft/rules"
@@ -28,14 +30,16 @@
 	zone  rules.ZoneID  // of a collector
 
 	mu      sync.Mutex
-	role    role      // written by the reader only, which need not lock to read it
-	worked  time.Time // when a collector last passed something on that counts
-	owed    []uint16  // marks that the peer has been sent and not answered yet, oldest first
-	pending []byte
-	waiting int           // bytes pending or being written
-	more    chan struct{} // something is pending, or the connection has ended
+	role    role        // written by the reader only, which need not lock to read it
+	worked  time.Time   // when a collector last passed something on that counts
+	owed    []uint16    // marks that the peer has been sent and not answered yet, oldest first
+	pending net.Buffers // messages may be shared with other connections: nobody changes their bytes
+	waiting int         // bytes pending or being written
+	writing bool        // a goroutine takes what is pending; there is none while nothing is
 	ended   bool
 	cause   ending
+
+	pace *rate.Limiter // of bytes read; nil: no bound
 }
 
 // ending is why a connection has ended. Causes are few; the detail may quote the peer or an address.
@@ -66,10 +70,11 @@
 	in := resp.NewReader(c, b.FirstBytes, b.Words)
 	err := c.SetReadDeadline(c.since.Add(b.FirstWord))
 	for err == nil {
-		var words []string
+		var words [][]byte
 		if words, err = in.Next(); err != nil {
 			break
 		}
+		c.rest(in.Size())
 		m := c.hear(c.side.codec.decode(words))
 		if bad, is := m.(spoilt); is && c.role == stranger {
 			c.end("not a joining", bad.cause)
@@ -85,7 +90,7 @@
 	c.end(because(err))
 	switch c.role {
 	case stream:
-		c.side.post(exchange.Event{From: c, Fact: rules.Left{Proxy: c.proxy}})
+		c.side.exchange.Post(exchange.Event{From: c, Fact: rules.Left{Proxy: c.proxy}})
 	case collector:
 		c.ending().log(c.side.log.Info().Str("collector", c.side.codec.zones[c.zone]))
 	default:
@@ -94,6 +99,21 @@
 	c.side.remove(c)
 }
 
+// rest keeps a stream that brings more than its share waiting, and nobody else: against floods of reports. Its own
+// marks wait too, so one that never ends falls silent in the end.
+func (c *conn) rest(bytes int) {
+	if c.pace == nil || c.role != stream {
+		return
+	}
+	if wait := c.pace.ReserveN(time.Now(), min(bytes, c.pace.Burst())).Delay(); wait > 0 {
+		c.side.counts.add(held, "over its share")
+		select {
+		case <-time.After(wait):
+		case <-c.side.closing:
+		}
+	}
+}
+
 // because puts an error into one of few causes.
 func because(err error) (cause, detail string) {
 	var broken resp.Broken
@@ -142,12 +162,32 @@
 		if c.role == stranger || c.role == stream && m.Proxy != c.proxy {
 			return misplaced
 		}
+		return c.report(exchange.Event{Fact: m}, m)
 	case rules.Sums:
 		if c.role != collector {
 			return misplaced
 		}
+		return c.report(exchange.Event{Fact: m}, m)
+	case *intake.Batch:
+		if c.role != stream || m.Proxy != c.proxy {
+			m.Free()
+			return misplaced
+		}
+		return c.report(exchange.Event{Batch: m}, m)
+	}
+	c.side.exchange.Post(exchange.Event{From: c, Fact: m.(rules.Event)})
+	return m
+}
+
+// report passes on what may wait. A collector waits until there is room; a stream can't, as a proxy's marks come
+// behind its reports, so what has no room is counted and gone.
+func (c *conn) report(e exchange.Event, m any) any {
+	e.From, e.Read = c, time.Now()
+	if c.role == collector {
+		c.side.exchange.Post(e)
+	} else if !c.side.exchange.Offer(e) {
+		return noRoom
 	}
-	c.side.post(exchange.Event{From: c, Fact: m.(rules.Event)})
 	return m
 }
 
@@ -178,7 +218,7 @@
 		if m.answer {
 			c.owed = c.owed[min(1, len(c.owed)):]
 		}
-	case rules.Sums, rules.Intake:
+	case rules.Sums, rules.Intake, *intake.Batch:
 		c.worked = time.Now()
 	}
 	if len(c.owed) > 0 {
@@ -207,10 +247,14 @@
 		c.mu.Unlock()
 		return
 	}
-	c.pending = append(c.pending, b...)
+	c.pending = append(c.pending, b)
 	c.waiting += len(b)
 	full := c.waiting > c.side.bounds.Unread
 	all := c.side.unread.Add(int64(len(b)))
+	if !c.writing {
+		c.writing = true
+		c.side.running.Go(c.write)
+	}
 	c.mu.Unlock()
 	if all > c.side.bounds.UnreadAll {
 		c.side.relieve()
@@ -218,38 +262,34 @@
 	if full {
 		c.end("does not read", "")
 	}
-	c.signal()
-}
-
-func (c *conn) signal() {
-	select {
-	case c.more <- struct{}{}:
-	default:
-	}
 }
 
+// write writes what is pending until nothing is.
 func (c *conn) write() {
-	for range c.more {
+	for {
 		c.mu.Lock()
-		b, ended := c.pending, c.ended
+		pending := c.pending
 		c.pending = nil
-		c.mu.Unlock()
-		if ended {
-			break
+		if c.ended || len(pending) == 0 {
+			c.writing = false
+			c.mu.Unlock()
+			return
 		}
-		if len(b) == 0 {
-			continue
+		c.mu.Unlock()
+		n := 0
+		for _, b := range pending {
+			n += len(b)
 		}
 		err := c.SetWriteDeadline(time.Now().Add(c.side.bounds.WriteMost))
 		if err == nil {
-			_, err = c.Write(b)
+			_, err = pending.WriteTo(c.Conn)
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.end("does not read", "")
 		} else if err != nil {
 			c.end(because(err))
 		}
-		c.written(len(b))
+		c.written(n)
 	}
 }
 
@@ -272,7 +312,6 @@
 	}
 	c.mu.Unlock()
 	c.Close()
-	c.signal()
 }
 
 func (c *conn) ending() ending {
--- a/internal/clients/counts.go
+++ b/internal/clients/counts.go
@@ -17,6 +17,7 @@
 const (
 	passedOver what = "passed over" // messages on connections that have joined
 	strangers  what = "strangers"   // connections that ended without a joining
+	held       what = "held back"   // messages of streams that were read later
 	refused    what = "refused"     // connections that were not taken
 )
 
@@ -42,7 +43,7 @@
 		return
 	}
 	line := log.Info()
-	for _, w := range []what{passedOver, strangers, refused} {
+	for _, w := range []what{passedOver, held, strangers, refused} {
 		if of[w] != nil {
 			line.Interface(string(w), of[w])
 		}
--- a/internal/clients/side.go
+++ b/internal/clients/side.go
@@ -12,21 +12,26 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"zincloft.example/zincloft/internal/config"
 	"zincloft.example/zincloft/internal/exchange"
 	"zincloft.example/zincloft/rules"
 )
 
+const paceBurst = 4 // seconds' bytes that a stream may bring at once, as after it was held up
+
 // Side is the client side.
 type Side struct {
 	book
 	codec  codec
 	bounds config.Bounds
+	bytes  int // a second, that are read of a stream; 0: no bound
 	log    zerolog.Logger
-	post   func(exchange.Event)
 	counts counts
-	unread atomic.Int64 // bytes that wait for all peers
+
+	exchange Inbox
+	unread   atomic.Int64 // bytes that wait for all peers
 
 	mu         sync.Mutex
 	conns      map[*conn]struct{}
@@ -36,10 +41,17 @@
 	running    sync.WaitGroup
 }
 
-// New returns a client side that serves nobody yet. What it hears goes to post.
-func New(c config.Config, names exchange.Names, log zerolog.Logger, post func(exchange.Event)) *Side {
-	return &Side{book: newBook(len(c.Settings.Groups)), codec: newCodec(c.Settings, c.Bounds, names), bounds: c.Bounds, log: log,
-		post: post, conns: map[*conn]struct{}{}, freed: make(chan struct{}, 1), collectors: map[rules.ZoneID][]*conn{},
+// Inbox takes what the client side hears. Post waits for room; Offer does not, and tells whether there was any.
+type Inbox interface {
+	exchange.Names
+	Post(exchange.Event)
+	Offer(exchange.Event) bool
+}
+
+// New returns a client side that serves nobody yet.
+func New(c config.Config, log zerolog.Logger, x Inbox) *Side {
+	return &Side{book: newBook(len(c.Settings.Groups)), codec: newCodec(c, x), bounds: c.Bounds, bytes: c.StreamBytes(), log: log,
+		exchange: x, conns: map[*conn]struct{}{}, freed: make(chan struct{}, 1), collectors: map[rules.ZoneID][]*conn{},
 		closing: make(chan struct{})}
 }
 
@@ -74,7 +86,10 @@
 
 // add starts a connection, as soon as there is room for it.
 func (s *Side) add(nc net.Conn) {
-	c := &conn{Conn: nc, side: s, role: stranger, since: time.Now(), more: make(chan struct{}, 1)}
+	c := &conn{Conn: nc, side: s, role: stranger, since: time.Now()}
+	if s.bytes > 0 {
+		c.pace = rate.NewLimiter(rate.Limit(s.bytes), s.bytes*paceBurst)
+	}
 	for {
 		s.mu.Lock()
 		if s.closed() {
@@ -100,9 +115,7 @@
 	defer s.mu.Unlock()
 	c.since = time.Now()
 	s.conns[c] = struct{}{}
-	s.running.Add(2)
-	go func() { defer s.running.Done(); c.read() }()
-	go func() { defer s.running.Done(); c.write() }()
+	s.running.Go(c.read)
 }
 
 func (s *Side) closed() bool {
@@ -232,6 +245,10 @@
 // place of the old one at once; what the old one still says, its end too, is about nobody.
 func (s *Side) Heed(e exchange.Event) bool {
 	c := e.From.(*conn)
+	if e.Batch != nil {
+		m := s.members[e.Batch.Proxy]
+		return m != nil && m.conn == c
+	}
 	switch fact := e.Fact.(type) {
 	case rules.Joined:
 		if m := s.members[fact.Proxy]; m != nil {
@@ -258,7 +275,7 @@
 
 func (s *Side) leave(id rules.ProxyID, e ending) {
 	e.log(s.log.Info().Uint16("proxy", uint16(id)))
-	delete(s.members, id)
+	s.drop(id)
 }
 
 // Carry writes the orders of one Step, as one message to each proxy concerned. It never waits for a peer.
--- a/internal/clients/trace_test.go
+++ b/internal/clients/trace_test.go
@@ -21,12 +21,28 @@
 // names lists replicas r0 to r9.
 type names struct{}
 
-func (names) ID(name string) (rules.ReplicaID, bool) {
-	n, err := strconv.Atoi(strings.TrimPrefix(name, "r"))
+func (names) ID(name []byte) (rules.ReplicaID, bool) {
+	n, err := strconv.Atoi(strings.TrimPrefix(string(name), "r"))
 	return rules.ReplicaID(n), err == nil && n < 10
 }
 func (names) Name(id rules.ReplicaID) (string, bool) { return fmt.Sprint("r", id), id < 10 }
 
+// inbox hands events to the test.
+type inbox struct {
+	names
+	events chan exchange.Event
+}
+
+func (x inbox) Post(e exchange.Event) { x.events <- e }
+func (x inbox) Offer(e exchange.Event) bool {
+	select {
+	case x.events <- e:
+		return true
+	default:
+		return false
+	}
+}
+
 // play runs a client side with peers of ours and keeps a trace of what each side hears.
 type play struct {
 	t      *testing.T
@@ -55,7 +71,7 @@
 				Span: time.Minute, FirstWord: 1500 * time.Millisecond, Turn: 20 * time.Millisecond, Unread: 4 << 10, UnreadAll: 6 << 10, Silence: 30 * time.Second,
 				WriteMost: 10 * time.Second, AcceptPause: 50 * time.Millisecond, Counts: 24 * time.Hour}}
 		var log strings.Builder
-		p.side = New(conf, names{}, zerolog.New(zerolog.SyncWriter(&log)), func(e exchange.Event) { p.events <- e })
+		p.side = New(conf, zerolog.New(zerolog.SyncWriter(&log)), inbox{events: p.events})
 		go p.side.Serve(p.listen)
 		script(p)
 		p.settle()
@@ -82,7 +98,7 @@
 	go func() {
 		in := resp.NewReader(c, 1<<20, 1<<10)
 		for {
-			words, err := in.Next()
+			words, err := in.Texts()
 			if err != nil {
 				q.heard <- "(closed)"
 				return
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,7 @@
 	Limits    Limits
 	Settings  Settings
 	Bounds    Bounds
+	Operator  Operator
 }
 
 // Limits are those of the machine.
@@ -37,7 +38,7 @@
 
 // Bounds are the limits that the network code sets itself. None of them steers a decision.
 type Bounds struct {
-	Inbox        int           // events that may wait for the next Step
+	Inbox        int           // reports that may wait for the next Step, and as many other events
 	Connections  int           // at the governor's address
 	FirstBytes   int           // of a message before its connection has joined
 	MessageBytes int           // of any later message
@@ -91,6 +92,9 @@
 	}
 }
 
+// usualLimits hold where the file names none.
+var usualLimits = Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}
+
 type file struct {
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
@@ -101,15 +105,17 @@
 	Settings  json.RawMessage `json:"settings"`
 }
 
-// Load reads the environment and the file that LB_CONFIG names, at the start. What the environment says of name and
-// addresses goes before the file.
-func Load(getenv func(string) string) (Config, error) { return read(getenv, false) }
+// Load reads the environment, the file that LB_CONFIG names and the operator file, at the start. What the environment
+// says of name and addresses goes before the file. operator names the operator file, before ZINCLOFT_OPERATOR does.
+func Load(getenv func(string) string, operator string) (Config, error) {
+	return read(getenv, operator, false)
+}
 
 // Reload reads the file again while a governor runs on what now holds. The file goes before the environment, which
 // is as old as the process. Only discovery can change: a new name or listen address is a fault, and the rest is
 // left as it is until the next start, named in later where it differs.
 func Reload(getenv func(string) string, now Config) (c Config, later []string, err error) {
-	c, err = read(getenv, true)
+	c, err = read(getenv, now.Operator.Path, true)
 	switch {
 	case err != nil:
 		return now, nil, err
@@ -124,11 +130,19 @@
 	if !reflect.DeepEqual(c.Settings, now.Settings) {
 		later = append(later, "settings")
 	}
+	if c.Operator != now.Operator {
+		later = append(later, "operator")
+	}
 	now.Discovery = c.Discovery
 	return now, later, nil
 }
 
-func read(getenv func(string) string, fileFirst bool) (Config, error) {
+// OperatorPath is the operator file's: the one that is named, or the environment's; "" where there is none.
+func OperatorPath(getenv func(string) string, named string) string {
+	return cmp.Or(named, getenv("ZINCLOFT_OPERATOR"))
+}
+
+func read(getenv func(string) string, operator string, fileFirst bool) (Config, error) {
 	path := getenv("LB_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("LB_CONFIG is not set: it names the configuration file")
@@ -137,7 +151,7 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("LB_CONFIG: %w", err)
 	}
-	f := file{Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}}
+	f := file{Limits: usualLimits}
 	if err := json.Unmarshal(text, &f); err != nil {
 		return Config{}, fmt.Errorf("LB_CONFIG: %s is not the expected JSON: %w", path, err)
 	}
@@ -178,6 +192,9 @@
 	if c.Settings, err = ReadSettings(f.Settings); err != nil {
 		return Config{}, fmt.Errorf("settings: %w", err)
 	}
+	if c.Operator, err = ReadOperator(OperatorPath(getenv, operator)); err != nil {
+		return Config{}, err
+	}
 	c.Bounds = bounds(c.Limits, c.Settings.Settings, descriptors())
 	return c, nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -31,7 +31,7 @@
 	}
 	all := map[string]string{"LB_CONFIG": path}
 	maps.Copy(all, env)
-	return Load(func(name string) string { return all[name] })
+	return Load(func(name string) string { return all[name] }, "")
 }
 
 func TestLoad(t *testing.T) {
@@ -55,6 +55,7 @@
 				BareMost: 5 * time.Second, DrainGrace: 3 * time.Second, AskWithin: 10 * time.Second, WarmAfter: 18 * time.Second,
 				ColdFrom: 0.2, FallMultiple: 4, FallAfter: 2 * time.Second, LinksLeast: 70, LinkIdle: 15 * time.Second}}}
 	want.Bounds = bounds(want.Limits, want.Settings.Settings, descriptors())
+	want.Operator.Intake = IntakeOptions{Reports: ReportsOff, HalfLife: 2 * time.Second, MostAge: 10 * time.Second}
 	if d := cmp.Diff(want, got); d != "" {
 		t.Error(d)
 	}
@@ -76,7 +77,7 @@
 			t.Errorf("%s for %s: want one line with %q, got %v", f.new, f.old, f.want, err)
 		}
 	}
-	if _, err := Load(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "LB_CONFIG") {
+	if _, err := Load(func(string) string { return "" }, ""); err == nil || !strings.Contains(err.Error(), "LB_CONFIG") {
 		t.Error("no environment: ", err)
 	}
 }
@@ -92,7 +93,7 @@
 	}
 	getenv := func(name string) string { return env[name] }
 	put(whole)
-	first, err := Load(getenv)
+	first, err := Load(getenv, "")
 	if err != nil || first.Discovery != "127.0.0.9:1" {
 		t.Fatal("the environment goes first at the start: ", first.Discovery, err)
 	}
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,217 @@
+package config
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"zincloft.example/zincloft/intake"
+)
+
+// Operator is what the operator file says: what is new since the platform's protocol, off unless set there.
+type Operator struct {
+	Path   string // "": there is none
+	Intake IntakeOptions
+}
+
+// IntakeOptions are the section [intake].
+type IntakeOptions struct {
+	Reports       Reports
+	RecordsPerS   int           // 0: derived from the machine's limits
+	HalfLife      time.Duration // a record this old counts for half
+	MostAge       time.Duration // an older one counts for nothing
+	Pairs         int           // failing pairs remembered; 0: derived
+	StreamBytesPS int           // bytes a second that are read of one stream; 0: derived
+}
+
+// Reports tells what batches of single proxies are taken for.
+type Reports string
+
+// Kinds of Reports.
+const (
+	ReportsOff   Reports = "off"   // not taken: the message is of an unknown kind
+	ReportsPairs Reports = "pairs" // for pairs that fail; collectors' sums make the fleet's
+	ReportsSums  Reports = "sums"  // for the fleet's sums too, in place of collectors'
+)
+
+// Taken tells whether batches of single proxies are taken at all.
+func (o IntakeOptions) Taken() bool { return o.Reports == ReportsPairs || o.Reports == ReportsSums }
+
+const (
+	budgetShare = 0.2      // part of the cores that intake may take
+	recordCost  = 1e-6     // seconds of a core that a record takes, with its decoding; twice what was measured
+	recordBytes = 256      // memory of a kept record, in both samples, with its part of the books
+	pairBytes   = 256      // memory of a remembered pair
+	memoryPart  = 16       // of the memory that records, and pairs, may each take
+	streamBytes = 64 << 10 // a second of one stream: a thousand records of 64 bytes
+)
+
+// seconds is a time with its unit, as in "250ms".
+type seconds time.Duration
+
+// UnmarshalText reads it.
+func (s *seconds) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("want a time with its unit, as in \"2s\", got %q", text)
+	}
+	*s = seconds(d)
+	return nil
+}
+
+type operatorFile struct {
+	Intake struct {
+		Reports       string  `toml:"reports"`
+		RecordsPerS   int     `toml:"records_per_s"`
+		HalfLife      seconds `toml:"half_life"`
+		MostAge       seconds `toml:"most_age"`
+		Pairs         int     `toml:"pairs"`
+		StreamBytesPS int     `toml:"stream_bytes_per_s"`
+	} `toml:"intake"`
+}
+
+// defaults are what holds without an operator file.
+func defaults() (f operatorFile) {
+	f.Intake.Reports = string(ReportsOff)
+	f.Intake.HalfLife, f.Intake.MostAge = seconds(2*time.Second), seconds(10*time.Second)
+	return f
+}
+
+// OperatorError is a fault of the operator file. It names the key and its line.
+type OperatorError struct {
+	Path, Key string
+	Line      int // 0: not known
+	What      string
+}
+
+func (e OperatorError) Error() string {
+	return fmt.Sprintf("%s:%d: %s: %s", e.Path, e.Line, cmp.Or(e.Key, "the file"), e.What)
+}
+
+// ReadOperator reads an operator file. Every key may be left out; one that is not known is a fault. No file is named
+// by "": then all is at its default.
+func ReadOperator(path string) (Operator, error) {
+	f := defaults()
+	var text []byte
+	if path != "" {
+		var err error
+		if text, err = os.ReadFile(path); err != nil {
+			return Operator{}, fmt.Errorf("the operator file: %w", err)
+		}
+	}
+	decoder := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields()
+	if err := decoder.Decode(&f); err != nil {
+		return Operator{}, decodeError(path, err)
+	}
+	if err := f.check(path, lines(text)); err != nil {
+		return Operator{}, err
+	}
+	i := &f.Intake
+	return Operator{Path: path, Intake: IntakeOptions{Reports: Reports(i.Reports), RecordsPerS: i.RecordsPerS, HalfLife: time.Duration(i.HalfLife),
+		MostAge: time.Duration(i.MostAge), Pairs: i.Pairs, StreamBytesPS: i.StreamBytesPS}}, nil
+}
+
+func decodeError(path string, err error) error {
+	var missing *toml.StrictMissingError
+	var bad *toml.DecodeError
+	if errors.As(err, &missing) && len(missing.Errors) > 0 {
+		first := missing.Errors[0]
+		line, _ := first.Position()
+		return OperatorError{path, strings.Join(first.Key(), "."), line, "no such key"}
+	}
+	if errors.As(err, &bad) {
+		line, _ := bad.Position()
+		return OperatorError{path, strings.Join(bad.Key(), "."), line, strings.TrimPrefix(bad.Error(), "toml: ")}
+	}
+	return fmt.Errorf("%s: %w", path, err)
+}
+
+// check finds figures that can't be meant.
+func (f *operatorFile) check(path string, at map[string]int) error {
+	i := &f.Intake
+	for _, c := range []struct {
+		key, what string
+		good      bool
+	}{
+		{"intake.reports", `want "off", "pairs" or "sums"`, i.Reports == string(ReportsOff) || i.Reports == string(ReportsPairs) || i.Reports == string(ReportsSums)},
+		{"intake.records_per_s", "want 0 or more", i.RecordsPerS >= 0},
+		{"intake.half_life", "want a time above 0", i.HalfLife > 0},
+		{"intake.most_age", "want no less than intake.half_life", i.MostAge >= i.HalfLife},
+		{"intake.pairs", "want 0 or more", i.Pairs >= 0},
+		{"intake.stream_bytes_per_s", "want 0 or more", i.StreamBytesPS >= 0},
+	} {
+		if !c.good {
+			return OperatorError{path, c.key, at[c.key], c.what}
+		}
+	}
+	return nil
+}
+
+// lines tells in which line each key of a file stands that has been decoded without fault.
+func lines(text []byte) map[string]int {
+	at := map[string]int{}
+	var p unstable.Parser
+	p.Reset(text)
+	prefix := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		var key []string
+		line := 0
+		for keys := e.Key(); keys.Next(); {
+			n := keys.Node()
+			key = append(key, string(n.Data))
+			line = p.Shape(n.Raw).Start.Line
+		}
+		name := strings.Join(key, ".")
+		switch e.Kind {
+		case unstable.Table:
+			prefix = name + "."
+		case unstable.KeyValue:
+			at[prefix+name] = line
+		}
+	}
+	return at
+}
+
+// IntakeSettings are what package intake is told: options, or what follows from the machine's limits.
+func (c Config) IntakeSettings() intake.Settings {
+	o, s := c.Operator.Intake, c.Settings.Settings
+	perS := c.Limits.Cores * budgetShare / recordCost
+	perS = min(perS, float64(c.Limits.MemoryMB<<20/memoryPart/recordBytes)/s.Period.Seconds())
+	if o.RecordsPerS > 0 {
+		perS = float64(o.RecordsPerS)
+	}
+	return intake.Settings{Seed: c.Seed, Period: s.Period, Budget: max(int(perS*s.Period.Seconds()), 4),
+		HalfLife: o.HalfLife, MostAge: o.MostAge, Pairs: cmp.Or(o.Pairs, int(c.Limits.MemoryMB<<20/memoryPart/pairBytes)), Zones: s.Zones,
+		MakeSums: o.Reports == ReportsSums}
+}
+
+// StreamBytes are the bytes a second that are read of one stream where batches are taken; 0: no bound.
+func (c Config) StreamBytes() int {
+	if !c.Operator.Intake.Taken() {
+		return 0
+	}
+	return cmp.Or(c.Operator.Intake.StreamBytesPS, streamBytes)
+}
+
+// Show is what holds, in the operator file's form, with what was derived.
+func (c Config) Show() string {
+	if c.Settings.Period == 0 { // no configuration: the usual machine
+		c.Limits, c.Settings.Period = usualLimits, time.Second
+	}
+	o, in := c.Operator.Intake, c.IntakeSettings()
+	return fmt.Sprintf(`[intake]
+reports = %q
+records_per_s = %d
+half_life = %q
+most_age = %q
+pairs = %d
+stream_bytes_per_s = %d
+`, o.Reports, int(float64(in.Budget)/in.Period.Seconds()), o.HalfLife, o.MostAge, in.Pairs, cmp.Or(o.StreamBytesPS, streamBytes))
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -142,8 +142,8 @@
 
 // SetLoad puts a figure of a load report where its name belongs. Both names in use are read: the settings' own
 // and the protocol page's. Figures that are not known are passed over.
-func SetLoad(r *rules.Report, name string, v float64) {
-	switch name {
+func SetLoad(r *rules.Report, name []byte, v float64) {
+	switch string(name) {
 	case "cpu_share", "util":
 		r.Util = v
 	case "busy_reqs", "inflight":
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"zincloft.example/zincloft/intake"
 	"zincloft.example/zincloft/internal/clients"
 	"zincloft.example/zincloft/internal/config"
 	"zincloft.example/zincloft/internal/exchange"
@@ -43,6 +44,10 @@
 	begun time.Time
 	wakes []wake // soonest first
 	gov   rules.Governor
+	// intake weighs and gathers reports; nil where the operator file leaves them as they come.
+	intake  *intake.Intake
+	told    time.Time     // when intake's counts were logged last
+	counted intake.Counts // since then
 
 	hups <-chan os.Signal
 	read Reload
@@ -80,10 +85,13 @@
 	d.enter(Starting)
 	d.exchange = exchange.New(d.conf.Bounds.Inbox)
 	d.list = list.New(ctx, d.conf, d.log, func(l rules.List) { d.exchange.Post(exchange.Event{Fact: l}) })
-	d.clients = clients.New(d.conf, d.exchange, d.log, d.exchange.Post)
+	d.clients = clients.New(d.conf, d.log, d.exchange)
+	if d.conf.Operator.Intake.Taken() {
+		d.intake, d.told = intake.New(d.conf.IntakeSettings()), time.Now()
+	}
 	d.exchange.Connect(d.clients, d.list)
 	runtime.GOMAXPROCS(max(int(d.conf.Limits.Cores), 1))
-	debug.SetMemoryLimit(d.conf.Limits.MemoryMB << 20 / 2)
+	debug.SetMemoryLimit(d.conf.Limits.MemoryMB << 20 / 4 * 3)
 	first := []rules.Event{rules.Start{Seed: d.conf.Seed, Settings: d.conf.Settings.Settings}}
 	if len(d.conf.Known) > 0 {
 		known, err := d.list.Known(d.conf.Known)
@@ -136,6 +144,11 @@
 	return rules.Time(d.begun.UnixNano()) + rules.Time(time.Since(d.begun))
 }
 
+// at is a moment on the clock of now.
+func (d *Daemon) at(t time.Time) rules.Time {
+	return rules.Time(d.begun.UnixNano()) + rules.Time(t.Sub(d.begun))
+}
+
 func (d *Daemon) loop(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -165,31 +178,98 @@
 	case <-d.hups:
 		d.reload()
 		return nil
-	case e := <-d.exchange.Inbox():
+	case e := <-d.exchange.First():
+		events = append(events, e)
+	case e := <-d.exchange.Reports():
 		events = append(events, e)
 	case <-timer.C:
 	}
 	events = d.gather(ctx, timer, events)
 	late := len(d.wakes) > 0 && time.Duration(d.now()-d.wakes[0].at) > d.conf.Bounds.LateLoop
-	for before := -1; late && before < len(events); {
+	for before := -1; late && before < len(events) && len(events) < lateSteps*d.conf.Bounds.Inbox; {
 		before = len(events)
 		events = d.gather(ctx, timer, events)
 	}
-	facts := d.exchange.Heed(events)
+	facts := d.facts(d.exchange.Heed(events))
 	for now := d.now(); len(d.wakes) > 0 && d.wakes[0].at <= now; d.wakes = d.wakes[1:] {
 		facts = append(facts, rules.Wake{Mark: d.wakes[0].mark})
 	}
 	return facts
 }
 
-// gather adds what comes within a tick, as far as one Step takes.
+// lateSteps bounds what is heard before a late timer, in times of the inbox: against senders that never stop.
+const lateSteps = 4
+
+// facts are what events come to: reports go through intake where there is one.
+func (d *Daemon) facts(events []exchange.Event) (facts []rules.Event) {
+	if d.intake == nil {
+		for _, e := range events {
+			facts = append(facts, e.Fact)
+		}
+		return facts
+	}
+	now := d.now()
+	for _, e := range events {
+		switch fact := e.Fact.(type) {
+		case nil:
+			e.Batch.Read = d.at(e.Read)
+			d.intake.Take(now, e.Batch)
+			e.Batch.Free()
+			continue
+		case rules.Sums:
+			if s, counts := d.intake.Sums(now, d.at(e.Read), fact); counts {
+				facts = append(facts, s)
+			}
+			continue
+		case rules.Joined:
+			d.intake.Join(fact.Proxy, fact.Zone)
+		case rules.Left:
+			d.intake.Leave(fact.Proxy)
+		}
+		facts = append(facts, e.Fact)
+	}
+	if d.intake.Due(now) {
+		facts = append(facts, d.intake.Cut(now)...)
+		d.count()
+	}
+	return facts
+}
+
+// count logs intake's counts at intervals.
+func (d *Daemon) count() {
+	for i, n := range d.intake.Counts() {
+		d.counted[i] += n
+	}
+	if time.Since(d.told) < d.conf.Bounds.Counts {
+		return
+	}
+	line := d.log.Info()
+	for i, n := range d.counted {
+		if n != 0 {
+			line = line.Int(intake.Cause(i).String(), n)
+		}
+	}
+	records, senders, pairs := d.intake.Held()
+	line.Int("records held", records).Int("senders", senders).Int("pairs", pairs).Msg("intake")
+	d.told, d.counted = time.Now(), intake.Counts{}
+}
+
+// gather adds what comes within a tick, as far as one Step takes: first what must not wait for reports.
 func (d *Daemon) gather(ctx context.Context, timer *time.Timer, events []exchange.Event) []exchange.Event {
 	timer.Reset(max(d.conf.Settings.Tick, time.Millisecond))
-	for len(events) < d.conf.Bounds.Inbox {
+	for n := 0; n < d.conf.Bounds.Inbox; n++ {
+		select {
+		case e := <-d.exchange.First():
+			events = append(events, e)
+			continue
+		default:
+		}
 		select {
 		case <-ctx.Done():
 			return events
-		case e := <-d.exchange.Inbox():
+		case e := <-d.exchange.First():
+			events = append(events, e)
+		case e := <-d.exchange.Reports():
 			events = append(events, e)
 		case <-timer.C:
 			return events
@@ -213,6 +293,10 @@
 		case rules.WakeAfter:
 			d.wakes = append(d.wakes, wake{now + rules.Time(o.After), o.Mark})
 			slices.SortStableFunc(d.wakes, func(a, b wake) int { return cmp.Compare(a.at, b.at) })
+		case rules.Forget:
+			if d.intake != nil {
+				d.intake.Forget(o.Replica)
+			}
 		case rules.Log:
 			d.log.Info().Msg(o.Text)
 		default:
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -63,7 +63,7 @@
 				_, _ = c.Write(resp.Append(nil, strings.Fields(first)...))
 				in := resp.NewReader(c, 1<<20, 64)
 				for {
-					words, err := in.Next()
+					words, err := in.Texts()
 					if err != nil {
 						heard[i] <- "ended"
 						return
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,12 +1,30 @@
 // Package exchange is where the client side and the server side meet: events go in, orders come out.
 package exchange
 
-import "zincloft.example/zincloft/rules"
+import (
+	"time"
 
-// Event is a fact and the connection that it came by, if it came by one.
+	"zincloft.example/zincloft/intake"
+	"zincloft.example/zincloft/rules"
+)
+
+// Event is a fact, or a batch of a proxy's reports in its place, and the connection that it came by, if it came by
+// one.
 type Event struct {
-	From any
-	Fact rules.Event
+	From  any
+	Fact  rules.Event
+	Batch *intake.Batch
+	Read  time.Time // when a report came
+}
+
+// report tells whether an event may wait behind all others. Joins, leaves, marks and the list may not: a drain must
+// be on its way however much is reported.
+func (e Event) report() bool {
+	switch e.Fact.(type) {
+	case nil, rules.Sums, rules.Intake:
+		return true
+	}
+	return false
 }
 
 // Clients is the side of the proxies and collectors.
@@ -21,7 +39,7 @@
 
 // Names finds replicas by the name that discovery gives them, and names by replica.
 type Names interface {
-	ID(name string) (rules.ReplicaID, bool)
+	ID(name []byte) (rules.ReplicaID, bool)
 	Name(rules.ReplicaID) (string, bool)
 }
 
@@ -34,17 +52,18 @@
 	Forget(rules.ReplicaID)
 }
 
-// Exchange carries events to the one goroutine that decides, and its orders back to both sides.
+// Exchange carries events to the one goroutine that decides, and its orders back to both sides. Reports have a lane
+// of their own, so that nothing else ever waits behind them.
 type Exchange struct {
-	inbox   chan Event
-	closed  chan struct{}
-	clients Clients
-	list    List
+	first, reports chan Event
+	closed         chan struct{}
+	clients        Clients
+	list           List
 }
 
-// New returns an Exchange in which so many events may wait.
+// New returns an Exchange in which so many reports may wait, and as many other events.
 func New(room int) *Exchange {
-	return &Exchange{inbox: make(chan Event, room), closed: make(chan struct{})}
+	return &Exchange{first: make(chan Event, room), reports: make(chan Event, room), closed: make(chan struct{})}
 }
 
 // Connect names the two sides. It is called once, before any other call.
@@ -53,30 +72,48 @@
 // Close lets all that wait in Post go.
 func (x *Exchange) Close() { close(x.closed) }
 
-// Post hands an event over. It waits while the inbox is full, so that whoever sends too much is not read from.
+func (x *Exchange) lane(e Event) chan Event {
+	if e.report() {
+		return x.reports
+	}
+	return x.first
+}
+
+// Post hands an event over. It waits while its lane is full, so that whoever sends too much is not read from.
 func (x *Exchange) Post(e Event) {
 	select {
-	case x.inbox <- e:
+	case x.lane(e) <- e:
 	case <-x.closed:
 	}
 }
 
-// Inbox is where events come out.
-func (x *Exchange) Inbox() <-chan Event { return x.inbox }
+// Offer hands an event over, unless its lane is full. It is for reports of streams: a proxy's marks come behind them.
+func (x *Exchange) Offer(e Event) bool {
+	select {
+	case x.lane(e) <- e:
+		return true
+	default:
+		return false
+	}
+}
+
+// First is where events come out that must not wait, Reports where the others do.
+func (x *Exchange) First() <-chan Event   { return x.first }
+func (x *Exchange) Reports() <-chan Event { return x.reports }
 
-// Heed returns the facts of those events that count.
-func (x *Exchange) Heed(events []Event) []rules.Event {
-	var facts []rules.Event
+// Heed returns those events that count.
+func (x *Exchange) Heed(events []Event) []Event {
+	counting := events[:0]
 	for _, e := range events {
 		if e.From == nil || x.clients.Heed(e) {
-			facts = append(facts, e.Fact)
+			counting = append(counting, e)
 		}
 	}
-	return facts
+	return counting
 }
 
 // Deliver hands the orders of one Step to the sides that carry them out, and returns those that are for the
-// caller itself: timers and log lines.
+// caller itself: timers, log lines, and replicas to forget.
 func (x *Exchange) Deliver(orders []rules.Order) (own []rules.Order) {
 	var lines []rules.Order
 	var gone []rules.ReplicaID
@@ -87,7 +124,7 @@
 		case rules.FetchList:
 			x.list.Fetch()
 		case rules.Forget:
-			gone = append(gone, o.Replica)
+			gone, own = append(gone, o.Replica), append(own, o)
 		case rules.WakeAfter, rules.Log, rules.Probe, rules.Tell:
 			own = append(own, o)
 		default:
@@ -105,7 +142,7 @@
 }
 
 // ID finds a replica by the name that discovery gives it.
-func (x *Exchange) ID(name string) (rules.ReplicaID, bool) { return x.list.ID(name) }
+func (x *Exchange) ID(name []byte) (rules.ReplicaID, bool) { return x.list.ID(name) }
 
 // Name is a replica's name.
 func (x *Exchange) Name(id rules.ReplicaID) (string, bool) { return x.list.Name(id) }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -18,7 +18,7 @@
 func (s *sides) Forget(r rules.ReplicaID)            { s.note("forget %d", r) }
 func (s *sides) Observe(on bool)                     { s.note("observe %v", on) }
 func (s *sides) Fetch()                              { s.note("fetch") }
-func (s *sides) ID(string) (rules.ReplicaID, bool)   { return 0, false }
+func (s *sides) ID([]byte) (rules.ReplicaID, bool)   { return 0, false }
 func (s *sides) Name(rules.ReplicaID) (string, bool) { return "", false }
 
 // TestDeliver has a replica's last removal in the Step that forgets it: it is written before its name goes.
@@ -27,7 +27,7 @@
 	x.Connect(s, s)
 	own := x.Deliver([]rules.Order{rules.Observe{On: true}, rules.Line{Replica: 4}, rules.Forget{Replica: 4}, rules.WakeAfter{Mark: 1}, rules.FetchList{}})
 	want := []string{"observe true", "fetch", "carry [{Table:0 Replica:4 Weight:0}]", "forget 4", "forget 4"}
-	if d := cmp.Diff(want, s.asked); d != "" || len(own) != 1 {
+	if d := cmp.Diff(want, s.asked); d != "" || len(own) != 2 {
 		t.Error(d, own)
 	}
 }
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -108,7 +108,7 @@
 		}
 		fmt.Fprintf(&trace, "%d connections\n", connections.Load())
 		name, found := l.Name(0)
-		id, back := l.ID(name)
+		id, back := l.ID([]byte(name))
 		fmt.Fprintf(&trace, "first name %q %v, back to %d %v\n", name, found, id, back)
 		cancel()
 		l.Wait()
--- a/internal/list/names.go
+++ b/internal/list/names.go
@@ -25,10 +25,10 @@
 }
 
 // ID finds a replica by its name.
-func (n *names) ID(name string) (rules.ReplicaID, bool) {
+func (n *names) ID(name []byte) (rules.ReplicaID, bool) {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	id, ok := n.ids[name]
+	id, ok := n.ids[string(name)]
 	return id, ok
 }
 
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 )
 
@@ -15,11 +16,13 @@
 	Words int // words of a message
 	r     *bufio.Reader
 	left  int
+	text  []byte // of the message read last
+	words [][]byte
 }
 
 // NewReader returns a Reader on r.
 func NewReader(r io.Reader, limit, words int) *Reader {
-	return &Reader{Limit: limit, Words: words, r: bufio.NewReaderSize(r, 4<<10)}
+	return &Reader{Limit: limit, Words: words, r: bufio.NewReaderSize(r, buffer)}
 }
 
 // Broken tells that what came is no message: it can't be said where the next one begins.
@@ -29,24 +32,55 @@
 
 func broken(format string, a ...any) error { return Broken(fmt.Sprintf(format, a...)) }
 
-const chunk = 4 << 10
+const (
+	chunk  = 4 << 10
+	buffer = 1 << 10 // thousands of streams are open at once, and most of their messages are short
+	keep   = 8 << 10 // of a message's memory, for the next one
+)
 
-// Next reads one message. It returns io.EOF only where the input ends between messages.
-func (r *Reader) Next() ([]string, error) {
-	r.left = r.Limit
+// Next reads one message, whose words hold until the next call. It returns io.EOF only where the input ends between
+// messages.
+func (r *Reader) Next() ([][]byte, error) {
+	if cap(r.text) > keep {
+		r.text = nil
+	}
+	r.left, r.text, r.words = r.Limit, r.text[:0], r.words[:0]
 	n, err := r.head('*', r.Words)
 	if err != nil {
 		return nil, err
 	}
-	words := make([]string, n)
-	for i := range words {
-		if words[i], err = r.word(); err != nil {
+	var ends [64]int
+	at := ends[:0]
+	for range n {
+		if err = r.word(); err != nil {
 			return nil, inside(err)
 		}
+		at = append(at, len(r.text))
 	}
-	return words, nil
+	from := 0
+	for _, to := range at { // the text has its place for good only now
+		r.words = append(r.words, r.text[from:to:to])
+		from = to
+	}
+	return r.words, nil
 }
 
+// Texts is Next for those who keep the words.
+func (r *Reader) Texts() ([]string, error) {
+	words, err := r.Next()
+	if err != nil {
+		return nil, err
+	}
+	texts := make([]string, len(words))
+	for i, w := range words {
+		texts[i] = string(w)
+	}
+	return texts, nil
+}
+
+// Size is how many bytes the message read last had.
+func (r *Reader) Size() int { return r.Limit - r.left }
+
 // inside is what an error means within a message: an end there is a cut.
 func inside(err error) error {
 	if errors.Is(err, io.EOF) {
@@ -55,26 +89,33 @@
 	return err
 }
 
-func (r *Reader) word() (string, error) {
+// word adds a word to the message's text.
+func (r *Reader) word() error {
 	n, err := r.head('$', r.left)
 	if err != nil {
-		return "", err
+		return err
 	}
 	if r.left -= n + 2; r.left < 0 {
-		return "", broken("a message of more than %d bytes", r.Limit)
+		return broken("a message of more than %d bytes", r.Limit)
 	}
-	var b []byte
-	for n += 2; len(b) < n; {
-		at := len(b)
-		b = append(b, make([]byte, min(n-at, chunk))...)
-		if _, err := io.ReadFull(r.r, b[at:]); err != nil {
-			return "", err
+	for n > 0 {
+		at, most := len(r.text), min(n, chunk)
+		r.text = slices.Grow(r.text, most)[:at+most]
+		if _, err := io.ReadFull(r.r, r.text[at:]); err != nil {
+			return err
 		}
+		n -= most
 	}
-	if b[n-2] != '\r' || b[n-1] != '\n' {
-		return "", broken("a word without its end")
+	for _, want := range "\r\n" {
+		got, err := r.r.ReadByte()
+		if err != nil {
+			return err
+		}
+		if got != byte(want) {
+			return broken("a word without its end")
+		}
 	}
-	return string(b[:n-2]), nil
+	return nil
 }
 
 // head reads a line of a mark and a number from 0 to most.
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -22,7 +22,7 @@
 		r := NewReader(in, 4*chunk, 4)
 		var got [][]string
 		for {
-			words, err := r.Next()
+			words, err := r.Texts()
 			if errors.Is(err, io.EOF) {
 				break
 			} else if err != nil {
@@ -62,11 +62,11 @@
 	f.Fuzz(func(t *testing.T, in string) {
 		r := NewReader(strings.NewReader(in), 1<<10, 8)
 		for {
-			words, err := r.Next()
+			words, err := r.Texts()
 			if err != nil {
 				return
 			}
-			again, err := NewReader(strings.NewReader(string(Append(nil, words...))), 1<<10, 8).Next()
+			again, err := NewReader(strings.NewReader(string(Append(nil, words...))), 1<<10, 8).Texts()
 			if d := cmp.Diff(words, again); d != "" || err != nil {
 				t.Fatal(d, err)
 			}
--- a/rules/api.go
+++ b/rules/api.go
@@ -188,6 +188,17 @@
 		Dropped int // let in, but not answered
 		Over    time.Duration
 	}
+	// Pair tells that tries of one proxy at one replica were dropped, as intake remembers it: counts fade with time.
+	Pair struct {
+		Proxy          ProxyID
+		Replica        ReplicaID
+		Tries, Dropped float64
+		Elsewhere      float64 // share of tries that the replica drops at all other proxies
+		Others         float64 // share of tries that the proxy drops at all other replicas
+		// What became of further tries at all pairs of the replica that had dropped one: of drops that hit any proxy by
+		// chance few drop again, where some proxies fail there nearly all do.
+		Again, AgainDropped float64
+	}
 	// Probed answers a Probe order.
 	Probed struct {
 		Replica ReplicaID
@@ -228,6 +239,7 @@
 func (Applied) event()    {}
 func (Sums) event()       {}
 func (Intake) event()     {}
+func (Pair) event()       {}
 func (Probed) event()     {}
 func (Peer) event()       {}
 func (SliceGiven) event() {}
@@ -277,6 +289,12 @@
 		Replica ReplicaID
 		Out     bool
 	}
+	// Shun shuts a replica out at one proxy alone, or lets it in again there.
+	Shun struct {
+		Proxy   ProxyID
+		Replica ReplicaID
+		Out     bool
+	}
 	// Mark asks the proxies that this Step's messages reach for an Applied event.
 	Mark struct {
 		Version uint16
@@ -310,6 +328,7 @@
 func (Bind) order()       {}
 func (ClearTable) order() {}
 func (Withdraw) order()   {}
+func (Shun) order()       {}
 func (Mark) order()       {}
 func (WakeAfter) order()  {}
 func (Observe) order()    {}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -38,9 +38,15 @@
 	dropShareBad  = 0.35    // share of dropped tries from which a replica may be held out
 	manyTimes     = 3.0     // dropping so many times more than the rest is bad; bounds a measured speed too
 	owedToJudge   = 8.0     // answers owed after which silence counts
+	wholeRound    = 0.8     // with so many replicas by those of the round before, a quiet zone has said all
 	trickle       = 0.15    // part of its fair share that a replica held out still gets
 	goodToReturn  = 2       // good answers in a row after which it returns
-	outMost       = 0.4     // part of the fleet that may be held out at once
+	outMost       = 0.4     // part of the fleet, or of one proxy's table, that may be held out at once
+	pairShare     = 0.5     // share of dropped tries from which a pair of proxy and replica may be bad
+	leastRate     = 0.001   // share of tries that any pair is taken to drop by chance
+	pairPrior     = 2.0     // further tries at pairs of a replica are judged with so many good ones added
+	shunPeriods   = 12.0    // a proxy shuts a replica out for so long, twice as long each time that it fails on
+	shunsMost     = 16.0    // and so many times as long at the most
 	loadWanted    = 0.8     // flows are blocked to keep the fleet at this load
 	letDelay      = 3       // reviews until the sums show what a changed level did
 	fillMost      = 0.9     // part of the lines that may wait, by our count of them
@@ -61,7 +67,7 @@
 func (g *Governor) Step(now Time, events []Event) []Order {
 	g.orders, g.lines, g.written = nil, 0, 0
 	g.step++
-	var listed, woken, joined bool
+	var listed, woken, joined, held bool
 	for _, e := range events {
 		switch e := e.(type) {
 		case Start:
@@ -73,8 +79,8 @@
 			g.list(now, e)
 		case Wake:
 			if g.on && e.Mark == g.mark {
-				woken = true
-				g.wake()
+				woken, held = true, now-g.wakeAt > Time(g.fig.period/4)
+				g.wake(now)
 			}
 		case Joined:
 			joined = true
@@ -84,9 +90,11 @@
 		case Applied:
 			g.confirm(e)
 		case Sums:
-			g.sums(e)
+			g.sums(now, e)
 		case Intake:
 			g.intake(e)
+		case Pair:
+			g.judge(now, e)
 		}
 	}
 	if !g.on {
@@ -96,8 +104,10 @@
 	due := g.sumsCame && since >= g.fig.period*3/4 || since >= g.fig.period*3/2
 	if due {
 		g.review(now, since)
+		g.release(now)
 	}
-	if g.lists > 0 && (due || listed) {
+	marked := woken && !held && g.silence(now)
+	if g.lists > 0 && (due || listed || marked) {
 		g.weigh(now)
 	}
 	if g.lists > 0 && (due || listed || woken || joined && !g.taught) {
@@ -151,11 +161,13 @@
 	g.meanLoad, g.cover = 0.5, s.Period // guesses until the first sums
 	g.holdUntil = now + Time(s.Period*letDelay)
 	g.let = slices.Repeat([]float64{1}, 4*letDelay)
-	g.wake()
+	g.zones = make([]zone, s.Zones)
+	g.wake(now)
 }
 
-func (g *Governor) wake() {
+func (g *Governor) wake(now Time) {
 	g.mark++
+	g.wakeAt = now + Time(g.fig.period/4)
 	g.orders = append(g.orders, WakeAfter{g.fig.period / 4, g.mark})
 }
 
@@ -207,12 +219,14 @@
 	for _, n := range e.Entries {
 		r := g.byID[n.Replica]
 		if r == nil {
-			r = &replica{id: n.Replica, sent: make([]float64, len(g.tables))}
+			r = &replica{id: n.Replica, sent: make([]float64, len(g.tables)), rounds: make([]int, len(g.zones))}
 			g.byID[r.id] = r
 			g.replicas = append(g.replicas, r)
 		}
 		if n.StartedAt != r.started || n.State == Ready && r.state == Gone {
-			*r = replica{id: r.id, started: n.StartedAt, heardAt: now, table: r.table, sent: r.sent, lines: r.lines}
+			clear(r.rounds)
+			*r = replica{id: r.id, started: n.StartedAt, heardAt: now, table: r.table, sent: r.sent, lines: r.lines,
+				rounds: r.rounds}
 		}
 		r.zone, r.kind, r.state, r.listed, r.inList = n.Zone, n.Kind, n.State, n.Listed, g.lists
 		if !(r.listed > 0) || math.IsInf(r.listed, 0) {
@@ -229,11 +243,14 @@
 	}
 }
 
-func (g *Governor) sums(e Sums) {
+func (g *Governor) sums(now Time, e Sums) {
 	r := g.byID[e.Replica]
 	if r == nil || e.Tries <= 0 || e.Dropped < 0 || e.Dropped > e.Tries || e.Over <= 0 {
 		return
 	}
+	if g.hear(now, r, e.Zone); e.Dropped < e.Tries {
+		r.owed = 0
+	}
 	g.sumsCame, g.longest, r.newOver = true, max(g.longest, e.Over), max(r.newOver, e.Over)
 	r.newTries, r.newDrops = r.newTries+float64(e.Tries), r.newDrops+float64(e.Dropped)
 	r.newTime += e.Took.Seconds() * float64(e.Tries-e.Dropped)
@@ -361,9 +378,7 @@
 func (g *Governor) health(now Time, f *fleet) {
 	for _, r := range g.replicas {
 		good := r.newTries - r.newDrops
-		if good > 0 {
-			r.owed = 0
-		} else if f.sent > 0 && now-r.heardAt > Time(2*g.cover-g.fig.period*5/4) { // or its sums may wait
+		if good <= 0 && f.sent > 0 && now-r.heardAt > Time(2*g.cover-g.fig.period*5/4) { // or its sums may wait
 			r.owed += f.tries * r.ordered(common) / f.sent
 		}
 		if r.out {
@@ -382,11 +397,97 @@
 		if r.refused = 0; dropping && r.drops < r.tries-1 && links > g.fig.links {
 			dropping, r.refused = false, r.drops/r.tries
 		}
-		if r.state == Ready && (dropping || r.owed >= owedToJudge) && f.out < f.ready*outMost {
+		if r.state == Ready && dropping && f.out < f.ready*outMost {
 			r.out, r.streak = true, 0
 			f.out++
 		}
 	}
+	g.outMost = int(f.ready*outMost - f.out)
+}
+
+// hear notes that a zone has spoken of a replica. What two collectors of a zone say of one time, or one of
+// them after a stall, is one round.
+func (g *Governor) hear(now Time, r *replica, id ZoneID) {
+	if int(id) >= len(g.zones) {
+		return
+	}
+	z := &g.zones[id]
+	if r.rounds[id] == z.round && (z.round == 0 || now-z.began >= Time(g.fig.period*3/4)) {
+		z.round, z.before, z.heard, z.began = z.round+1, z.heard, 0, now
+	}
+	if z.at = now; r.rounds[id] != z.round {
+		r.rounds[id], z.heard = z.round, z.heard+1
+	}
+}
+
+// silence holds out replicas that owe answers, once every zone which has spoken of one, and still speaks, has
+// gone a whole round without a word of it. So both must tell: the traffic, by answers owed, and the time, by
+// what was heard meanwhile. A review is due when a round begins and hears the head of it alone; what it
+// missed comes a moment later, and at much traffic one missed review is owed hundreds of answers. A round is
+// over when the next has begun, or when its collector is quiet after about as many replicas as last time.
+// Against hangs; it also catches a path that is cut for all. Not judged on a wake-up that comes late: then it
+// is we who were held up. Harm: a governor that is always late leaves a hung replica in until tries there are
+// dropped.
+func (g *Governor) silence(now Time) (marked bool) {
+	for _, r := range g.replicas {
+		if r.out || r.state != Ready || r.owed < owedToJudge || g.outMost <= 0 {
+			continue
+		}
+		spoke, still := false, false
+		for i, z := range g.zones {
+			if r.rounds[i] == 0 || now-z.at > Time(2*g.cover) {
+				continue
+			}
+			gap, quiet := z.round-r.rounds[i], now-z.at >= Time(g.fig.period/8)
+			spoke = true
+			still = still || gap == 0 || gap == 1 && !(quiet && float64(z.heard) >= wholeRound*float64(z.before))
+		}
+		if spoke && !still {
+			r.out, r.streak, marked = true, 0, true
+			g.outMost--
+		}
+	}
+	return marked
+}
+
+// judge shuts a replica out at one proxy, where tries between the two are dropped that neither drops
+// elsewhere: against a replica that fails for a few proxies only, whose drops the sums of a zone hide; it
+// also catches a path cut between the two. A proxy that drops tries at many replicas has a bad path of its
+// own, and a replica that drops them for many is for health to judge. Drops must be more than chance brings
+// all pairs together, or those that dropped one there must drop further ones. Nothing is heard of a pair shut
+// out, so it ends by time. A proxy keeps most of its table, and cold replicas are left alone. Harm: drops by
+// chance cost a proxy one line for a while.
+func (g *Governor) judge(now Time, e Pair) {
+	p, r := g.proxies[e.Proxy], g.byID[e.Replica]
+	if p == nil || r == nil || r.state != Ready || r.out || !g.warm(now, r) || !(e.Tries >= e.Dropped) {
+		return
+	}
+	share, usual, s := e.Dropped/e.Tries, max(e.Elsewhere, e.Others), p.shunning(r)
+	byChance := math.Pow(max(usual, leastRate), e.Dropped) * float64(len(g.proxies)*len(g.replicas))
+	if s != nil && s.out || !(share >= pairShare) || share < manyTimes*usual ||
+		byChance > 1 && e.AgainDropped < pairShare*(e.Again+pairPrior) || g.without(p, r) > outMost ||
+		g.take(now, []*proxy{p}, 1, 1, g.fig.pacedLines, g.fig.messageCap/2) == 0 {
+		return
+	}
+	span := Time(shunPeriods * float64(g.fig.period))
+	if s != nil {
+		span = min(2*s.span, span*shunsMost)
+	}
+	g.shun(now, p, r, span)
+}
+
+// release lets replicas in again at single proxies, when their time is over or too little else is left.
+func (g *Governor) release(now Time) {
+	for _, p := range g.shunners {
+		for i := range p.shuns {
+			s := &p.shuns[i]
+			if s.out && g.byID[s.r.id] == s.r && (now >= s.until || g.without(p, nil) > outMost) &&
+				g.take(now, []*proxy{p}, 1, 1, g.fig.lineCap, g.fig.messageCap) > 0 {
+				g.unshun(p, s)
+			}
+		}
+	}
+	g.forgetShuns(now)
 }
 
 // weigh sets the wanted weights, by spare capacity under the bounds of bound.
--- a/rules/state.go
+++ b/rules/state.go
@@ -52,7 +52,8 @@
 	newHeld, wait                           float64 // flows that it holds, by its reports; seconds that they take
 	newTime, time                           float64 // seconds that good tries took: new, over the speed window
 	newOver                                 time.Duration
-	heardAt                                 Time // the last review that had sums of it
+	heardAt                                 Time  // the last review that had sums of it
+	rounds                                  []int // of each zone, the last that had sums of it; 0: none
 
 	known        bool    // its load has been reported
 	load         float64 // smoothed
@@ -118,6 +119,15 @@
 	table    [2]*table
 	messages []Time // written within the message span
 	step     int    // the last Step that wrote to it
+	shuns    []shun // oldest first
+}
+
+// shun is a replica that one proxy shuts out, or did until lately.
+type shun struct {
+	r     *replica
+	out   bool
+	until Time
+	span  Time // from the order on
 }
 
 // parcel is what one Step put into the channel.
@@ -138,6 +148,7 @@
 	byID     map[ReplicaID]*replica
 	proxies  map[ProxyID]*proxy
 	waiting  []*proxy // joined and not yet bound, most flows first
+	shunners []*proxy // those with shuns
 	tables   []*table
 	groups   []group // least merit first
 
@@ -148,8 +159,11 @@
 	reviewed         Time
 	sumsCame, taught bool          // sums came since the last review; have been reviewed
 	longest, cover   time.Duration // what sums are counted over: the longest since the last review, and smoothed
-	holdUntil        Time          // until then, or the first sums, proxies keep what a former life gave them
-	newFlows         float64       // that came to proxies since the last review
+	zones            []zone
+	outMost          int     // replicas that may still be held out
+	wakeAt           Time    // when the wake-up is due
+	holdUntil        Time    // until then, or the first sums, proxies keep what a former life gave them
+	newFlows         float64 // that came to proxies since the last review
 
 	meanLoad, dropShare float64 // of the replicas in service
 	demand              float64 // tries by what the fleet can answer, or its load if that is more
@@ -165,6 +179,13 @@
 	lines, written float64 // lines and messages put into it by this Step
 }
 
+// zone is what a zone's collector has passed on. It is through a round when it speaks again of a replica that it
+// has spoken of in that round.
+type zone struct {
+	round, heard, before int  // rounds so far; replicas heard of in this one and in the one before
+	began, at            Time // of this round; its latest sums
+}
+
 // pace is flows answered, and periods spent busy for them by listed weight.
 type pace struct{ served, busy float64 }
 
@@ -302,9 +323,67 @@
 		}
 	}
 	g.waiting = slices.DeleteFunc(g.waiting, is)
+	if len(p.shuns) > 0 {
+		g.shunners = slices.DeleteFunc(g.shunners, is)
+	}
 	delete(g.proxies, id)
 }
 
+// shunning finds what a proxy has against a replica.
+func (p *proxy) shunning(r *replica) *shun {
+	i := slices.IndexFunc(p.shuns, func(s shun) bool { return s.r == r })
+	if i < 0 {
+		return nil
+	}
+	return &p.shuns[i]
+}
+
+// without is the part of a proxy's tables, of the worst of them, that it shuts out, or would with r besides.
+func (g *Governor) without(p *proxy, r *replica) (most float64) {
+	for _, t := range p.table {
+		if t == nil {
+			continue
+		}
+		shut, all := 0.0, 0.0
+		if r != nil {
+			shut = r.sent[t.id]
+		}
+		for _, s := range p.shuns {
+			if s.out && s.r != r {
+				shut += s.r.sent[t.id]
+			}
+		}
+		if shut == 0 {
+			continue
+		}
+		for _, other := range g.replicas {
+			all += other.sent[t.id]
+		}
+		most = max(most, shut/max(all, math.SmallestNonzeroFloat32))
+	}
+	return most
+}
+
+// shun orders a proxy to shut a replica out for a time.
+func (g *Governor) shun(now Time, p *proxy, r *replica, span Time) {
+	s := p.shunning(r)
+	if s == nil {
+		if len(p.shuns) == 0 {
+			g.shunners = append(g.shunners, p)
+		}
+		p.shuns = append(p.shuns, shun{r: r})
+		s = &p.shuns[len(p.shuns)-1]
+	}
+	s.out, s.span, s.until = true, span, now+span
+	g.orders = append(g.orders, Shun{p.id, r.id, true})
+}
+
+// unshun lets a replica in again at a proxy.
+func (g *Governor) unshun(p *proxy, s *shun) {
+	s.out = false
+	g.orders = append(g.orders, Shun{p.id, s.r.id, false})
+}
+
 // expected is what a table's flows will be from a proxy, by what it told at joining.
 func (g *Governor) expected(p *proxy, t *table) float64 {
 	groups := float64(bits.OnesCount16(uint16(g.fig.groups[t.kind]))) / float64(len(g.groups))
@@ -340,3 +419,14 @@
 	}
 	g.queue -= c.lines / c.messages
 }
+
+// forgetShuns drops what proxies have against replicas that are gone, and what has not been renewed for as long as
+// it lasted.
+func (g *Governor) forgetShuns(now Time) {
+	g.shunners = slices.DeleteFunc(g.shunners, func(p *proxy) bool {
+		p.shuns = slices.DeleteFunc(p.shuns, func(s shun) bool {
+			return g.byID[s.r.id] != s.r || !s.out && now >= s.until+s.span
+		})
+		return len(p.shuns) == 0
+	})
+}
