--- a/cmd/zincloft/main_test.go
+++ b/cmd/zincloft/main_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
 )
 
 // TestMain lets the test start this program as a process of its own.
@@ -15,7 +18,19 @@
 		main()
 		return
 	}
-	os.Exit(m.Run())
+	testscript.Main(m, map[string]func(){"zincloft": main})
+}
+
+// TestCommands runs the scripts in testdata, each of which is a session at a shell.
+func TestCommands(t *testing.T) {
+	example, err := filepath.Abs("../../deploy/example.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, testscript.Params{Dir: "testdata", Setup: func(e *testscript.Env) error {
+		e.Setenv("EXAMPLE", example)
+		return nil
+	}})
 }
 
 // TestSignals has SIGHUP come from the first line of the log on: it never ends the program, and SIGTERM does.
--- a/internal/collectd/collectd_test.go
+++ b/internal/collectd/collectd_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -306,3 +307,25 @@
 type drain struct{ inbox }
 
 func (*drain) Offer(exchange.Event) bool { return true }
+
+// TestReplay has a signed packet come twice, and again an hour later: its figures count once.
+func TestReplay(t *testing.T) {
+	x := &inbox{}
+	o := options()
+	o.Level, o.Password = Sign, password
+	o.Figures = []Figure{{Figure: intake.InFlight, Plugin: "cpu", PluginInstance: "0", Type: "percent", Scale: 1}}
+	s := New(o, x, &counts.Counts{})
+	in := intake.New(intake.Settings{Period: time.Second, Budget: 10, HalfLife: time.Second, MostAge: 10 * time.Second, Pairs: 1})
+	packet := protected(t, Sign, "web", "secret")
+	var got []intake.Cause
+	for _, at := range []int64{1_700_000_001, 1_700_000_002, 1_700_003_600} {
+		x.loads = nil
+		s.Packet(from("127.0.0.1:1"), packet, time.Unix(at, 0))
+		for _, l := range x.loads {
+			got = append(got, in.Load(rules.Time(at)*rules.Time(time.Second), l))
+		}
+	}
+	if want := []intake.Cause{intake.Kept, intake.Repeated, intake.TooOld}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
