Start from disk: a store that survives kills and damage, a list weighed by its age

Need: a governor that restarts while discovery is away knew nothing, and had always learnt nothing.

Change: internal/store keeps list, numbers and what was learnt in a bbolt file, a value and a checksum a replica, written beside the deciding goroutine; recovery weighs it by age, takes no kept replica for warm, and gives way to discovery's first answer; rules.Recalled; zincloft state show, verify, export, compact. Off unless [state] names a folder. A test found that a held out replica among cold ones would draw all flows: it is held out again only once discovery has confirmed most of the list.

--- a/cmd/zincloft/main.go
+++ b/cmd/zincloft/main.go
@@ -18,6 +18,8 @@
 	"zincloft.example/zincloft/internal/daemon"
 )
 
+var getenv = os.Getenv
+
 // failure is an error that has been told already, and the exit status that it means.
 type failure struct {
 	error
@@ -46,6 +48,7 @@
 		Args: cobra.NoArgs, RunE: serve, SilenceUsage: true, SilenceErrors: true}
 	root.PersistentFlags().StringVar(&operator, "operator", "", "the operator file (TOML); else ZINCLOFT_OPERATOR, else none")
 	root.AddCommand(
+		state(&operator),
 		&cobra.Command{Use: "serve", Short: "Serve as LB_CONFIG and the operator file say, until SIGTERM", Args: cobra.NoArgs, RunE: serve},
 		&cobra.Command{Use: "check", Short: "Print what would hold, or what is wrong; listen on nothing", Args: cobra.NoArgs,
 			RunE: func(c *cobra.Command, _ []string) error { return check(c, operator) }},
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -26,6 +26,15 @@
 	Intake   IntakeOptions
 	Graphite GraphiteOptions
 	Collectd CollectdOptions
+	State    StateOptions
+}
+
+// StateOptions are the section [state].
+type StateOptions struct {
+	Dir      string        // "": nothing is kept
+	Sync     time.Duration // from write to write; what is newer is lost at a kill
+	HalfLife time.Duration // a list of this age is trusted by half
+	MostAge  time.Duration // an older one is not used
 }
 
 // GraphiteOptions are the section [graphite].
@@ -134,6 +143,14 @@
 		Hosts     map[string]string `toml:"hosts"`
 		Figures   []figureMapping   `toml:"figures"`
 	} `toml:"collectd"`
+	State stateSection `toml:"state"`
+}
+
+type stateSection struct {
+	Dir      string  `toml:"dir"`
+	Sync     seconds `toml:"sync"`
+	HalfLife seconds `toml:"half_life"`
+	MostAge  seconds `toml:"most_age"`
 }
 
 type figureMapping struct {
@@ -158,6 +175,7 @@
 	f.Intake.HalfLife, f.Intake.MostAge = seconds(2*time.Second), seconds(10*time.Second)
 	f.Graphite.Prefix, f.Graphite.Interval = "zincloft", seconds(10*time.Second)
 	f.Collectd.Allow, f.Collectd.Security, f.Collectd.PacketsPS = []string{"127.0.0.0/8"}, "none", 2000
+	f.State.Sync, f.State.HalfLife, f.State.MostAge = seconds(5*time.Second), seconds(10*time.Minute), seconds(24*time.Hour)
 	return f
 }
 
@@ -193,6 +211,7 @@
 	i, g, d := &f.Intake, &f.Graphite, &f.Collectd
 	out := Operator{Path: path, Graphite: GraphiteOptions{Address: g.Address, Prefix: g.Prefix, Interval: time.Duration(g.Interval), Points: g.Points},
 		Collectd: CollectdOptions{Listen: d.Listen, Security: levelNames[d.Security], Users: d.Users, PacketsPS: d.PacketsPS, Hosts: d.Hosts}}
+	out.State = StateOptions{Dir: f.State.Dir, Sync: time.Duration(f.State.Sync), HalfLife: time.Duration(f.State.HalfLife), MostAge: time.Duration(f.State.MostAge)}
 	for _, a := range d.Allow {
 		prefix, _ := prefix(a) // checked
 		out.Collectd.Allow = append(out.Collectd.Allow, prefix)
@@ -265,6 +284,9 @@
 		{"collectd.security", `want "none", "sign" or "encrypt"`, level},
 		{"collectd.users", "want a file that can be read; it is needed where packets must be signed or encrypted", users},
 		{"collectd.packets_per_s", "want 1 or more", d.PacketsPS >= 1},
+		{"state.sync", "want 100ms or more", f.State.Sync >= seconds(100*time.Millisecond)},
+		{"state.half_life", "want a time above 0", f.State.HalfLife > 0},
+		{"state.most_age", "want no less than state.half_life", f.State.MostAge >= f.State.HalfLife},
 		{"collectd.figures", "want one or more, each with figure (util, inflight or latency_ms), plugin and type", mapped},
 		{"intake.reports", `want "off", "pairs" or "sums"`, i.Reports == string(ReportsOff) || i.Reports == string(ReportsPairs) || i.Reports == string(ReportsSums)},
 		{"intake.records_per_s", "want 0 or more", i.RecordsPerS >= 0},
@@ -337,7 +359,7 @@
 		c.Limits, c.Settings.Period = usualLimits, time.Second
 	}
 	o, in, g, d := c.Operator.Intake, c.IntakeSettings(), c.GraphiteSender(), c.Operator.Collectd
-	security := ""
+	st, security := c.Operator.State, ""
 	for name, level := range levelNames {
 		if level == d.Security {
 			security = name
@@ -364,6 +386,12 @@
 users = %q
 packets_per_s = %d
 # %d hosts are mapped by name, %d figures are read
+
+[state]
+dir = %q
+sync = %q
+half_life = %q
+most_age = %q
 `, o.Reports, int(float64(in.Budget)/in.Period.Seconds()), o.HalfLife, o.MostAge, in.Pairs, cmp.Or(o.StreamBytesPS, streamBytes),
-		g.Address, g.Prefix, g.Interval, g.Points, d.Listen, d.Allow, security, d.Users, d.PacketsPS, len(d.Hosts), len(d.Figures))
+		g.Address, g.Prefix, g.Interval, g.Points, d.Listen, d.Allow, security, d.Users, d.PacketsPS, len(d.Hosts), len(d.Figures), st.Dir, st.Sync, st.HalfLife, st.MostAge)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,8 @@
 	"zincloft.example/zincloft/internal/exchange"
 	"zincloft.example/zincloft/internal/graphite"
 	"zincloft.example/zincloft/internal/list"
+	"zincloft.example/zincloft/internal/store"
+	"zincloft.example/zincloft/recovery"
 	"zincloft.example/zincloft/rules"
 )
 
@@ -55,6 +57,11 @@
 	counted intake.Counts // since then
 	since   intake.Counts // since the start
 
+	recovery *recovery.Recovery              // until discovery has spoken, after a start from disk
+	entries  map[rules.ReplicaID]rules.Entry // of the list as it stands; nil where nothing is kept
+	writer   *store.Writer
+	keepAt   time.Time // of the next write
+
 	graphite *graphite.Sender // nil: nothing is sent
 	viewAt   time.Time        // of the next snapshot
 	counts   counts.Counts
@@ -104,7 +111,12 @@
 	runtime.GOMAXPROCS(max(int(d.conf.Limits.Cores), 1))
 	debug.SetMemoryLimit(d.conf.Limits.MemoryMB << 20 / 4 * 3)
 	first := []rules.Event{rules.Start{Seed: d.conf.Seed, Settings: d.conf.Settings.Settings}}
-	if len(d.conf.Known) > 0 {
+	events, writer := d.recall()
+	first, d.writer = append(first, events...), writer
+	if d.writer != nil { // it closes the file whatever comes
+		d.fronts.Go(func() { d.writer.Run(ctx) })
+	}
+	if len(d.conf.Known) > 0 && len(events) == 0 {
 		known, err := d.list.Known(d.conf.Known)
 		if err == nil {
 			first = append(first, known)
@@ -114,11 +126,15 @@
 	}
 	l, err := listen()
 	if err != nil {
+		cancel()
+		d.fronts.Wait()
 		return fmt.Errorf("LB_LISTEN: %w", err)
 	}
 	machines, err := d.machines()
 	if err != nil {
 		l.Close()
+		cancel()
+		d.fronts.Wait()
 		return err
 	}
 	defer func() {
@@ -237,6 +253,7 @@
 				return err
 			}
 			d.view()
+			d.keep()
 		}
 	}
 	return nil
@@ -274,7 +291,7 @@
 	for now := d.now(); len(d.wakes) > 0 && d.wakes[0].at <= now; d.wakes = d.wakes[1:] {
 		facts = append(facts, rules.Wake{Mark: d.wakes[0].mark})
 	}
-	return facts
+	return d.recover(facts)
 }
 
 // lateSteps bounds what is heard before a late timer, in times of the inbox: against senders that never stop.
@@ -381,6 +398,7 @@
 			d.wakes = append(d.wakes, wake{now + rules.Time(o.After), o.Mark})
 			slices.SortStableFunc(d.wakes, func(a, b wake) int { return cmp.Compare(a.at, b.at) })
 		case rules.Forget:
+			delete(d.entries, o.Replica)
 			if d.intake != nil {
 				d.intake.Forget(o.Replica)
 			}
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"zincloft.example/zincloft/internal/config"
+	"zincloft.example/zincloft/recovery"
 	"zincloft.example/zincloft/rules"
 )
 
@@ -30,6 +32,7 @@
 	calls   *caller            // to the address that counts
 	version Version            // of the list as posted last
 	based   bool               // there is such a version, so changes from it can be asked for
+	heard   time.Time          // when an answer was good last
 	watched bool               // a watch is wanted and has not failed
 	end     context.CancelFunc // of the watch that counts
 }
@@ -57,6 +60,24 @@
 	return out, nil
 }
 
+// Restore takes on what a former life kept: names by number, and the version from which changes are asked for.
+func (l *List) Restore(kept recovery.Kept) {
+	for _, r := range kept.Replicas {
+		l.restore(r.Name, r.Entry.Replica)
+	}
+	l.mu.Lock()
+	l.next = max(l.next, kept.Next)
+	l.mu.Unlock()
+	l.version, l.based = Version(kept.Version), true
+}
+
+// Held is the version of the list as posted last, and when discovery was last heard; zero: never.
+func (l *List) Held() (Version, time.Time) {
+	l.held.Lock()
+	defer l.held.Unlock()
+	return l.version, l.heard
+}
+
 // Observe begins a watch, which ends any earlier one, or ends it.
 func (l *List) Observe(on bool) {
 	l.held.Lock()
@@ -152,7 +173,7 @@
 		err = fmt.Errorf("the list went back from version %d to %d", l.version, *got.Version)
 		l.based = false
 	} else if err == nil {
-		l.version, l.based = *got.Version, true
+		l.version, l.based, l.heard = *got.Version, true, time.Now()
 	}
 	l.watched = l.watched && err == nil
 	l.held.Unlock()
--- a/internal/list/names.go
+++ b/internal/list/names.go
@@ -51,6 +51,20 @@
 	}
 }
 
+// restore gives a replica the number that it had in a former life.
+func (n *names) restore(name string, id rules.ReplicaID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ids[name], n.named[id], n.next = id, holder{name, true}, max(n.next, id+1)
+}
+
+// Next is the number that the next new replica gets.
+func (n *names) Next() rules.ReplicaID {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.next
+}
+
 func (n *names) add(name string, listed bool) rules.ReplicaID {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- /dev/null
+++ b/internal/store/writer.go
@@ -0,0 +1,64 @@
+package store
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"zincloft.example/zincloft/recovery"
+)
+
+// Writer writes beside the deciding goroutine. What is offered while it still writes is passed over: the next one holds all
+// of it.
+type Writer struct {
+	store *Store
+	log   zerolog.Logger
+	in    chan recovery.Kept
+	wrong bool // and told
+}
+
+// NewWriter returns a Writer that writes nothing before Run.
+func NewWriter(s *Store, log zerolog.Logger) *Writer {
+	return &Writer{store: s, log: log, in: make(chan recovery.Kept, 1)}
+}
+
+// Ready tells whether there is room for an offer.
+func (w *Writer) Ready() bool { return len(w.in) == 0 }
+
+// Offer hands over what is to be kept. It never waits.
+func (w *Writer) Offer(k recovery.Kept) {
+	select {
+	case w.in <- k:
+	default:
+	}
+}
+
+// Run writes until ctx ends, then what still waits, and closes the store. Trouble is told when it begins and when it ends.
+func (w *Writer) Run(ctx context.Context) {
+	for {
+		select {
+		case k := <-w.in:
+			w.write(k)
+		case <-ctx.Done():
+			select {
+			case k := <-w.in:
+				w.write(k)
+			default:
+			}
+			if err := w.store.Close(); err != nil {
+				w.log.Warn().Err(err).Msg("state")
+			}
+			return
+		}
+	}
+}
+
+func (w *Writer) write(k recovery.Kept) {
+	_, err := w.store.Write(k)
+	if err != nil && !w.wrong {
+		w.log.Warn().Err(err).Msg("state can't be written")
+	} else if err == nil && w.wrong {
+		w.log.Info().Msg("state is written again")
+	}
+	w.wrong = err != nil
+}
--- /dev/null
+++ b/recovery/recovery_test.go
@@ -0,0 +1,334 @@
+package recovery
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"zincloft.example/zincloft/rules"
+)
+
+const second = rules.Time(time.Second)
+
+var set = Settings{HalfLife: 10 * time.Minute, MostAge: 24 * time.Hour}
+
+// kept is a list of replicas that all started long ago, of which even ones are twice as fast as odd ones.
+func kept(n int, heard rules.Time) Kept {
+	k := Kept{Governor: "n1", Discovery: "d", Version: 7, Heard: heard, Written: heard + second, Next: rules.ReplicaID(n)}
+	for i := range n {
+		id := rules.ReplicaID(i)
+		k.Replicas = append(k.Replicas, Replica{Name: fmt.Sprint("s", i), Entry: rules.Entry{Replica: id, State: rules.Ready, Listed: 1},
+			Learnt: rules.Recalled{Replica: id, Speed: 1.25 - 0.75*float64(i%2), Answers: 12.5 - 7.5*float64(i%2)}})
+	}
+	return k
+}
+
+// TestVerdicts weighs what is kept: by its age, and told from what is another's, impossible or of the future.
+func TestVerdicts(t *testing.T) {
+	now := 1_000_000 * second
+	for _, c := range []struct {
+		what  string
+		with  func(*Kept)
+		want  Verdict
+		trust float64
+	}{
+		{"10 s old", func(k *Kept) { k.Heard = now - 10*second }, Used, 0.988},
+		{"5 min old", func(k *Kept) { k.Heard = now - 300*second }, Used, 0.707},
+		{"a day old", func(k *Kept) { k.Heard = now - 86_400*second }, Used, 0},
+		{"older", func(k *Kept) { k.Heard = now - 86_401*second }, TooOld, 0},
+		{"a clock that went back by an hour", func(k *Kept) { k.Heard, k.Written = now+3600*second, now+3601*second }, ClockBack, 0},
+		{"another discovery", func(k *Kept) { k.Discovery = "e" }, Another, 0},
+		{"another governor", func(k *Kept) { k.Governor = "n2" }, Another, 0},
+		{"nothing", func(k *Kept) { k.Replicas = nil }, Nothing, 0},
+		{"never heard", func(k *Kept) { k.Heard = 0 }, Impossible, 0},
+		{"written before it was heard", func(k *Kept) { k.Written = k.Heard - 3600*second }, Impossible, 0},
+	} {
+		k := kept(4, now-60*second)
+		k.Written = now
+		c.with(&k)
+		p := Weigh(now, k, "n1", "d", set)
+		if p.Verdict != c.want || p.Trust < c.trust-0.001 || p.Trust > c.trust+0.001 {
+			t.Errorf("%s: %v", c.what, p)
+		}
+		used := p.Verdict == Used || p.Verdict == ClockBack
+		if used != (len(p.Events) == 5) {
+			t.Errorf("%s: %d events", c.what, len(p.Events))
+		}
+		if used {
+			for _, e := range p.Events[0].(rules.List).Entries {
+				if e.StartedAt < now {
+					t.Errorf("%s: a replica counts as started before now", c.what)
+				}
+			}
+		}
+	}
+}
+
+// TestTrust falls with age and rises with each who speaks, whatever the order, and ends at 1 with discovery.
+func TestTrust(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now, n := 1_000_000*second, rapid.IntRange(1, 20).Draw(t, "replicas")
+		k := kept(n, now-rules.Time(rapid.IntRange(0, 80_000).Draw(t, "age"))*second)
+		k.Written = now
+		p := Weigh(now, k, "n1", "d", set)
+		r := Begin(now, k, p, set)
+		trust := r.Trust(now)
+		for range rapid.IntRange(0, 40).Draw(t, "events") {
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				now += rules.Time(rapid.IntRange(1, 3600).Draw(t, "passes")) * second
+				if later := r.Trust(now); later > trust+1e-12 {
+					t.Fatalf("with time alone trust rises from %v to %v", trust, later)
+				}
+			case 1:
+				r.Hear(rules.Sums{Replica: rules.ReplicaID(rapid.IntRange(0, n-1).Draw(t, "replica")), Tries: 3})
+				if later := r.Trust(now); later < trust-1e-12 {
+					t.Fatalf("a replica that answers takes trust from %v to %v", trust, later)
+				}
+			case 2:
+				r.Hear(rules.Joined{Proxy: 1})
+			default:
+				r.Hear(rules.List{Scope: rules.Failed})
+			}
+			if trust = r.Trust(now); trust < 0 || trust > 1 || r.Step() == Confirmed {
+				t.Fatalf("trust %v at step %v", trust, r.Step())
+			}
+		}
+		r.Hear(rules.List{Scope: rules.Changes})
+		if r.Trust(now) != 1 || r.Step() != Confirmed {
+			t.Fatalf("discovery has spoken: trust %v, step %v", r.Trust(now), r.Step())
+		}
+	})
+}
+
+// life is a governor that has just started, and what its proxies hold.
+type life struct {
+	gov     rules.Governor
+	rec     *Recovery
+	now     rules.Time
+	mark    uint64
+	lines   map[rules.ReplicaID]float64
+	bound   map[rules.ProxyID]bool
+	orders  []rules.Order // of the last Step
+	version uint16
+}
+
+func siteSettings(proxies int) rules.Settings {
+	pace := 100 * float64(proxies)
+	return rules.Settings{Groups: []rules.TrafficGroup{{Name: "look", LatencyBudget: time.Second}}, Governors: 1, Proxies: proxies, Zones: 1,
+		ListOnRequest: true, AskWithin: 10 * time.Second, Period: time.Second, LinePace: pace, LineCap: 2 * pace, HeadLines: 6, MessageCap: 20,
+		MessageSpan: 10 * time.Second, TravelMost: 400 * time.Millisecond, DrainGrace: 3 * time.Second, WarmAfter: 18 * time.Second, ColdFrom: 0.2}
+}
+
+// begin starts a governor from disk.
+func begin(now rules.Time, k Kept, proxies int) *life {
+	l := &life{now: now, lines: map[rules.ReplicaID]float64{}, bound: map[rules.ProxyID]bool{}}
+	p := Weigh(now, k, "n1", "d", set)
+	l.rec = Begin(now, k, p, set)
+	l.raw(append([]rules.Event{rules.Start{Seed: 3, Settings: siteSettings(proxies)}}, p.Events...)...)
+	return l
+}
+
+func (l *life) hear(events ...rules.Event) {
+	var out []rules.Event
+	for _, e := range events {
+		out = append(out, l.rec.Hear(e)...)
+	}
+	l.raw(out...)
+}
+
+func (l *life) raw(events ...rules.Event) {
+	l.orders = l.gov.Step(l.now, events)
+	for _, o := range l.orders {
+		switch o := o.(type) {
+		case rules.WakeAfter:
+			l.mark = o.Mark
+		case rules.Mark:
+			l.version = o.Version
+		case rules.Bind:
+			l.bound[o.Proxy] = true
+		case rules.Line:
+			if l.lines[o.Replica] = o.Weight; o.Weight == 0 {
+				delete(l.lines, o.Replica)
+			}
+		}
+	}
+}
+
+// pass lets time pass, in quarters of a second, while proxies confirm.
+func (l *life) pass(quarters int, events ...rules.Event) {
+	for range quarters {
+		l.now += second / 4
+		for p := range l.bound {
+			events = append(events, rules.Applied{Proxy: p, Version: l.version})
+		}
+		slices.SortStableFunc(events, func(a, b rules.Event) int { return 0 })
+		l.hear(append(events, rules.Wake{Mark: l.mark})...)
+		events = nil
+	}
+}
+
+func joins(n int) (events []rules.Event) {
+	for p := range n {
+		events = append(events, rules.Joined{Proxy: rules.ProxyID(p), Rate: float64(p), Fresh: true})
+	}
+	return events
+}
+
+// TestDiscoveryAway starts with discovery down and lists of 10 s, 5 min and a day: a proxy has lines at once, what was
+// learnt shows in them by the trust in the list, and none is without any replica for long.
+func TestDiscoveryAway(t *testing.T) {
+	last := 9.0
+	for _, age := range []int{10, 300, 86_400} {
+		now := 1_000_000 * second
+		k := kept(10, now-rules.Time(age)*second)
+		l := begin(now, k, 4)
+		l.hear(joins(4)...)
+		if len(l.bound) != 4 || len(l.lines) != 10 {
+			t.Fatalf("%d s old: %d proxies are bound to %d lines", age, len(l.bound), len(l.lines))
+		}
+		ratio := l.lines[0] / l.lines[1] // truly 2.5
+		if ratio > last || ratio < 1-1e-9 || age == 10 && ratio < 2 || age == 86_400 && ratio > 1.01 {
+			t.Errorf("%d s old: the faster replica gets %.2f times as much", age, ratio)
+		}
+		last = ratio
+		if l.rec.Step() != FromProxies {
+			t.Error(l.rec.Step())
+		}
+		l.pass(40)
+		if len(l.lines) != 10 {
+			t.Errorf("%d s old: %d lines after 10 s", age, len(l.lines))
+		}
+	}
+}
+
+// TestReadyOnDiskDrainingInTruth has three of ten replicas drain, and half replaced by others, while the governor was
+// away: with discovery's first answer their removals stand before any new line, and none gets a line again.
+func TestReadyOnDiskDrainingInTruth(t *testing.T) {
+	now := 1_000_000 * second
+	k := kept(10, now-300*second)
+	l := begin(now, k, 4)
+	l.hear(joins(4)...)
+	l.pass(4)
+	truth := rules.List{Scope: rules.Whole}
+	for i := range 20 {
+		e := rules.Entry{Replica: rules.ReplicaID(i), State: rules.Ready, Listed: 1}
+		switch {
+		case i < 3:
+			e.State = rules.Draining
+		case i >= 5 && i < 10:
+			continue // gone
+		case i >= 10:
+			e.StartedAt = l.now - 2*second
+		}
+		truth.Entries = append(truth.Entries, e)
+	}
+	l.hear(truth)
+	gone, added := 0, false
+	for _, o := range l.orders {
+		line, is := o.(rules.Line)
+		if !is {
+			continue
+		}
+		if removed := line.Replica < 3 || line.Replica >= 5 && line.Replica < 10; removed && line.Weight > 0 {
+			t.Fatalf("replica %d gets a line of %.1f", line.Replica, line.Weight)
+		} else if removed {
+			if gone++; added {
+				t.Fatalf("the removal of replica %d stands behind other lines", line.Replica)
+			}
+		} else if line.Weight > 0 {
+			added = true
+		}
+	}
+	if gone != 8 {
+		t.Errorf("%d of 8 removals are ordered with discovery's first answer", gone)
+	}
+	l.pass(40)
+	for r := range l.lines {
+		if r < 3 || r >= 5 && r < 10 {
+			t.Errorf("replica %d is in the table", r)
+		}
+	}
+}
+
+// TestChangesConfirmTheRest has discovery's first answer tell one change: all else is as kept, so it is warm again, and what
+// was learnt of it holds; the one that has started anew is cold and unknown.
+func TestChangesConfirmTheRest(t *testing.T) {
+	now := 1_000_000 * second
+	l := begin(now, kept(10, now-300*second), 4)
+	l.hear(joins(4)...)
+	l.pass(2)
+	l.hear(rules.List{Scope: rules.Changes, Entries: []rules.Entry{{Replica: 4, State: rules.Ready, Listed: 1, StartedAt: l.now - second}}})
+	l.pass(8)
+	if ratio := l.lines[0] / l.lines[1]; ratio < 2 || ratio > 2.6 {
+		t.Errorf("the faster replica gets %.2f times as much", ratio)
+	}
+	var v rules.View
+	l.gov.View(l.now, &v)
+	for _, r := range v.Replicas {
+		if r.Cold != (r.Replica == 4) {
+			t.Errorf("replica %d: cold %v", r.Replica, r.Cold)
+		}
+	}
+}
+
+// TestHeldOutStays has a replica that was held out. From disk alone, where all may be cold, it is not, or it would draw all
+// that those can't be sent; once discovery has confirmed the others it is, until it answers. Where most have started anew, it
+// is not.
+func TestHeldOutStays(t *testing.T) {
+	now := 1_000_000 * second
+	k := kept(10, now-10*second)
+	k.Replicas[3].Learnt.Out = true
+	for _, anew := range []int{0, 8} {
+		l := begin(now, k, 4)
+		l.hear(joins(4)...)
+		if l.lines[3] > 2*l.lines[1] {
+			t.Errorf("from disk it gets %.2f beside %.2f", l.lines[3], l.lines[1])
+		}
+		truth := rules.List{Scope: rules.Changes}
+		for i := range anew {
+			if i != 3 {
+				truth.Entries = append(truth.Entries, rules.Entry{Replica: rules.ReplicaID(i), State: rules.Ready, Listed: 1, StartedAt: l.now - second})
+			}
+		}
+		l.hear(truth)
+		l.pass(8)
+		var v rules.View
+		l.gov.View(l.now, &v)
+		if out := v.Replicas[3].HeldOut; out != (anew == 0) {
+			t.Errorf("with %d started anew it is held out: %v", anew, out)
+		}
+		for range 12 {
+			var sums []rules.Event
+			for i := range 10 {
+				sums = append(sums, rules.Sums{Replica: rules.ReplicaID(i), Tries: 10, Over: time.Second, Took: 50 * time.Millisecond, Report: rules.Report{Util: 0.5}})
+			}
+			l.pass(4, sums...)
+		}
+		if l.gov.View(l.now, &v); v.Replicas[3].HeldOut {
+			t.Error("it has answered for 12 s and is still held out")
+		}
+	}
+}
+
+// TestManyJoinFromDisk has 1,000 proxies join a governor that has only its disk: the channel never holds more than it may,
+// nobody is sent more messages than allowed, and all are bound in the time that the channel needs.
+func TestManyJoinFromDisk(t *testing.T) {
+	now := 1_000_000 * second
+	l := begin(now, kept(60, now-300*second), 1000)
+	l.hear(joins(1000)...)
+	var v rules.View
+	begun := l.now
+	for len(l.bound) < 1000 {
+		l.pass(1)
+		if l.gov.View(l.now, &v); v.LinesWaiting > v.LinesCap || v.Busiest > v.MessageCap {
+			t.Fatalf("%.0f lines wait of %.0f, %d messages of %d", v.LinesWaiting, v.LinesCap, v.Busiest, v.MessageCap)
+		}
+		if l.now-begun > 5*second {
+			t.Fatalf("%d are bound after 5 s", len(l.bound))
+		}
+	}
+}
--- a/rules/api.go
+++ b/rules/api.go
@@ -199,6 +199,14 @@
 		// chance few drop again, where some proxies fail there nearly all do.
 		Again, AgainDropped float64
 	}
+	// Recalled tells what a former life had learnt of a replica, and how far that is trusted.
+	Recalled struct {
+		Replica ReplicaID
+		Speed   float64 // as a multiple of its listed weight
+		Answers float64 // flows that it answers in a period in which it is busy throughout
+		Out     bool    // it was held out
+		Trust   float64 // from 0, which is none, to 1
+	}
 	// Probed answers a Probe order.
 	Probed struct {
 		Replica ReplicaID
@@ -240,6 +248,7 @@
 func (Sums) event()       {}
 func (Intake) event()     {}
 func (Pair) event()       {}
+func (Recalled) event()   {}
 func (Probed) event()     {}
 func (Peer) event()       {}
 func (SliceGiven) event() {}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -38,6 +38,7 @@
 	dropShareBad  = 0.35    // share of dropped tries from which a replica may be held out
 	manyTimes     = 3.0     // dropping so many times more than the rest is bad; bounds a measured speed too
 	owedToJudge   = 8.0     // answers owed after which silence counts
+	roundLeast    = 0.75    // periods that a zone's round takes at the least
 	wholeRound    = 0.8     // with so many replicas by those of the round before, a quiet zone has said all
 	trickle       = 0.15    // part of its fair share that a replica held out still gets
 	goodToReturn  = 2       // good answers in a row after which it returns
@@ -97,6 +98,8 @@
 			g.intake(e)
 		case Pair:
 			g.judge(now, e)
+		case Recalled:
+			g.recall(e)
 		}
 	}
 	if !g.on {
@@ -350,6 +353,19 @@
 	return (p.served + speedFlows) / (p.busy*fleet + speedFlows/alike)
 }
 
+// recall takes on what a former life of ours had learnt of a replica, as far as it is trusted and nothing is
+// heard yet. One held out is held out again; good answers bring it back. Against tables of which nothing is
+// learnt after a restart. Harm: one that is mended meanwhile gets a trickle at first.
+func (g *Governor) recall(e Recalled) {
+	r := g.byID[e.Replica]
+	if r == nil || r.known || r.served > 0 || !(e.Speed > 0 && e.Answers > 0 && e.Trust >= 0 && e.Trust <= 1) {
+		return
+	}
+	r.size = r.listed * math.Pow(min(max(e.Speed, 1/manyTimes), manyTimes), e.Trust)
+	r.served, r.busy = speedPeriods*speedFlows*e.Trust, speedPeriods*speedFlows*e.Trust/e.Answers
+	r.out = e.Out && r.state == Ready
+}
+
 // setLevel sets how much of the work asked for is let in, and whether a fleet that can block nothing is
 // jammed, by the load that flows met; beyond 1 drops tell how far the fleet is over. Where good answers take
 // over the least latency budget, drops count whatever load is reported: against reports that hide overload;
@@ -407,21 +423,6 @@
 	g.outMost = int(f.ready*outMost - f.out)
 }
 
-// hear notes that a zone has spoken of a replica. What two collectors of a zone say of one time, or one of
-// them after a stall, is one round.
-func (g *Governor) hear(now Time, r *replica, id ZoneID) {
-	if int(id) >= len(g.zones) {
-		return
-	}
-	z := &g.zones[id]
-	if r.rounds[id] == z.round && (z.round == 0 || now-z.began >= Time(g.fig.period*3/4)) {
-		z.round, z.before, z.heard, z.began = z.round+1, z.heard, 0, now
-	}
-	if z.at = now; r.rounds[id] != z.round {
-		r.rounds[id], z.heard = z.round, z.heard+1
-	}
-}
-
 // silence holds out replicas that owe answers, once every zone which has spoken of one, and still speaks, has
 // gone a whole round without a word of it. So both must tell: the traffic, by answers owed, and the time, by
 // what was heard meanwhile. A review is due when a round begins and hears the head of it alone; what it
@@ -441,8 +442,7 @@
 				continue
 			}
 			gap, quiet := z.round-r.rounds[i], now-z.at >= Time(g.fig.period/8)
-			spoke = true
-			still = still || gap == 0 || gap == 1 && !(quiet && float64(z.heard) >= wholeRound*float64(z.before))
+			spoke, still = true, still || gap == 0 || gap == 1 && !(quiet && z.whole())
 		}
 		if spoke && !still {
 			r.out, r.streak, marked = true, 0, true
--- a/rules/state.go
+++ b/rules/state.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/crc32"
 	"math"
@@ -189,6 +190,9 @@
 	began, at            Time // of this round; its latest sums
 }
 
+// whole tells that a zone has spoken of about as many replicas as in the round before.
+func (z *zone) whole() bool { return float64(z.heard) >= wholeRound*float64(z.before) }
+
 // pace is flows answered, and periods spent busy for them by listed weight.
 type pace struct{ served, busy float64 }
 
@@ -433,3 +437,29 @@
 		return len(p.shuns) == 0
 	})
 }
+
+// hear notes that a zone has spoken of a replica. What two collectors of a zone say of one time, or one of
+// them after a stall, is one round.
+func (g *Governor) hear(now Time, r *replica, id ZoneID) {
+	if int(id) >= len(g.zones) {
+		return
+	}
+	z := &g.zones[id]
+	if r.rounds[id] == z.round && (z.round == 0 || now-z.began >= Time(float64(g.fig.period)*roundLeast)) {
+		z.round, z.before, z.heard, z.began = z.round+1, z.heard, 0, now
+	}
+	if z.at = now; r.rounds[id] != z.round {
+		r.rounds[id], z.heard = z.round, z.heard+1
+	}
+}
+
+// Memory adds what is worth keeping of each replica over a restart, by number.
+func (g *Governor) Memory(m []Recalled) []Recalled {
+	for _, r := range g.replicas {
+		if g.byID[r.id] == r && r.size > 0 && r.listed > 0 && r.served > 0 && r.busy > 0 {
+			m = append(m, Recalled{Replica: r.id, Speed: r.size / r.listed, Answers: r.served / r.busy, Out: r.out})
+		}
+	}
+	slices.SortFunc(m, func(a, b Recalled) int { return cmp.Compare(a.Replica, b.Replica) })
+	return m
+}
