--- a/cmd/zinclab/main.go
+++ b/cmd/zinclab/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -69,6 +70,58 @@
 	f.DurationVar(&plan.Length, "length", 45*time.Second, "the run's length")
 	f.StringVar(&plan.Operator, "operator", "", "the governor's operator file")
 	f.StringVar(&plan.Profile, "profile", "", "where a governor that can writes its CPU profile")
-	root.AddCommand(c)
+	root.AddCommand(c, awayCommand())
 	return root
 }
+
+// awayCommand starts governors again while discovery is away, without and with a folder for their state.
+func awayCommand() *cobra.Command {
+	plan := load.Plan{Zones: 4, Rate: 6, Pace: 200, Spread: 40 * time.Millisecond, Fast: true}
+	sizes := []int{60, 1000}
+	repeats := 1
+	c := &cobra.Command{Use: "away", Short: "Kills a governor and starts it again without discovery, without and with state on disk; a line a run", Args: cobra.NoArgs}
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		out := c.OutOrStdout()
+		fmt.Fprintln(out, "| replicas | state | proxies that hold a table | after s | share to cold replicas | share to the faster of the others |")
+		fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- |")
+		for range repeats {
+			for _, plan.Replicas = range sizes {
+				for _, kept := range []bool{false, true} {
+					if err := away(c, plan, kept); err != nil {
+						return err
+					}
+				}
+			}
+		}
+		return nil
+	}
+	f := c.Flags()
+	f.StringVar(&plan.Binary, "bin", "bin/zincloft", "the governor's program")
+	f.IntVar(&plan.Proxies, "proxies", 200, "proxies")
+	f.IntSliceVar(&sizes, "replicas", sizes, "sizes, in turn")
+	f.IntVar(&repeats, "repeats", 1, "times that all is played")
+	f.DurationVar(&plan.Length, "length", 15*time.Second, "the first life's length")
+	return c
+}
+
+func away(c *cobra.Command, plan load.Plan, kept bool) error {
+	what := "none"
+	if kept {
+		what = "on disk"
+		dir, err := os.MkdirTemp("", "zinclab-state")
+		if err != nil {
+			return fmt.Errorf("a folder for the state: %w", err)
+		}
+		defer os.RemoveAll(dir)
+		plan.Operator = filepath.Join(dir, "operator.toml")
+		if err := os.WriteFile(plan.Operator, fmt.Appendf(nil, "[state]\ndir = %q\nsync = \"1s\"\n", filepath.Join(dir, "state")), 0o600); err != nil {
+			return fmt.Errorf("the operator file: %w", err)
+		}
+	}
+	r, err := load.Away(c.Context(), plan)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.OutOrStdout(), "| %d | %s | %d of %d | %.2f | %.2f | %.2f |\n", plan.Replicas, what, r.Holding, plan.Proxies, r.Took.Seconds(), r.Cold, r.Learnt)
+	return nil
+}
