Parts stay even where all replicas are bound to nothing: no table is left empty

Seen: started from disk without discovery at 1,000 replicas, 5 of 200 proxies had a table after 10 s. Cause: all are taken for cold, and before the first sums a cold one may be sent nothing, so each part counted as empty and all went to the first table.

--- a/recovery/recovery_test.go
+++ b/recovery/recovery_test.go
@@ -332,3 +332,38 @@
 		}
 	}
 }
+
+// TestAllColdAtSize has 200 proxies join a governor that knows 1,000 replicas from its disk alone, where one table's lines
+// don't fit into the channel: all replicas count as cold, and yet each proxy is bound to a table that has lines.
+func TestAllColdAtSize(t *testing.T) {
+	now := 1_000_000 * second
+	l := begin(now, kept(1000, now-300*second), 200)
+	tables, lines := map[rules.ProxyID]rules.TableID{}, map[rules.TableID]int{}
+	note := func() {
+		for _, o := range l.orders {
+			switch o := o.(type) {
+			case rules.Bind:
+				tables[o.Proxy] = o.Table
+			case rules.Line:
+				if o.Weight > 0 {
+					lines[o.Table]++
+				}
+			}
+		}
+	}
+	note()
+	l.hear(joins(200)...)
+	note()
+	for range 12 {
+		l.pass(1)
+		note()
+	}
+	if len(tables) != 200 || len(lines) < 2 {
+		t.Fatalf("%d proxies are bound, to %d tables with lines", len(tables), len(lines))
+	}
+	for p, table := range tables {
+		if lines[table] == 0 {
+			t.Fatalf("proxy %d is bound to a table without a line", p)
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -209,8 +209,11 @@
 
 func (s GroupSet) has(id GroupID) bool { return s&(1<<id) != 0 }
 
-// usable is what a replica's bound leaves of its spare capacity.
-func (r *replica) usable() float64 { return r.spare * min(r.most, 1) }
+// usable is what a replica's bound leaves of its spare capacity; never quite nothing, or where all are bound to nothing
+// they would all go to one table's part, and the other tables would be empty.
+func (r *replica) usable() float64 {
+	return r.spare * max(min(r.most, 1), math.SmallestNonzeroFloat32)
+}
 
 // ordered is a replica's weight as last ordered in the table whose part it is in.
 func (r *replica) ordered(kind int) float64 {
