--- a/internal/graphite/sender.go
+++ b/internal/graphite/sender.go
@@ -1,6 +1,7 @@
 package graphite
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -197,7 +198,7 @@
 	context.AfterFunc(ctx, func() { c.Close() })
 	go func() { // the receiver says nothing: an end here is the end
 		_, err := io.Copy(io.Discard, c)
-		cancel(fmt.Errorf("closed by the receiver: %w", first(err, io.EOF)))
+		cancel(fmt.Errorf("closed by the receiver: %w", cmp.Or(err, io.EOF)))
 	}()
 	for {
 		b, ok := s.next()
@@ -224,12 +225,3 @@
 		}
 	}
 }
-
-func first(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -123,6 +123,19 @@
 	}
 }
 
+// traffic begins the run's time, the collectors' writing and the proxies' flows, until closed is.
+func (p *play) traffic(ctx context.Context, proxies []*proxy) *sync.WaitGroup {
+	p.began.Store(time.Now().UnixNano())
+	running := &sync.WaitGroup{}
+	for z := range p.Zones {
+		running.Go(func() { p.collect(ctx, z) })
+	}
+	for _, x := range proxies {
+		running.Go(func() { x.flows(ctx) })
+	}
+	return running
+}
+
 // AwayResult is what a start without discovery has shown.
 type AwayResult struct {
 	Took    time.Duration // from the start of the second life until the last proxy held a table
@@ -153,14 +166,7 @@
 	if _, n := held(ctx, proxies, time.Now(), time.Minute); n < len(proxies) {
 		return r, fmt.Errorf("%d of %d proxies hold a table", n, len(proxies))
 	}
-	p.began.Store(time.Now().UnixNano())
-	var running sync.WaitGroup
-	for z := range plan.Zones {
-		running.Go(func() { p.collect(ctx, z) })
-	}
-	for _, x := range proxies {
-		running.Go(func() { x.flows(ctx) })
-	}
+	running := p.traffic(ctx, proxies)
 	time.Sleep(plan.Length)
 	_ = first.Process.Kill()
 	_ = first.Wait() // killed, as meant
@@ -223,14 +229,7 @@
 		return Result{}, fmt.Errorf("%d of %d proxies hold a table after %v", holding, len(proxies), took.Round(time.Second))
 	}
 	p.result.Bound = took
-	p.began.Store(time.Now().UnixNano())
-	var running sync.WaitGroup
-	for z := range plan.Zones {
-		running.Go(func() { p.collect(ctx, z) })
-	}
-	for _, x := range proxies {
-		running.Go(func() { x.flows(ctx) })
-	}
+	running := p.traffic(ctx, proxies)
 	calmFrom, calmTo := p.until(3*time.Second), p.until(plan.HangAt)
 	time.Sleep(time.Until(calmFrom))
 	before := cpu(governor.Process.Pid)
