Cold replicas are cut for drops only as far as proxies can soon avoid the others

72 of 120 replicas are cold, they drop 1 of 60 tries, and the tables send them nothing, while 45 warm ones get all flows and drop half. The less the cold ones get, the more the warm ones drop: it goes on until the last is warm. All five governors do so by the same evidence at once.

Ruled out: discovery (lists come within 0.1 s), the channel (wait under a quarter of its lines), joins (all bound at 12.1 s), CPU (0.06 s/s at most).

At fault: bound in rules/rules.go, the lines under fig.avoids. They guard against proxies that avoid the others and so bring cold ones more than their weight, by the drops alone. A proxy avoids a replica after three drops of its own in a row; with 0.3 flows a second over eight replicas that takes minutes, so nothing of the kind happens. Now the cut goes by the tries of a proxy at one replica of its part until sums tell, by those that it takes: whole as before where proxies are few and busy, small here.

TestColdWhileProxiesCannotAvoid fails without it: 2.77 to 0.00 with 0.62 of the tries dropped.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -29,6 +29,7 @@
 	rampSpan      = 5.0 / 9 // the ramp's length by the longest warm-up; 10 s where that is 18 s (design)
 	coldFill      = 0.8     // part of a cold replica's least capacity that it may be sent
 	avoidShare    = 0.6     // with this share of tries dropped, a cold replica gets no line; less in small parts
+	avoidSoon     = 2.0     // all the less, as proxies need a part of the time until sums tell to avoid others
 	speedPeriods  = 8.0     // speeds, and shares of traffic groups, are learnt over so many periods
 	speedFlows    = 8.0     // flows after which a replica's own speed counts as much as its kind's
 	doubtAbove    = 1.5     // a measured speed is believed up to so many times what answer times tell
@@ -140,7 +141,7 @@
 	span := s.LineCap / s.LinePace * slowMost * float64(time.Second)
 	g.fig = figures{
 		proxies: float64(s.Proxies) / float64(max(s.Governors, 1)), warmAfter: s.WarmAfter, coldFrom: s.ColdFrom,
-		onRequest: s.ListOnRequest, blocks: s.Levels == LevelShare, unblocked: 1, avoids: s.FailsToAvoid > 0,
+		onRequest: s.ListOnRequest, blocks: s.Levels == LevelShare, unblocked: 1, fails: float64(s.FailsToAvoid),
 		period: s.Period, lineCap: s.LineCap * fillMost, pacedLines: s.LinePace * pacedShare,
 		fillLines: s.LinePace * min(fillShare, s.DrainGrace.Seconds()*removeShare), head: s.HeadLines + 1,
 		ledgerSpan: time.Duration(span) + s.TravelMost, messageCap: cmp.Or(s.MessageCap, math.MaxInt32),
@@ -595,8 +596,8 @@
 // bound limits a replica's share, by its fair share. A started one climbs the design's ramp, and is never
 // sent more work than its least capacity at that age can do, which the ramp alone would not hold with many
 // cold at once or a high load. Where proxies avoid replicas that failed them, a fleet that drops much sends
-// a cold one far more than its weight says; so its line shrinks, then goes. Before the first sums it gets
-// none. Harm: under heavy drops, new replicas help late.
+// a cold one far more than its weight says; so its line shrinks, then goes, as far as a proxy meets a replica
+// often enough to avoid it before sums tell. Before the first sums it gets none. Harm: new ones help late.
 //
 // One that holds more than it answers within the least latency budget is cut by the square of that: what it
 // is sent comes late. Against replicas that slow down while their load, at 1, tells no more; it also catches
@@ -625,13 +626,12 @@
 	a := age(r.started)
 	least := g.fig.coldFrom + (1-g.fig.coldFrom)*a
 	most = min(most, rampFrom+(1-rampFrom)*a/rampSpan, coldFill*least/max(g.demand, spareFloor))
-	if g.fig.avoids {
-		drops, gone := g.dropShare, avoidShare/4
-		if t := r.table[common]; t != nil {
-			drops = max(drops, t.drops/max(t.tries, 1))
-			gone = avoidShare * math.Pow(min(float64(len(t.part)+1)/(2*partLeast), 1), 2)
-		}
-		most *= min(max(3-3*drops/gone, 0), 1)
+	if g.fig.fails > 0 {
+		t := cmp.Or(r.table[common], g.tables[0])
+		gone := avoidShare * math.Pow(min(float64(len(t.part)+1)/(2*partLeast), 1), 2)
+		pairs := float64(len(t.proxies)*len(t.part) + 1)
+		soon := min(avoidSoon*t.flows/speedPeriods*letDelay/pairs/g.fig.fails, 1)
+		most *= 1 - soon*min(max(3*max(g.dropShare, t.drops/max(t.tries, 1))/gone-2, 0), 1)
 	}
 	return most
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -108,6 +108,27 @@
 	p.check(t)
 }
 
+// TestColdWhileProxiesCannotAvoid is the same with many proxies of few flows each: none meets a replica three times before
+// sums tell, so what is dropped elsewhere does not bring the cold one more than its weight, and it keeps its line.
+func TestColdWhileProxiesCannotAvoid(t *testing.T) {
+	s := site()
+	s.FailsToAvoid = 3
+	p := newPlay(s, 4, 0)
+	for i := range 60 {
+		p.proxies = append(p.proxies, Joined{Proxy: ProxyID(i), Rate: 0.5, Fresh: true})
+	}
+	p.step(events(p.proxies)...)
+	p.run(3)
+	p.change(4, Ready, p.now)
+	p.run(2)
+	before := p.g.byID[4].ordered(common)
+	p.failing = map[ReplicaID]float64{1: 0.6, 2: 0.6, 3: 0.6}
+	p.run(3)
+	if after := p.g.byID[4].ordered(common); p.g.dropShare < 0.4 || after < before {
+		t.Errorf("with %.2f of the tries dropped, the cold replica's weight went from %.2f to %.2f", p.g.dropShare, before, after)
+	}
+}
+
 // TestKindsTeach has replicas of two kinds do the same work, one at a third of the load: what is new and unheard of
 // counts as fast as its kind.
 func TestKindsTeach(t *testing.T) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -17,7 +17,8 @@
 	groups                       [2]GroupSet // traffic groups by kind of table
 	zones                        int         // if some traffic groups stay in their zone
 	proxies                      float64     // that join this governor when all is well
-	onRequest, blocks, avoids    bool        // the list must be asked for; levels are heeded; proxies avoid
+	onRequest, blocks            bool        // the list must be asked for; levels are heeded
+	fails                        float64     // of a proxy's own in a row after which it avoids a replica; 0: never
 	unblocked                    float64     // the level that lets all in
 	pacedLines, fillLines        float64
 	lineCap, head                float64 // of the channel; lines of a message besides its orders
