Proxies that may hold what leaves are bound first, at one line each; cold lines keep their share

Four of five governors have died and 2,100 proxies come within a second. Ruled out: discovery, the Step (0.11 s/s), the removal itself (t16, at once). Now, while a replica leaves, those that may hold it are bound before urgent changes and into as much of the channel as it sends in half of the drain grace; Unsure, and with it the restores, are only where the operator file has governors order such a thing (intake.reports = "pairs").

At fault: fill, which scaled all lines of a part up to 100 where all were bound, cold ones too: among late ones a cold one got 77 of 100. And publish, which ordered a new line at full weight where the others, cut by a scale, were yet to rise: 3.45 of 14.43. Now a cold line is over what is meant by at most the square root of what it surely stands, each way.

--- a/internal/clients/codec.go
+++ b/internal/clients/codec.go
@@ -40,13 +40,15 @@
 	proxies       int
 	longest       time.Duration // that a message may speak of
 	batches       bool          // of single proxies' reports are taken
+	shuns         bool          // governors of this fleet order proxies to shut replicas out, so one that comes may do
 	replica       func([]byte) (rules.ReplicaID, bool)
 	name          func(rules.ReplicaID) (string, bool)
 }
 
 func newCodec(conf config.Config, n exchange.Names) codec {
 	s := conf.Settings
-	c := codec{zones: s.Zones, proxies: s.Proxies, longest: conf.Bounds.Span, replica: n.ID, name: n.Name, batches: conf.Operator.Intake.Taken()}
+	c := codec{zones: s.Zones, proxies: s.Proxies, longest: conf.Bounds.Span, replica: n.ID, name: n.Name, batches: conf.Operator.Intake.Taken(),
+		shuns: conf.Operator.Intake.Reports == config.ReportsPairs}
 	for _, tg := range s.Groups {
 		c.groups = append(c.groups, tg.Name)
 	}
@@ -162,7 +164,7 @@
 		f.needs("sidecar")
 		fresh := f.whole("standing", 1) == 1
 		out = rules.Joined{Proxy: c.proxy(&f), Zone: rules.ZoneID(f.place("az", c.zones)),
-			Rate: f.figure("share"), Fresh: fresh, Unsure: !fresh}
+			Rate: f.figure("share"), Fresh: fresh, Unsure: !fresh && c.shuns}
 	case "done":
 		f.needs("sidecar", "version", "lag_ms")
 		out = rules.Applied{Proxy: c.proxy(&f), Version: uint16(f.whole("version", math.MaxUint16)), Took: f.span("lag_ms")}
--- a/internal/clients/side_test.go
+++ b/internal/clients/side_test.go
@@ -50,6 +50,8 @@
 }
 
 func TestWithdrawals(t *testing.T) {
+	reports = config.ReportsPairs // only then governors order proxies to shut replicas out
+	defer func() { reports = config.ReportsOff }()
 	run(t, func(p *play) {
 		p.dial("a", "attach sidecar 0 az a standing 1")
 		p.order(set(0, 1, 1), set(0, 2, 1), bind(0, 0, 0), rules.Withdraw{Replica: 2, Out: true}, mark(1))
@@ -66,6 +68,8 @@
 }
 
 func TestNewStreamReplacesOld(t *testing.T) {
+	reports = config.ReportsPairs // only then governors order proxies to shut replicas out
+	defer func() { reports = config.ReportsOff }()
 	run(t, func(p *play) {
 		old := p.dial("old", "attach sidecar 3 az b share 1.5 standing 1")
 		p.order(set(0, 1, 1), bind(3, 0, 0), mark(1))
--- /dev/null
+++ b/internal/emulate/emulate_test.go
@@ -0,0 +1,240 @@
+package emulate
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"zincloft.example/zincloft/rules"
+)
+
+func run(t testing.TB, p Play) *Result {
+	t.Helper()
+	r, err := Run(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestSameSeedSameRun plays a troubled day twice at a time on one core and on four: every second of it is the same.
+func TestSameSeedSameRun(t *testing.T) {
+	p := Play{Fleet: Large(250, 30), Seed: 3, Troubles: []Trouble{
+		{Kind: "deploy", At: 5 * time.Second, For: 4 * time.Second, Share: 0.5}, {Kind: "governors_die", At: 8 * time.Second, Share: 0.4, Back: 5 * time.Second},
+		{Kind: "hang", At: 12 * time.Second, For: 5 * time.Second, Share: 0.1}, {Kind: "burst", At: 15 * time.Second, For: 4 * time.Second, Factor: 1.5}}}
+	var all []*Result
+	for _, cores := range []int{1, 4} {
+		before := runtime.GOMAXPROCS(cores)
+		found := make(chan *Result, 2)
+		for range 2 {
+			go func() { r, _ := Run(p); found <- r }()
+		}
+		all = append(all, <-found, <-found)
+		runtime.GOMAXPROCS(before)
+	}
+	for _, r := range all[1:] {
+		if !reflect.DeepEqual(all[0].Seconds, r.Seconds) || all[0].Events != r.Events {
+			t.Error("two runs of one seed differ")
+		}
+	}
+	p.Seed = 4
+	if r := run(t, p); reflect.DeepEqual(r.Seconds, all[0].Seconds) {
+		t.Error("another seed gives the same run")
+	}
+}
+
+// even steers one replica or a few by even weights, whatever comes.
+type even struct {
+	replicas int
+	bound    bool
+}
+
+func (e *even) Step(_ rules.Time, events []rules.Event) (out []rules.Order) {
+	for _, x := range events {
+		if j, is := x.(rules.Joined); is {
+			if !e.bound {
+				for r := range e.replicas {
+					out = append(out, rules.Line{Replica: rules.ReplicaID(r), Weight: 1})
+				}
+			}
+			e.bound = true
+			out = append(out, rules.Bind{Proxy: j.Proxy})
+		}
+	}
+	return out
+}
+
+// erlang is the mean wait in a queue M/M/c, in mean services, by Erlang's formula C.
+func erlang(c int, load float64) float64 {
+	a := load * float64(c)
+	term, sum := 1.0, 0.0
+	for k := range c {
+		sum += term
+		term *= a / float64(k+1)
+	}
+	wait := term / (1 - load)
+	return wait / (sum + wait) / (float64(c) * (1 - load))
+}
+
+// TestQueues holds the mean time at one replica against the formulas for M/M/c and, by Pollaczek and Khinchine, M/D/1.
+func TestQueues(t *testing.T) {
+	for _, x := range []struct {
+		cores int
+		load  float64
+		work  string
+	}{{1, 0.5, Exponential}, {1, 0.8, Exponential}, {2, 0.7, Exponential}, {4, 0.8, Exponential}, {1, 0.5, Constant}, {1, 0.8, Constant}} {
+		f := Small()
+		f.Governors, f.Zones, f.Proxies, f.Replicas = 1, 1, 20, 1
+		f.Kinds = []Kind{{Name: "one", Share: 1, Cores: x.cores, Speed: 1}}
+		f.Groups = []Group{{Name: "look", Share: 1, Work: 50 * time.Millisecond, LatencyBudget: time.Hour, Expiry: 2 * time.Hour, Utility: 1, Effect: "retriable"}}
+		f.Load, f.WorkModel, f.Length, f.Handshake, f.Net, f.Links, f.ProxyCV = x.load, x.work, 40*time.Minute, 0, 0, 1000, 0
+		f.LinkIdle, f.Pause = 2*time.Hour, 0
+		mean, n := 0.0, 0
+		for seed := range uint64(4) {
+			w := Play{Fleet: f, Seed: seed, New: func(*World, int) Decider { return &even{replicas: 1} }}
+			r := run(t, w)
+			mean, n = mean+r.latency.Mean(), n+1
+		}
+		got := mean / float64(n) / 50_000 // services
+		want := 1 + erlang(x.cores, x.load)
+		if x.work == Constant {
+			want = 1 + x.load/(2*(1-x.load))
+		}
+		if math.Abs(got/want-1) > 0.04 {
+			t.Errorf("%d cores, load %.1f, %s: %.3f mean services at the replica, formula %.3f", x.cores, x.load, x.work, got, want)
+		}
+	}
+}
+
+// TestEachFlowEndsOnce draws days at random: every flow has exactly one ending, utility served is never more than asked for,
+// and connections and cores are all given back.
+func TestEachFlowEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := Small()
+		f.Governors, f.Proxies, f.Replicas = rapid.IntRange(1, 3).Draw(t, "governors"), rapid.IntRange(3, 30).Draw(t, "proxies"), rapid.IntRange(2, 12).Draw(t, "replicas")
+		f.Load, f.Levels = rapid.Float64Range(0.2, 1.5).Draw(t, "load"), rapid.Bool().Draw(t, "levels")
+		f.Length, f.Settle = 12*time.Second, 30*time.Second
+		var troubles []Trouble
+		for range rapid.IntRange(0, 4).Draw(t, "troubles") {
+			troubles = append(troubles, Trouble{Kind: rapid.SampledFrom(Kinds()).Draw(t, "kind"), At: time.Duration(rapid.IntRange(0, 10).Draw(t, "at")) * time.Second,
+				For: time.Duration(rapid.IntRange(0, 6).Draw(t, "for")) * time.Second, Back: time.Duration(rapid.IntRange(0, 5).Draw(t, "back")) * time.Second,
+				Share: rapid.Float64Range(0, 1).Draw(t, "share"), Factor: rapid.Float64Range(0, 3).Draw(t, "factor")})
+		}
+		var world *World
+		r, err := Run(Play{Fleet: f, Seed: rapid.Uint64().Draw(t, "seed"), Troubles: troubles,
+			New: func(w *World, _ int) Decider { world = w; return &rules.Governor{} }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		offered := 0
+		for _, s := range r.Seconds {
+			offered += s.Offered
+		}
+		if r.offered() != offered || r.Ended[Pending] != 0 {
+			t.Fatalf("%d flows came, endings %v", offered, r.Ended)
+		}
+		for _, g := range r.Groups {
+			if g.Served > g.Asked+1e-9 {
+				t.Fatalf("%s: %.1f served of %.1f", g.Name, g.Served, g.Asked)
+			}
+		}
+		for _, x := range world.replicas {
+			open := 0
+			for _, p := range world.proxies {
+				if _, is := p.links[x.id]; is {
+					open++
+				}
+			}
+			if x.links != open || x.busy < 0 {
+				t.Fatalf("replica %d counts %d connections, %d are open; %d cores busy", x.id, x.links, open, x.busy)
+			}
+		}
+	})
+}
+
+// bad breaks one rule on purpose.
+type bad struct {
+	rules.Governor
+	how   Rule
+	table bool
+}
+
+func (b *bad) Step(now rules.Time, events []rules.Event) []rules.Order {
+	if b.how == Drains {
+		events = slices.DeleteFunc(slices.Clone(events), func(e rules.Event) bool { l, is := e.(rules.List); return is && l.Scope == rules.Changes })
+	}
+	out := b.Governor.Step(now, events)
+	for i, o := range out {
+		switch o := o.(type) {
+		case rules.Line:
+			switch {
+			case b.how == Bare:
+				o.Weight = 0
+			case b.how == ColdFall && o.Weight > 0:
+				o.Weight = 1
+				if o.Replica >= 12 {
+					o.Weight = 1000
+				}
+			}
+			out[i] = o
+		case rules.Admit:
+			if b.how == Twice {
+				o.Retry = rules.RetryTwice
+				out[i] = o
+			}
+		}
+	}
+	if b.how == Queue {
+		for r := range 40 {
+			out = append(out, rules.Line{Table: 0, Replica: rules.ReplicaID(r % 12), Weight: float64(now%1000) + 1})
+		}
+	}
+	return out
+}
+
+// TestBrokenRulesAreCaught has a governor break each rule on purpose, and one that breaks none.
+func TestBrokenRulesAreCaught(t *testing.T) {
+	for _, how := range []Rule{Bare, Twice, Drains, ColdFall, Queue, ""} {
+		f := Small()
+		f.Load, f.Length = 0.6, 30*time.Second
+		troubles := []Trouble{{Kind: "deploy", At: 8 * time.Second, For: 3 * time.Second, Share: 0.4}}
+		if how == Twice {
+			f.Load = 0.2 // and work takes long, so that some is under way when a zone is cut off: its answers are lost
+			troubles = append(troubles, Trouble{Kind: "slow", At: 3 * time.Second, Share: 1, Factor: 3}, Trouble{Kind: "zone_cut", At: 6 * time.Second, For: 5 * time.Second},
+				Trouble{Kind: "zone_cut", At: 15 * time.Second, For: 5 * time.Second})
+		}
+		told := ""
+		r := run(t, Play{Fleet: f, Seed: 5, Troubles: troubles, New: func(*World, int) Decider { return &bad{how: how} },
+			OnBreak: func(w *World, b Break) { told += fmt.Sprintf("%s at %.2f; ", b.Rule, w.seconds()) }})
+		if how == "" {
+			if len(r.Breaks) > 0 {
+				t.Errorf("rules are kept, and %v is told", r.Breaks)
+			}
+			continue
+		}
+		if !slices.ContainsFunc(r.Breaks, func(b Break) bool { return b.Rule == how }) || !strings.Contains(told, string(how)) {
+			t.Errorf("%s: found %v, told %s", how, r.Breaks, told)
+		}
+	}
+}
+
+// TestClientsOwnRepeats has the retry of a try that may have run counted as a repeat only where the governor ordered it.
+func TestClientsOwnRepeats(t *testing.T) {
+	f := Small()
+	f.Retries = 3
+	r := run(t, Play{Fleet: f, Seed: 2, Troubles: []Trouble{{Kind: "hang", At: 5 * time.Second, For: 10 * time.Second, Share: 0.3}}})
+	again := 0
+	for _, s := range r.Seconds {
+		again += s.Again
+	}
+	if len(r.Breaks) > 0 || again == 0 {
+		t.Errorf("%d repeats of clients, breaks %v", again, r.Breaks)
+	}
+}
--- /dev/null
+++ b/internal/emulate/fleet_test.go
@@ -0,0 +1,141 @@
+package emulate
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"zincloft.example/zincloft/rules"
+)
+
+// spy counts what five governors are told and order, on their way through.
+type spy struct {
+	rules.Governor
+	step func(now rules.Time, events []rules.Event, orders []rules.Order)
+}
+
+func (s *spy) Step(now rules.Time, events []rules.Event) []rules.Order {
+	orders := s.Governor.Step(now, events)
+	s.step(now, events, orders)
+	return orders
+}
+
+func keepsRules(t *testing.T, r *Result) {
+	t.Helper()
+	for _, b := range r.Breaks {
+		t.Errorf("rule broken at %.2f s: %s: %s", b.At, b.Rule, b.Detail)
+	}
+}
+
+// TestJoinStorm kills three of five governors at once: their proxies come to the other two, all are bound within the time
+// that a channel needs for them, and no channel ever holds more than it may.
+func TestJoinStorm(t *testing.T) {
+	type wait struct{ joined, bound rules.Time }
+	waits := map[rules.ProxyID]*wait{}
+	f := Large(1280, 120)
+	f.Length = 25 * time.Second
+	died := began + rules.Time(8*time.Second)
+	r := run(t, Play{Fleet: f, Seed: 21, Troubles: []Trouble{{Kind: "governors_die", At: 8 * time.Second, Share: 0.6}},
+		New: func(*World, int) Decider {
+			return &spy{step: func(now rules.Time, events []rules.Event, orders []rules.Order) {
+				for _, e := range events {
+					if j, is := e.(rules.Joined); is && now > died {
+						waits[j.Proxy] = &wait{joined: now}
+					}
+				}
+				for _, o := range orders {
+					if b, is := o.(rules.Bind); is && waits[b.Proxy] != nil {
+						waits[b.Proxy].bound = now
+					}
+				}
+			}}
+		}})
+	keepsRules(t, r)
+	longest := time.Duration(0)
+	for p, w := range waits {
+		if w.bound == 0 {
+			t.Fatalf("proxy %d was never bound", p)
+		}
+		longest = max(longest, time.Duration(w.bound-w.joined))
+	}
+	// Each is sent the whole of a table that names all replicas, each line twice as it may shut out any.
+	whole := float64(2*f.Replicas+20) * float64(len(waits)) / 2 / f.Pace
+	if len(waits) < 600 || longest > time.Duration(1.5*whole*float64(time.Second)) {
+		t.Errorf("%d came, the last was bound after %v; their lines take %.1f s", len(waits), longest, whole)
+	}
+	if r.Service < 0.94 {
+		t.Errorf("service %.3f", r.Service)
+	}
+}
+
+// TestDiscoveryOutage takes discovery away from five governors at once, while replicas drain that none of them hears of: they
+// call again, but never all in one moment, and once it is back all hear of the drains and keep them.
+func TestDiscoveryOutage(t *testing.T) {
+	f := Large(640, 60)
+	f.Length = 30 * time.Second
+	calls := map[int]int{} // by tenth of a second
+	heard := 0
+	r := run(t, Play{Fleet: f, Seed: 22, Troubles: []Trouble{{Kind: "list_down", At: 6 * time.Second, For: 9 * time.Second},
+		{Kind: "deploy", At: 8 * time.Second, For: 3 * time.Second, Share: 0.3}},
+		New: func(*World, int) Decider {
+			return &spy{step: func(now rules.Time, events []rules.Event, orders []rules.Order) {
+				at := time.Duration(now - began)
+				for _, e := range events {
+					if l, is := e.(rules.List); is && at > 15*time.Second && slices.ContainsFunc(l.Entries, func(n rules.Entry) bool { return n.State == rules.Draining }) {
+						heard++
+					}
+				}
+				for _, o := range orders {
+					if o, is := o.(rules.Observe); is && o.On && at > 7*time.Second {
+						calls[int(at/(100*time.Millisecond))]++
+					}
+				}
+			}}
+		}})
+	keepsRules(t, r)
+	total, most := 0, 0
+	for _, n := range calls {
+		total, most = total+n, max(most, n)
+	}
+	if total < 20 || most > 3 {
+		t.Errorf("%d calls in all, %d of five governors within a tenth of a second", total, most)
+	}
+	if heard < f.Governors {
+		t.Errorf("%d of %d governors heard of the drains once discovery was back", heard, f.Governors)
+	}
+}
+
+// TestReplacement replaces six in ten replicas within seven seconds. The new ones come cold, and get what they can do even
+// while the warm ones, of which there are too few, drop flows; none is pushed over.
+func TestReplacement(t *testing.T) {
+	f := Large(1280, 120)
+	f.Load, f.Length = 0.55, 35*time.Second
+	r := run(t, Play{Fleet: f, Seed: 23, Troubles: []Trouble{{Kind: "deploy", At: 8 * time.Second, For: 3 * time.Second, Share: 0.6}}})
+	keepsRules(t, r)
+	cold, tries, bad := 0, 0, 0
+	for _, s := range r.Seconds[15:26] {
+		cold, tries, bad = cold+s.Cold, tries+s.Tries, bad+s.Bad
+	}
+	if share := float64(cold) / float64(tries); share < 0.33 {
+		t.Errorf("cold replicas, six in ten, got %.2f of the tries; %d of %d tries dropped", share, bad, tries)
+	}
+	if r.Service < 0.82 {
+		t.Errorf("service %.3f", r.Service)
+	}
+}
+
+// TestZoneReturns loses a zone of four, which comes back cold all at once, while governors hear of it at about the same time:
+// five allowances for cold replicas together stay below what pushes one over.
+func TestZoneReturns(t *testing.T) {
+	f := Large(1280, 120)
+	f.Load, f.Length = 0.55, 35*time.Second
+	zone := 2
+	r := run(t, Play{Fleet: f, Seed: 24, Troubles: []Trouble{{Kind: "zone_loss", At: 8 * time.Second, Back: 6 * time.Second, Zone: &zone}}})
+	keepsRules(t, r)
+	if r.Service < 0.9 {
+		t.Errorf("service %.3f", r.Service)
+	}
+	if last := r.Seconds[30]; float64(last.InTime) < 0.95*float64(last.Offered) {
+		t.Errorf("at 30 s %d of %d flows are delivered in time", last.InTime, last.Offered)
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -28,6 +28,7 @@
 	rampFrom      = 0.1     // a new replica's first part of its fair share (design)
 	rampSpan      = 5.0 / 9 // the ramp's length by the longest warm-up; 10 s where that is 18 s (design)
 	coldFill      = 0.8     // part of a cold replica's least capacity that it may be sent
+	fallPart      = 0.75    // of what pushes a cold replica over, it may be sent where others can't take theirs
 	avoidShare    = 0.6     // with this share of tries dropped, a cold replica gets no line; less in small parts
 	avoidSoon     = 2.0     // all the less, as proxies need a part of the time until sums tell to avoid others
 	speedPeriods  = 8.0     // speeds, and shares of traffic groups, are learnt over so many periods
@@ -121,11 +122,7 @@
 	} else if g.lists > 0 && joined {
 		g.bind(now)
 	}
-	if g.written > 0 {
-		g.version++
-		g.orders = append(g.orders, Mark{Version: g.version})
-		g.channel = append(g.channel, parcel{now, g.lines, g.written, g.written})
-	}
+	g.book(now)
 	g.follow(now)
 	return g.orders
 }
@@ -141,17 +138,16 @@
 	span := s.LineCap / s.LinePace * slowMost * float64(time.Second)
 	g.fig = figures{
 		proxies: float64(s.Proxies) / float64(max(s.Governors, 1)), warmAfter: s.WarmAfter, coldFrom: s.ColdFrom,
-		onRequest: s.ListOnRequest, blocks: s.Levels == LevelShare, unblocked: 1, fails: float64(s.FailsToAvoid),
+		onRequest: s.ListOnRequest, blocks: s.Levels == LevelShare, unblocked: 1 + one(s.Levels == LevelRate)*math.MaxInt32, fails: float64(s.FailsToAvoid),
 		period: s.Period, lineCap: s.LineCap * fillMost, pacedLines: s.LinePace * pacedShare,
-		fillLines: s.LinePace * min(fillShare, s.DrainGrace.Seconds()*removeShare), head: s.HeadLines + 1,
+		leaveLines: min(s.LinePace*s.DrainGrace.Seconds()/2, s.LineCap*fillMost),
+		fillLines:  s.LinePace * min(fillShare, s.DrainGrace.Seconds()*removeShare), head: s.HeadLines + 1,
 		ledgerSpan: time.Duration(span) + s.TravelMost, messageCap: cmp.Or(s.MessageCap, math.MaxInt32),
 		messageSpan: s.MessageSpan, askWait: s.AskWithin / askParts,
 		removeWait: Time(float64(s.DrainGrace) * removeShare), allProxies: float64(s.Proxies),
 		linkPeriods: float64(s.LinkIdle) / float64(s.Period),
 		links:       cmp.Or(s.LinksLeast, math.MaxFloat64),
-	}
-	if s.Levels == LevelRate {
-		g.fig.unblocked = math.MaxInt32 // flows a second: more than any proxy gets
+		room:        max(math.Sqrt(s.FallMultiple*fallPart/coldFill), 1),
 	}
 	for i, tg := range s.Groups {
 		kind := common
@@ -172,8 +168,7 @@
 }
 
 func (g *Governor) wake(now Time) {
-	g.mark++
-	g.wakeAt = now + Time(g.fig.period/4)
+	g.mark, g.wakeAt = g.mark+1, now+Time(g.fig.period/4)
 	g.orders = append(g.orders, WakeAfter{g.fig.period / 4, g.mark})
 }
 
@@ -187,11 +182,8 @@
 // zone have pairs among the common ones with the same proxies and, at first, the same part, so that both
 // share connections. Harm: a part is a smaller sample than the fleet, so share keeps parts even.
 func (g *Governor) lay(replicas float64) {
-	zones, least := g.fig.zones, tableLeast
-	if zones > 0 {
-		least = 2 * tableLeast
-	}
-	n := int(min(g.fig.proxies/least, replicas/partLeast))
+	zones := g.fig.zones
+	n := int(min(g.fig.proxies/tableLeast/(1+one(zones > 0)), replicas/partLeast))
 	if replicas*g.fig.proxies <= g.fig.pacedLines || n < max(zones, 2) {
 		n = 1
 	}
@@ -502,8 +494,8 @@
 func (g *Governor) weigh(now Time) {
 	spare, flows := 0.0, 1.0
 	for _, r := range g.replicas {
-		r.want, r.most = [2]float64{}, g.bound(now, r)
-		if !math.IsInf(r.most, 1) { // it is idle for its small share, which says nothing of its fair one
+		r.want, r.most, r.cold = [2]float64{}, g.bound(now, r), !g.warm(now, r)
+		if !math.IsInf(r.most, 1) || !r.known { // idle for its small share, which says nothing of its fair one
 			r.load = max(r.load, g.meanLoad)
 		}
 		if r.size == 0 || g.jammed {
@@ -511,8 +503,6 @@
 		}
 		if r.spare = r.size * max(1-r.load, spareFloor); g.jammed {
 			r.spare = r.size
-		} else if !r.known {
-			r.spare = r.size * max(1-g.meanLoad, spareFloor)
 		}
 		spare += r.spare
 	}
@@ -586,7 +576,7 @@
 		put(r, poor)
 	}
 	for _, t := range tables {
-		t.fill(flows)
+		t.fill(flows, g.fig.room)
 	}
 }
 
@@ -639,22 +629,28 @@
 // fill shares a table's 100 among its part by spare capacity; what a bound cuts off goes to the others.
 // Bounds are by the fair share of all flows of its kind, since a few proxies may have more than their part.
 // Where all are bound, what they cannot take goes to the replicas named beside the part, or, where there are
-// none, they share it by their bounds.
-func (t *table) fill(flows float64) {
+// none, they share it by their bounds; cold ones only as far as they surely stand, so long as one is warm.
+func (t *table) fill(flows, room float64) {
 	size, all := t.whole*(t.flows+1)/flows, t.spares()
 	slices.SortStableFunc(t.part, func(a, b *replica) int { // most bound first
 		return cmp.Compare(a.most*a.size/a.spare, b.most*b.size/b.spare)
 	})
-	left, spare := 100.0, all
+	left, spare, warm := 100.0, all, 0.0
 	for _, r := range t.part {
 		r.want[t.kind] = min(left*r.spare/spare, 100*r.most*r.size/size)
 		left, spare = left-r.want[t.kind], spare-r.spare
+		warm += one(!r.cold) * r.want[t.kind]
 	}
+	over := min(100/(100-left), room)
 	for _, r := range t.part {
 		switch {
 		case left < 1:
 		case t.lines > 2*float64(len(t.part)):
-			r.want[t.kind] *= 100 * restShare / left
+			r.want[t.kind] *= min(100*restShare/left, 1)
+		case warm > 0 && r.cold:
+			r.want[t.kind] *= over
+		case warm > 0:
+			r.want[t.kind] *= (100 - (100-left-warm)*over) / warm
 		case left < 100:
 			r.want[t.kind] *= 100 / (100 - left)
 		default:
@@ -667,7 +663,6 @@
 // removals leave half of the channel. The rest goes once a period, in a part of the channel and of a proxy's
 // messages, tables whose changes move most first; each sends all, largest first, as heads cost much.
 func (g *Governor) publish(now Time, due bool) {
-	g.replicas = slices.DeleteFunc(g.replicas, func(r *replica) bool { return g.byID[r.id] != r })
 	g.expire(now)
 	g.remove(now)
 	for _, r := range g.replicas {
@@ -675,7 +670,7 @@
 			if t == nil || r.state != Ready {
 				continue
 			}
-			want, sent := r.want[kind], r.sent[t.id]
+			want, sent := r.want[kind]*t.pace(r, g.fig.room), r.sent[t.id]
 			c := change{r, want, math.Abs(want - sent)}
 			if c.by > 0 && (want < sent/2 || sent < evenParts*t.rest(r)) {
 				t.urgent = append(t.urgent, c)
@@ -684,19 +679,21 @@
 			}
 		}
 	}
-	for _, t := range g.tables {
-		g.send(now, t, t.urgent, g.fig.lineCap/2, g.fig.messageCap*3/4)
-	}
 	if !g.taught && slices.ContainsFunc(g.waiting, func(p *proxy) bool { return !p.fresh }) {
 		g.let = slices.Repeat([]float64{restartLevel}, len(g.let)) // our former levels may have been low
 	}
+	if g.leaving() && g.tables[0].lines > 0 {
+		g.bind(now)
+	}
+	for _, t := range g.tables {
+		g.send(now, t, t.urgent, g.fig.lineCap/2, g.fig.messageCap*3/4)
+	}
 	if due || !g.taught {
 		g.admit(now)
 	}
 	g.bind(now)
 	if due {
-		by := func(a, b *table) int { return cmp.Compare(b.moves, a.moves) }
-		for _, t := range slices.SortedStableFunc(slices.Values(g.tables), by) {
+		for _, t := range slices.SortedStableFunc(slices.Values(g.tables), mostMoves) {
 			g.send(now, t, t.changes, g.fig.pacedLines, g.fig.messageCap/2)
 		}
 		// Else proxies would be sent far more lines when bound, or when the next wave goes.
@@ -704,9 +701,6 @@
 			g.name(now)
 		}
 	}
-	for _, t := range g.tables {
-		t.urgent, t.changes, t.moves = t.urgent[:0], t.changes[:0], 0
-	}
 }
 
 // remove takes the lines of replicas that drain or are gone, with all of a proxy's messages. Tables that only
@@ -809,9 +803,11 @@
 
 // bind puts proxies on their tables, those with most flows first; it also ends whatever an earlier stream
 // withdrew. After a restart of ours, proxies go on with what they hold until the first sums have told us the
-// load, or until some replica must be left.
+// load, or until some replica must be left. Those that may hold one which leaves come before urgent changes, as
+// far into the channel as it sends in half of the drain grace: against a lost governor's proxies, all at once.
 func (g *Governor) bind(now Time) {
 	slices.SortStableFunc(g.waiting, func(a, b *proxy) int { return cmp.Compare(b.rate, a.rate) })
+	leaving := g.leaving()
 	g.waiting = slices.DeleteFunc(g.waiting, func(p *proxy) bool {
 		if !p.fresh && now < g.holdUntil {
 			return false
@@ -832,7 +828,8 @@
 				lines += 1 + t.lines*p.each
 			}
 		}
-		room := max(g.fig.lineCap/2, min(lines+g.fig.head, g.fig.lineCap))
+		room := max(g.fig.lineCap/2, min(lines+g.fig.head, g.fig.lineCap),
+			one(leaving && !p.fresh)*g.fig.leaveLines)
 		if g.take(now, []*proxy{p}, 1, lines, room, g.fig.messageCap) == 0 {
 			return false
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -67,6 +67,33 @@
 	p.check(t)
 }
 
+// TestJoinsWhileOneLeaves has another governor's proxies come all at once while a replica drains that they may hold: they are
+// bound far into the channel, before other urgent changes; while none leaves, half of it stays free.
+func TestJoinsWhileOneLeaves(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		s := site()
+		s.LinePace, s.LineCap, s.DrainGrace = 300, 1200, 6*time.Second
+		p := newPlay(s, 4, 2)
+		p.run(3)
+		p.g.channel, p.g.queue = nil, 0
+		if leaves {
+			p.list[3].State = Draining
+		}
+		in := []Event{List{Scope: Changes, Entries: p.list[3:]}}
+		for i := range 150 {
+			in = append(in, Joined{Proxy: ProxyID(10 + i), Rate: 1})
+		}
+		p.step(in...)
+		lines := 1080 * 0.5
+		if leaves {
+			lines = 900
+		}
+		if p.g.queue > lines || p.g.queue < lines-30 {
+			t.Errorf("one leaves: %v; %.0f lines wait, %d proxies are not bound", leaves, p.g.queue, len(p.g.waiting))
+		}
+	}
+}
+
 func TestDrain(t *testing.T) {
 	p := newPlay(site(), 3, 2)
 	p.run(2)
@@ -163,6 +190,20 @@
 	p.check(t)
 }
 
+// TestColdAmongLateOnes has a replica start anew where all others hold more than they answer in time: what those are not
+// sent must not all go to the cold one.
+func TestColdAmongLateOnes(t *testing.T) {
+	p := newPlay(site(), 4, 2)
+	p.run(3)
+	p.load = map[ReplicaID]float64{1: 1, 2: 1, 3: 1, 4: 0.5}
+	p.held = map[ReplicaID]float64{1: 90, 2: 90, 3: 90}
+	p.run(4)
+	p.change(4, Ready, p.now)
+	if r := p.g.byID[4]; r.want[common] > 10 {
+		t.Errorf("a cold replica among late ones is to get %.1f of 100, its bound is %.2f of its fair share", r.want[common], r.most)
+	}
+}
+
 func TestSilentReplica(t *testing.T) {
 	p := newPlay(site(), 4, 2)
 	p.run(3)
--- a/rules/state.go
+++ b/rules/state.go
@@ -21,6 +21,7 @@
 	fails                        float64     // of a proxy's own in a row after which it avoids a replica; 0: never
 	unblocked                    float64     // the level that lets all in
 	pacedLines, fillLines        float64
+	leaveLines                   float64 // that may wait while proxies join that may hold what leaves
 	lineCap, head                float64 // of the channel; lines of a message besides its orders
 	messageCap                   int
 	period, messageSpan, askWait time.Duration
@@ -30,6 +31,7 @@
 	allProxies, links            float64 // proxies of all governors; connections that each replica surely accepts
 	linkPeriods                  float64 // a connection that lies idle stays open for so long
 	coldFrom                     float64
+	room                         float64 // by which a cold replica's weight may be over what is meant: its square is sure
 }
 
 // group is a traffic group.
@@ -57,6 +59,7 @@
 	heardAt                                 Time  // the last review that had sums of it
 	rounds                                  []int // of each zone, the last that had sums of it; 0: none
 
+	cold         bool    // its warm-up may not be over, when last weighed
 	known        bool    // its load has been reported
 	load         float64 // smoothed
 	served, busy float64 // flows answered, and periods spent busy, over the speed window
@@ -103,6 +106,32 @@
 	return sum
 }
 
+// leaving tells whether some replica drains or is gone and not yet forgotten.
+func (g *Governor) leaving() bool {
+	return slices.ContainsFunc(g.replicas, func(r *replica) bool { return r.state != Ready })
+}
+
+// pace is 1 for a warm replica. For a cold one it is how far the warm lines of a table, as ordered, are behind what they are to
+// weigh: proxies see shares, so a line that stands among others which are yet to rise has more than is meant; room is by how much it may.
+func (t *table) pace(r *replica, room float64) float64 {
+	if !r.cold {
+		return 1
+	}
+	want, sent := 0.0, 0.0
+	for _, o := range t.part {
+		if o.sent[t.id] > 0 && !o.cold && o.state == Ready {
+			want, sent = want+o.want[t.kind], sent+o.sent[t.id]
+		}
+	}
+	if want == 0 {
+		return 1
+	}
+	return min(max(sent/want, 1/room), 1)
+}
+
+// mostMoves orders tables by the flows that their changes move, most first.
+func mostMoves(a, b *table) int { return cmp.Compare(b.moves, a.moves) }
+
 // open tells whether a table is for replicas and proxies of a zone.
 func (t *table) open(z ZoneID) bool { return t.kind == common || t.zone == z }
 
@@ -282,8 +311,22 @@
 	}
 }
 
-// expire takes parcels out of the ledger that are older than it covers.
+// book notes what this Step has put into the channel, and asks that it be confirmed.
+func (g *Governor) book(now Time) {
+	if g.written > 0 {
+		g.version++
+		g.orders = append(g.orders, Mark{Version: g.version})
+		g.channel = append(g.channel, parcel{now, g.lines, g.written, g.written})
+	}
+}
+
+// expire takes parcels out of the ledger that are older than it covers, forgotten replicas out of the records, and what an
+// earlier publishing gathered.
 func (g *Governor) expire(now Time) {
+	g.replicas = slices.DeleteFunc(g.replicas, func(r *replica) bool { return g.byID[r.id] != r })
+	for _, t := range g.tables {
+		t.urgent, t.changes, t.moves = t.urgent[:0], t.changes[:0], 0
+	}
 	old := 0
 	for old < len(g.channel) && now-g.channel[old].at > Time(g.fig.ledgerSpan) {
 		old++
