--- a/cmd/zinclab/main.go
+++ b/cmd/zinclab/main.go
@@ -25,7 +25,7 @@
 }
 
 func command() *cobra.Command {
-	root := &cobra.Command{Use: "zinclab", Short: "Plays loads against a governor", SilenceUsage: true, SilenceErrors: true}
+	root := &cobra.Command{Use: "zinclab", Short: "Plays loads against a governor, and days of a fleet in simulated time", SilenceUsage: true, SilenceErrors: true}
 	var sizes []int
 	var binaries []string
 	var repeats int
@@ -70,7 +70,8 @@
 	f.DurationVar(&plan.Length, "length", 45*time.Second, "the run's length")
 	f.StringVar(&plan.Operator, "operator", "", "the governor's operator file")
 	f.StringVar(&plan.Profile, "profile", "", "where a governor that can writes its CPU profile")
-	root.AddCommand(c, awayCommand())
+	root.AddCommand(c, awayCommand(), emulateCommand())
+	root.AddCommand(experimentCommands()...)
 	return root
 }
 
--- /dev/null
+++ b/internal/experiment/hunt.go
@@ -0,0 +1,121 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"zincloft.example/zincloft/internal/emulate"
+)
+
+// Find is a day that goes badly.
+type Find struct {
+	Seed     uint64
+	Troubles []emulate.Trouble
+	Result   *emulate.Result
+}
+
+// drawable are the kinds that a search draws from.
+var drawable = []string{"crash", "vanish", "hang", "slow", "stolen", "errors", "partial", "false_reports", "zone_cut", "zone_loss", "deploy", "burst",
+	"impatient", "governors_die", "proxies_die", "list_down", "list_late", "channel_slow", "reports_lost", "reports_late"}
+
+// day draws one of one to three troubles.
+func day(r *rand.Rand, f *emulate.Fleet) (out []emulate.Trouble) {
+	for range 1 + r.IntN(3) {
+		zone := r.IntN(f.Zones)
+		t := emulate.Trouble{Kind: drawable[r.IntN(len(drawable))], At: time.Duration(5+r.IntN(10)) * time.Second, For: time.Duration(3+r.IntN(12)) * time.Second,
+			Back: time.Duration(3+r.IntN(10)) * time.Second, Share: 0.05 + 0.5*r.Float64(), Factor: 0.3 + 3*r.Float64()}
+		if strings.HasPrefix(t.Kind, "zone") {
+			t.Zone = &zone
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+// Hunt plays days drawn by seed until ctx ends or so many are played, and returns those on which a rule broke, and the ones of least
+// service, worst first, ten at most.
+func Hunt(ctx context.Context, p Plan, days int, cores int) (found []Find, played int, err error) {
+	finds := make([]Find, days)
+	todo := make(chan int)
+	errs := make(chan error, cores)
+	for range cores {
+		go func() {
+			for i := range todo {
+				seed := p.First + uint64(i)
+				troubles := day(rand.New(rand.NewPCG(seed, 9)), &p.Fleet)
+				r, err := emulate.Run(p.play(Scenario{Troubles: troubles}, seed, p.Variants[0]))
+				if err != nil {
+					errs <- fmt.Errorf("day %d: %w", seed, err)
+					return
+				}
+				finds[i] = Find{seed, troubles, r}
+			}
+			errs <- nil
+		}()
+	}
+	for i := range days {
+		select {
+		case todo <- i:
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
+	close(todo)
+	for range cores {
+		if e := <-errs; e != nil {
+			err = e
+		}
+	}
+	finds = slices.DeleteFunc(finds, func(f Find) bool { return f.Result == nil })
+	slices.SortStableFunc(finds, func(a, b Find) int {
+		if x, y := len(a.Result.Breaks) > 0, len(b.Result.Breaks) > 0; x != y {
+			if x {
+				return -1
+			}
+			return 1
+		}
+		return int((a.Result.Service - b.Result.Service) * 1e6)
+	})
+	return finds[:min(len(finds), 10)], len(finds), err
+}
+
+// Shrink makes a day on which a rule broke as small as it can be with that rule still broken: without troubles that are not needed,
+// with smaller shares and shorter times.
+func Shrink(p Plan, f Find) (Find, int) {
+	rule, plays := f.Result.Breaks[0].Rule, 0
+	still := func(troubles []emulate.Trouble) bool {
+		plays++
+		r, err := emulate.Run(p.play(Scenario{Troubles: troubles}, f.Seed, p.Variants[0]))
+		if err != nil || !slices.ContainsFunc(r.Breaks, func(b emulate.Break) bool { return b.Rule == rule }) {
+			return false
+		}
+		f.Troubles, f.Result = troubles, r
+		return true
+	}
+	for i := 0; i < len(f.Troubles); {
+		if len(f.Troubles) == 1 || !still(slices.Delete(slices.Clone(f.Troubles), i, i+1)) {
+			i++
+		}
+	}
+	for i := range f.Troubles {
+		for _, smaller := range []func(*emulate.Trouble){
+			func(t *emulate.Trouble) { t.Share /= 2 },
+			func(t *emulate.Trouble) { t.Factor = 1 + (t.Factor-1)/2 },
+			func(t *emulate.Trouble) { t.For /= 2 },
+		} {
+			for range 4 {
+				troubles := slices.Clone(f.Troubles)
+				before := troubles[i]
+				if smaller(&troubles[i]); troubles[i] == before || !still(troubles) {
+					break
+				}
+			}
+		}
+	}
+	return f, plays
+}
