--- a/cmd/zinclab/experiment.go
+++ b/cmd/zinclab/experiment.go
@@ -18,11 +18,7 @@
 	cores, days, shrink := runtime.NumCPU(), 100, true
 	run := &cobra.Command{Use: "run FILE", Short: "Plays an experiment's scenarios, seeds and variants; goes on where it was cut off", Args: cobra.ExactArgs(1),
 		Example: "  zinclab run examples/replacement.toml --out found/replacement"}
-	run.RunE = func(c *cobra.Command, args []string) error {
-		p, err := experiment.Read(args[0])
-		if err != nil {
-			return err
-		}
+	play := func(c *cobra.Command, p experiment.Plan) error {
 		bar := progressbar.NewOptions(-1, progressbar.OptionSetWriter(c.ErrOrStderr()), progressbar.OptionSetDescription(p.Name), progressbar.OptionClearOnFinish())
 		rows, err := experiment.Run(c.Context(), p, folder, cores, func(done, all int) {
 			bar.ChangeMax(all)
@@ -35,19 +31,47 @@
 		if page == "" {
 			return nil
 		}
-		f, err := os.Create(page)
+		return writePage(page, p, rows)
+	}
+	run.RunE = func(c *cobra.Command, args []string) error {
+		p, err := experiment.Read(args[0])
+		if err != nil {
+			return err
+		}
+		return play(c, p)
+	}
+	sweep := &cobra.Command{Use: "sweep FILE KEY VALUE...", Short: "Plays the first variant of an experiment once for each value of a key of its fleet", Args: cobra.MinimumNArgs(3),
+		Example: "  zinclab sweep examples/replacement.toml drain_grace 1s 3s 6s --out found/grace"}
+	sweep.RunE = func(c *cobra.Command, args []string) error {
+		text, err := os.ReadFile(args[0])
+		if err != nil {
+			return fmt.Errorf("experiment: %w", err)
+		}
+		p, err := experiment.Sweep(text, args[1], args[2:])
 		if err != nil {
-			return fmt.Errorf("--page: %w", err)
+			return fmt.Errorf("%s: %w", args[0], err)
 		}
-		if err := experiment.Page(f, p, rows); err != nil {
-			f.Close()
+		return play(c, p)
+	}
+	report := &cobra.Command{Use: "report FILE", Short: "Writes the page with charts of an experiment that was played", Args: cobra.ExactArgs(1)}
+	report.RunE = func(_ *cobra.Command, args []string) error {
+		p, err := experiment.Read(args[0])
+		if err != nil {
+			return err
+		}
+		rows, err := experiment.Load(folder)
+		if err != nil {
 			return err
 		}
-		return f.Close()
+		return writePage(page, p, rows)
+	}
+	for _, c := range []*cobra.Command{run, sweep, report} {
+		c.Flags().StringVar(&folder, "out", "found/experiment", "folder of the results, a file a run")
+		c.Flags().StringVar(&page, "page", "", "where a page with charts goes")
+	}
+	for _, c := range []*cobra.Command{run, sweep} {
+		c.Flags().IntVar(&cores, "cores", cores, "runs at a time")
 	}
-	run.Flags().StringVar(&folder, "out", "found/experiment", "folder of the results, a file a run")
-	run.Flags().StringVar(&page, "page", "", "where a page with charts goes")
-	run.Flags().IntVar(&cores, "cores", cores, "runs at a time")
 
 	var first string
 	compare := &cobra.Command{Use: "compare FOLDER", Short: "Compares the variants whose results a folder keeps, paired by seed", Args: cobra.ExactArgs(1)}
@@ -90,5 +114,17 @@
 	hunt.Flags().IntVar(&days, "days", days, "days to draw")
 	hunt.Flags().BoolVar(&shrink, "shrink", true, "make days on which a rule breaks smaller")
 	hunt.Flags().IntVar(&cores, "cores", cores, "runs at a time")
-	return []*cobra.Command{run, compare, hunt}
+	return []*cobra.Command{run, sweep, compare, report, hunt}
+}
+
+func writePage(path string, p experiment.Plan, rows []experiment.Row) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("--page: %w", err)
+	}
+	if err := experiment.Page(f, p, rows); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
 }
--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -219,7 +219,7 @@
 			}
 			continue
 		}
-		if !slices.ContainsFunc(r.Breaks, func(b Break) bool { return b.Rule == how }) || !strings.Contains(told, string(how)) {
+		if !slices.ContainsFunc(r.Breaks, func(b Break) bool { return b.Rule == how }) || !strings.Contains(told, string(how)) || len(r.Before) == 0 {
 			t.Errorf("%s: found %v, told %s", how, r.Breaks, told)
 		}
 	}
@@ -238,3 +238,41 @@
 		t.Errorf("%d repeats of clients, breaks %v", again, r.Breaks)
 	}
 }
+
+// TestPairsThroughIntake has a replica swallow the flows of one proxy in ten, which tell of it themselves: through the intake the
+// governor finds them and has them alone shut it out, and service is better than without such reports.
+func TestPairsThroughIntake(t *testing.T) {
+	f := Small()
+	f.Proxies, f.Load, f.Length = 60, 0.4, 60*time.Second
+	troubles := []Trouble{{Kind: "partial", At: 8 * time.Second, Share: 0.08, Factor: 0.1}}
+	shuns, wrong := 0, 0
+	var world *World
+	p := Play{Fleet: f, Seed: 6, Troubles: troubles, New: func(w *World, _ int) Decider {
+		world = w
+		return &spy{step: func(_ rules.Time, _ []rules.Event, orders []rules.Order) {
+			for _, o := range orders {
+				if s, is := o.(rules.Shun); is && s.Out {
+					shuns++
+					if w.replicas[s.Replica].partial == 0 || w.proxies[s.Proxy].lot >= 0.1 {
+						wrong++
+					}
+				}
+			}
+		}}
+	}}
+	without := run(t, p)
+	if shuns > 0 {
+		t.Errorf("%d orders to shut out, and no proxy tells of what it met", shuns)
+	}
+	p.Fleet.Met = true
+	with := run(t, p)
+	few := 0
+	for _, x := range world.proxies {
+		if x.lot < 0.1 {
+			few++
+		}
+	}
+	if few == 0 || shuns < few/2 || wrong > 1 || with.Service < without.Service-0.005 {
+		t.Errorf("%d proxies fail there: %d orders, %d of them wrong; service %.4f, without %.4f", few, shuns, wrong, with.Service, without.Service)
+	}
+}
--- a/internal/emulate/fleet.go
+++ b/internal/emulate/fleet.go
@@ -66,6 +66,7 @@
 	MessageSec time.Duration `toml:"message_span"` //
 	Pause      time.Duration `toml:"pause"`        // a proxy stands still so long for each line
 	Levels     bool          `toml:"levels"`       // proxies heed levels
+	Met        bool          `toml:"met"`          // proxies tell what each met at each replica, through an intake; Hears does not bound that
 
 	Fails     int           `toml:"fails"`      // of its own in a row after which a proxy avoids a replica; 0: never
 	AvoidFor  time.Duration `toml:"avoid_for"`  //
--- a/internal/emulate/governor.go
+++ b/internal/emulate/governor.go
@@ -1,9 +1,12 @@
 package emulate
 
 import (
+	"fmt"
+	"maps"
 	"slices"
 	"time"
 
+	"zincloft.example/zincloft/intake"
 	"zincloft.example/zincloft/rules"
 )
 
@@ -37,8 +40,9 @@
 	known    map[rules.ReplicaID]rules.Entry
 	watching bool
 
-	sums  [][]sum   // by zone and replica, of this period
-	heard []reports // what waits to be passed on, by zone
+	in    *intake.Intake // where proxies tell what each met
+	sums  [][]sum        // by zone and replica, of this period
+	heard []reports      // what waits to be passed on, by zone
 }
 
 type table struct {
@@ -61,6 +65,8 @@
 	shunned int
 	sent    []rules.Time // messages lately
 	arrives rules.Time   // the last of them
+	pairs   map[rules.ReplicaID]*sum
+	told    uint32 // batches
 }
 
 // parcel is lines in the channel until it has sent them.
@@ -109,6 +115,11 @@
 	set := w.set
 	set.Zone = rules.ZoneID(g.n % w.fleet.Zones)
 	g.post(rules.Start{Seed: w.play.Seed<<8 + uint64(g.n)<<4 + uint64(g.life), Settings: set})
+	if g.in = nil; w.fleet.Met {
+		g.in = intake.New(intake.Settings{Seed: w.play.Seed, Period: w.fleet.Period, Budget: metBudget, HalfLife: 2 * w.fleet.Period, MostAge: 10 * w.fleet.Period,
+			Pairs: metPairs, Zones: w.fleet.Zones})
+		g.cut(g.life)
+	}
 	for z := range w.fleet.Zones {
 		g.collect(z, g.life)
 	}
@@ -150,8 +161,13 @@
 	m := &member{p: p, life: g.life, table: slices.Repeat([]int{-1}, len(g.w.fleet.Groups)), shuns: map[rules.ReplicaID]bool{}}
 	g.members[p.id] = m
 	g.order = append(g.order, m)
+	if g.in != nil {
+		g.in.Join(p.id, rules.ZoneID(p.zone))
+		m.pairs = map[rules.ReplicaID]*sum{}
+		g.tell(m, g.life)
+	}
 	g.w.watch.bare(p, p.gov != nil)
-	g.post(rules.Joined{Proxy: p.id, Zone: rules.ZoneID(p.zone), Rate: p.rate, Fresh: p.fresh, Unsure: !p.fresh})
+	g.post(rules.Joined{Proxy: p.id, Zone: rules.ZoneID(p.zone), Rate: p.rate, Fresh: p.fresh, Unsure: !p.fresh && g.in != nil})
 }
 
 func (g *governor) leave(p *proxy) {
@@ -161,6 +177,9 @@
 	}
 	delete(g.members, p.id)
 	g.order = slices.DeleteFunc(g.order, func(o *member) bool { return o == m })
+	if g.in != nil {
+		g.in.Leave(p.id)
+	}
 	life := g.life
 	g.w.in(g.w.between(g.w.fleet.Noticed/2, g.w.fleet.Noticed), func() {
 		if g.life == life && g.members[p.id] == nil {
@@ -179,6 +198,7 @@
 		}
 	}
 	orders := g.mind.Step(g.w.now, events)
+	g.note(events, orders)
 	life := g.life
 	carries := false
 	var mark *rules.Mark
@@ -200,6 +220,9 @@
 		case rules.Forget:
 			delete(g.told, o.Replica)
 			delete(g.known, o.Replica)
+			if g.in != nil {
+				g.in.Forget(o.Replica)
+			}
 		case rules.Mark:
 			mark = &o
 		case rules.Log:
@@ -213,6 +236,42 @@
 	}
 }
 
+// note writes a line of the trace for a Step in which something came or was ordered that people would ask for.
+func (g *governor) note(events []rules.Event, orders []rules.Order) {
+	joins, leaves, changed, gone := 0, 0, 0, 0
+	for _, e := range events {
+		switch e := e.(type) {
+		case rules.Joined:
+			joins++
+		case rules.Left:
+			leaves++
+		case rules.List:
+			for _, n := range e.Entries {
+				if changed++; n.State != rules.Ready {
+					gone++
+				}
+			}
+		}
+	}
+	lines, removed, binds, clears := 0, 0, 0, 0
+	for _, o := range orders {
+		switch o := o.(type) {
+		case rules.Line:
+			if lines++; o.Weight == 0 {
+				removed++
+			}
+		case rules.Bind:
+			binds++
+		case rules.ClearTable:
+			clears++
+		}
+	}
+	if joins+leaves+changed+lines+binds+clears > 0 {
+		g.w.watch.trace(fmt.Sprintf("governor %d: %d join, %d leave, %d listed of which %d drain or are gone; orders %d lines, %d of them removals, %d clears, binds %d; %.0f lines wait",
+			g.n, joins, leaves, changed, gone, lines, removed, clears, binds, g.waits()))
+	}
+}
+
 // hear notes what a list tells: drains count from here on.
 func (g *governor) hear(l rules.List) {
 	if l.Scope == rules.Failed {
@@ -478,17 +537,80 @@
 	for len(g.sums[p.zone]) <= int(t.replica.id) {
 		g.sums[p.zone] = append(g.sums[p.zone], sum{})
 	}
-	s := &g.sums[p.zone][t.replica.id]
+	g.sums[p.zone][t.replica.id].add(t, o, g.w.now)
+	if m := g.members[p.id]; g.in != nil && m != nil {
+		if m.pairs[t.replica.id] == nil {
+			m.pairs[t.replica.id] = &sum{}
+		}
+		m.pairs[t.replica.id].add(t, o, g.w.now)
+	}
+}
+
+func (s *sum) add(t *try, o outcome, now rules.Time) {
 	if s.tries++; o != good {
 		s.dropped++
-	} else {
-		s.took += time.Duration(g.w.now - t.sent)
-		if t.replica.told {
-			s.report, s.told = t.replica.report, true
-		}
+		return
+	}
+	s.took += time.Duration(now - t.sent)
+	if t.replica.told {
+		s.report, s.told = t.replica.report, true
 	}
 }
 
+// What an intake may hold: the daemon derives the same from its machine.
+const (
+	metBudget = 20_000
+	metPairs  = 2_000
+)
+
+// tell has a proxy tell each period what it met at each replica.
+func (g *governor) tell(m *member, life int) {
+	w := g.w
+	w.in(w.between(w.fleet.Period*9/10, w.fleet.Period*11/10), func() {
+		if g.life != life || g.members[m.p.id] != m {
+			return
+		}
+		g.tell(m, life)
+		b := intake.NewBatch()
+		m.told++
+		b.Proxy, b.Seq, b.Over = m.p.id, m.told, w.fleet.Period
+		for _, r := range slices.Sorted(maps.Keys(m.pairs)) {
+			s := m.pairs[r]
+			x := intake.Record{Replica: r, Tries: s.tries, Dropped: s.dropped, Report: rules.Report{Util: rules.Absent, InFlight: rules.Absent,
+				ServiceTime: rules.Absent, Rate: rules.Absent}}
+			if n := s.tries - s.dropped; n > 0 {
+				x.Took = s.took / time.Duration(n)
+			}
+			if s.told {
+				x.Report = s.report
+			}
+			b.Records = append(b.Records, x)
+		}
+		clear(m.pairs)
+		w.in(w.fleet.Net, func() {
+			if b.Read = w.now; g.life == life && len(b.Records) > 0 {
+				g.in.Take(w.now, b)
+			}
+			b.Free()
+		})
+	})
+}
+
+// cut hands over what the intake has gathered.
+func (g *governor) cut(life int) {
+	g.w.in(passEach, func() {
+		if g.life != life {
+			return
+		}
+		g.cut(life)
+		if g.in.Due(g.w.now) {
+			for _, e := range g.in.Cut(g.w.now) {
+				g.post(e)
+			}
+		}
+	})
+}
+
 // collect gathers a zone's sums each period; they come late.
 func (g *governor) collect(zone, life int) {
 	w := g.w
@@ -604,6 +726,12 @@
 			switch e := r.event.(type) {
 			case rules.Sums:
 				e.Over = max(over-w.fleet.Period, w.fleet.Period)
+				if g.in != nil {
+					s, counts := g.in.Sums(w.now, w.now, e)
+					if e = s; !counts {
+						continue
+					}
+				}
 				g.post(e)
 			case rules.Intake:
 				e.Over = max(over-w.fleet.Period, w.fleet.Period)
--- a/internal/emulate/result.go
+++ b/internal/emulate/result.go
@@ -58,6 +58,7 @@
 	Seconds []Second
 	Notes   []Note
 	Breaks  []Break // the first of each rule
+	Before  []Note  // what governors were told and ordered in the minute before the first break
 	Broken  int     // times that any rule was broken
 	Ended   [endings]int
 	Groups  []GroupResult
--- a/internal/emulate/watch.go
+++ b/internal/emulate/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"zincloft.example/zincloft/rules"
@@ -38,6 +39,24 @@
 	bares  map[*proxy][]rules.Time // by group; 0: has a line
 	order  []*proxy
 	broken map[Rule]bool
+	lately []Note // what governors were told and ordered, for as long as minute
+}
+
+// minute is how far back a trace of what led to a break goes, and lines how many it has at most.
+const (
+	minute     = 60.0
+	traceLines = 400
+)
+
+// trace keeps a line of what happened, to be shown if a rule breaks.
+func (x *watch) trace(text string) {
+	if len(x.w.res.Breaks) > 0 {
+		return
+	}
+	x.lately = append(x.lately, Note{x.w.seconds(), text})
+	if drop := len(x.lately) - traceLines; drop > traceLines {
+		x.lately = slices.Delete(x.lately, 0, drop)
+	}
 }
 
 func (x *watch) init(w *World) {
@@ -52,6 +71,13 @@
 		return
 	}
 	x.broken[rule] = true
+	if len(x.w.res.Breaks) == 0 {
+		for _, n := range x.lately[max(len(x.lately)-traceLines, 0):] {
+			if n.At >= b.At-minute {
+				x.w.res.Before = append(x.w.res.Before, n)
+			}
+		}
+	}
 	x.w.res.Breaks = append(x.w.res.Breaks, b)
 	if x.w.play.OnBreak != nil {
 		x.w.play.OnBreak(x.w, b)
--- a/internal/experiment/plan.go
+++ b/internal/experiment/plan.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -44,6 +45,8 @@
 		Retries   *int     `toml:"retries"`
 		TryShare  *float64 `toml:"try_share"`
 		Levels    *bool    `toml:"levels"`
+		Met       *bool    `toml:"met"`
+		Pace      *float64 `toml:"pace"`
 		Length    *span    `toml:"length"`
 		Grace     *span    `toml:"drain_grace"`
 		WarmAfter *span    `toml:"warm_after"`
@@ -87,7 +90,8 @@
 type Variant struct {
 	Name     string
 	Decider  string
-	Settings func(*rules.Settings) `json:"-"`
+	Settings func(*rules.Settings)
+	Fleet    *emulate.Fleet // in place of the plan's; nil: that one
 }
 
 // Plan is an experiment.
@@ -114,7 +118,36 @@
 }
 
 // Parse reads an experiment's text.
-func Parse(text []byte) (Plan, error) {
+func Parse(text []byte) (Plan, error) { return parse(text, "") }
+
+// Sweep reads an experiment and puts in place of its variants the first of them once for each value of a key of its fleet.
+func Sweep(text []byte, key string, values []string) (Plan, error) {
+	p, err := Parse(text)
+	if err != nil {
+		return Plan{}, err
+	}
+	first := p.Variants[0]
+	p.Variants = nil
+	for _, v := range values {
+		other, err := parse(text, fmt.Sprintf("[fleet]\n%s = %s\n", key, quoted(v)))
+		if err != nil {
+			return Plan{}, fmt.Errorf("%s = %s: %w", key, v, err)
+		}
+		p.Variants = append(p.Variants, Variant{Name: key + "=" + v, Decider: first.Decider, Settings: first.Settings, Fleet: &other.Fleet})
+	}
+	return p, nil
+}
+
+// quoted is a value as TOML has it: times and words in quotes, figures and truths without.
+func quoted(v string) string {
+	if _, err := strconv.ParseFloat(v, 64); err == nil || v == "true" || v == "false" {
+		return v
+	}
+	return strconv.Quote(v)
+}
+
+// parse reads a text, and then another whose keys go before it.
+func parse(text []byte, over string) (Plan, error) {
 	var in file
 	d := toml.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
@@ -131,6 +164,13 @@
 		}
 		return Plan{}, err
 	}
+	if over != "" {
+		d := toml.NewDecoder(strings.NewReader(over))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&in); err != nil {
+			return Plan{}, err
+		}
+	}
 	p := Plan{Name: in.Name, First: max(in.First, 1), Seeds: max(in.Seeds, 1)}
 	if err := in.fleet(&p); err != nil {
 		return Plan{}, fmt.Errorf("fleet: %w", err)
@@ -195,6 +235,8 @@
 	set(&p.Fleet.Retries, f.Retries)
 	set(&p.Fleet.TryShare, f.TryShare)
 	set(&p.Fleet.Levels, f.Levels)
+	set(&p.Fleet.Met, f.Met)
+	set(&p.Fleet.Pace, f.Pace)
 	setSpan(&p.Fleet.Length, f.Length)
 	setSpan(&p.Fleet.DrainGrace, f.Grace)
 	setSpan(&p.Fleet.WarmAfter, f.WarmAfter)
@@ -216,6 +258,9 @@
 // play is one run of a plan.
 func (p *Plan) play(s Scenario, seed uint64, v Variant) emulate.Play {
 	out := emulate.Play{Fleet: p.Fleet, Troubles: s.Troubles, Seed: seed, Settings: v.Settings}
+	if v.Fleet != nil {
+		out.Fleet = *v.Fleet
+	}
 	if v.Decider != Zincloft {
 		out.New, out.FreeChannel = emulate.NewBaseline(v.Decider), true
 	}
