--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -145,7 +145,7 @@
 		for _, s := range r.Seconds {
 			offered += s.Offered
 		}
-		if r.offered() != offered || r.Ended[Pending] != 0 {
+		if r.Offered() != offered || r.Ended[Pending] != 0 {
 			t.Fatalf("%d flows came, endings %v", offered, r.Ended)
 		}
 		for _, g := range r.Groups {
--- a/internal/emulate/proxy.go
+++ b/internal/emulate/proxy.go
@@ -252,9 +252,9 @@
 	}
 	f.ended = true
 	if o == silent {
-		w.count1(f, GivenUp)
+		w.ended(GivenUp)
 	} else {
-		w.count1(f, Dropped)
+		w.ended(Dropped)
 	}
 }
 
@@ -262,7 +262,7 @@
 func (f *flow) refuse(w *World) {
 	f.timer++
 	f.ended = true
-	w.count1(f, Blocked)
+	w.ended(Blocked)
 }
 
 // send tries a flow at a replica of the proxy's table.
--- a/internal/emulate/result.go
+++ b/internal/emulate/result.go
@@ -122,16 +122,16 @@
 	earned := g.Utility
 	if took > g.LatencyBudget {
 		earned *= g.LateShare
-		w.count1(f, Late)
+		w.ended(Late)
 	} else {
-		w.count1(f, InTime)
+		w.ended(InTime)
 	}
 	w.second.Served += earned
 	w.res.Groups[f.group].Served += earned
 }
 
-// count1 notes a flow's ending.
-func (w *World) count1(_ *flow, e Ending) {
+// ended notes a flow's ending.
+func (w *World) ended(e Ending) {
 	w.res.Ended[Pending]--
 	w.res.Ended[e]++
 	switch e {
@@ -166,20 +166,18 @@
 	}
 	r.P50 = time.Duration(r.latency.ValueAtQuantile(50)) * time.Microsecond
 	r.P99 = time.Duration(r.latency.ValueAtQuantile(99)) * time.Microsecond
-	r.Crossed, r.Wasted = float64(crossed)/float64(max(tries, 1)), float64(bad)/float64(max(r.offered(), 1))
+	r.Crossed, r.Wasted = float64(crossed)/float64(max(tries, 1)), float64(bad)/float64(max(r.Offered(), 1))
 	return r
 }
 
-func (r *Result) offered() (n int) {
+// Offered is how many flows came.
+func (r *Result) Offered() (n int) {
 	for _, e := range r.Ended {
 		n += e
 	}
 	return n
 }
 
-// Offered is how many flows came.
-func (r *Result) Offered() int { return r.offered() }
-
 // Write writes a result for people: endings, rules, and five seconds a line.
 func (r *Result) Write(out io.Writer) {
 	fmt.Fprintf(out, "service %.4f  worst ten seconds %.4f  median %v  99th percentile %v  crossing zones %.3f\n", r.Service, r.Worst, r.P50, r.P99, r.Crossed)
--- a/internal/experiment/hunt.go
+++ b/internal/experiment/hunt.go
@@ -41,7 +41,7 @@
 func Hunt(ctx context.Context, p Plan, days int, cores int) (found []Find, played int, err error) {
 	finds := make([]Find, days)
 	todo := make(chan int)
-	errs := make(chan error, cores)
+	errs := make(chan error, days+cores)
 	for range cores {
 		go func() {
 			for i := range todo {
@@ -50,7 +50,7 @@
 				r, err := emulate.Run(p.play(Scenario{Troubles: troubles}, seed, p.Variants[0]))
 				if err != nil {
 					errs <- fmt.Errorf("day %d: %w", seed, err)
-					return
+					continue
 				}
 				finds[i] = Find{seed, troubles, r}
 			}
@@ -66,9 +66,11 @@
 		break
 	}
 	close(todo)
-	for range cores {
+	for left := cores; left > 0; { // each tells nil at its end
 		if e := <-errs; e != nil {
 			err = e
+		} else {
+			left--
 		}
 	}
 	finds = slices.DeleteFunc(finds, func(f Find) bool { return f.Result == nil })
--- a/rules/bench_test.go
+++ b/rules/bench_test.go
@@ -61,9 +61,7 @@
 			e := p.list[3]
 			e.State = state
 			p.g.Step(p.now, []Event{List{Scope: Changes, Entries: []Entry{e}}})
-			if state = Ready + Draining - state; state == Ready {
-				continue
-			}
+			state = Ready + Draining - state
 		}
 	})
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -138,8 +138,9 @@
 	span := s.LineCap / s.LinePace * slowMost * float64(time.Second)
 	g.fig = figures{
 		proxies: float64(s.Proxies) / float64(max(s.Governors, 1)), warmAfter: s.WarmAfter, coldFrom: s.ColdFrom,
-		onRequest: s.ListOnRequest, blocks: s.Levels == LevelShare, unblocked: 1 + one(s.Levels == LevelRate)*math.MaxInt32, fails: float64(s.FailsToAvoid),
-		period: s.Period, lineCap: s.LineCap * fillMost, pacedLines: s.LinePace * pacedShare,
+		onRequest: s.ListOnRequest, blocks: s.Levels == LevelShare, fails: float64(s.FailsToAvoid),
+		unblocked: 1 + one(s.Levels == LevelRate)*(math.MaxInt32-1), // a rate: more than any proxy gets
+		period:    s.Period, lineCap: s.LineCap * fillMost, pacedLines: s.LinePace * pacedShare,
 		leaveLines: min(s.LinePace*s.DrainGrace.Seconds()/2, s.LineCap*fillMost),
 		fillLines:  s.LinePace * min(fillShare, s.DrainGrace.Seconds()*removeShare), head: s.HeadLines + 1,
 		ledgerSpan: time.Duration(span) + s.TravelMost, messageCap: cmp.Or(s.MessageCap, math.MaxInt32),
@@ -670,7 +671,7 @@
 			if t == nil || r.state != Ready {
 				continue
 			}
-			want, sent := r.want[kind]*t.pace(r, g.fig.room), r.sent[t.id]
+			want, sent := r.want[kind]*max(t.behind(r), 1/g.fig.room), r.sent[t.id]
 			c := change{r, want, math.Abs(want - sent)}
 			if c.by > 0 && (want < sent/2 || sent < evenParts*t.rest(r)) {
 				t.urgent = append(t.urgent, c)
@@ -803,8 +804,8 @@
 
 // bind puts proxies on their tables, those with most flows first; it also ends whatever an earlier stream
 // withdrew. After a restart of ours, proxies go on with what they hold until the first sums have told us the
-// load, or until some replica must be left. Those that may hold one which leaves come before urgent changes, as
-// far into the channel as it sends in half of the drain grace: against a lost governor's proxies, all at once.
+// load, or until some replica must be left. Those that may hold one which leaves come before urgent changes,
+// as far into the channel as half of the drain grace lets it send: against a lost governor's proxies, at once.
 func (g *Governor) bind(now Time) {
 	slices.SortStableFunc(g.waiting, func(a, b *proxy) int { return cmp.Compare(b.rate, a.rate) })
 	leaving := g.leaving()
--- a/rules/state.go
+++ b/rules/state.go
@@ -111,9 +111,9 @@
 	return slices.ContainsFunc(g.replicas, func(r *replica) bool { return r.state != Ready })
 }
 
-// pace is 1 for a warm replica. For a cold one it is how far the warm lines of a table, as ordered, are behind what they are to
-// weigh: proxies see shares, so a line that stands among others which are yet to rise has more than is meant; room is by how much it may.
-func (t *table) pace(r *replica, room float64) float64 {
+// behind is 1 for a warm replica. For a cold one it is how far the warm lines of a table, as ordered, are behind what they are to
+// weigh: proxies see shares, so a line that stands among others which are yet to rise has more than is meant.
+func (t *table) behind(r *replica) float64 {
 	if !r.cold {
 		return 1
 	}
@@ -126,7 +126,7 @@
 	if want == 0 {
 		return 1
 	}
-	return min(max(sent/want, 1/room), 1)
+	return min(sent/want, 1)
 }
 
 // mostMoves orders tables by the flows that their changes move, most first.
