--- a/rules/rules.go
+++ b/rules/rules.go
@@ -804,8 +804,8 @@
 
 // bind puts proxies on their tables, those with most flows first; it also ends whatever an earlier stream
 // withdrew. After a restart of ours, proxies go on with what they hold until the first sums have told us the
-// load, or until some replica must be left. Those that may hold one which leaves come before urgent changes,
-// as far into the channel as half of the drain grace lets it send: against a lost governor's proxies, at once.
+// load, or until some replica must be left. Those that may hold it come before urgent changes, as
+// far into the channel as half of the drain grace lets it send: against a lost governor's proxies.
 func (g *Governor) bind(now Time) {
 	slices.SortStableFunc(g.waiting, func(a, b *proxy) int { return cmp.Compare(b.rate, a.rate) })
 	leaving := g.leaving()
