--- /dev/null
+++ b/hive/chain/chain.go
@@ -0,0 +1,259 @@
+// Package chain keeps the core's lasting state: a register that only grows (the newest configuration and the
+// evacuations), passed from head to tail and on stable storage at every member before it counts as committed. It is
+// free of I/O: events in, actions out.
+//
+// An order enters at the head, each member passes on the register as it stands after it, and the tail tells
+// everybody that it is committed. A pass carries its view's number and is taken only from the predecessor in that
+// very view: an old head, or one cut off, commits nothing. At a new view the head passes its register down once
+// more. Its own is at least as new as any other's in the chain, so what it passes replaces what a member held,
+// also what an earlier head had entered and nobody was promised.
+package chain
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"zincloft.example/zincloft/hive/view"
+)
+
+// passAgain is how long a pass may stay without its commit before it is repeated: links lose what was under way.
+const passAgain = 300 * time.Millisecond
+
+// Register is the lasting state. It is not changed once made.
+type Register struct {
+	Seq     uint64          `cbor:"1,keyasint"` // orders so far
+	Version uint64          `cbor:"2,keyasint"`
+	Body    []byte          `cbor:"3,keyasint,omitempty"` // of the configuration, as it was sent
+	Out     map[string]bool `cbor:"4,keyasint,omitempty"` // zones being emptied
+}
+
+// Order is one change. Each may be given again without harm.
+type Order struct {
+	Body    []byte `cbor:"1,keyasint,omitempty"`
+	Version uint64 `cbor:"2,keyasint,omitempty"`
+	Zone    string `cbor:"3,keyasint,omitempty"` // with Out: an evacuation begins or ends
+	Out     bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// Apply returns the register after an order; an order that changes nothing leaves Seq as it is.
+func (r Register) Apply(o Order) Register {
+	switch {
+	case o.Zone != "":
+		if r.Out[o.Zone] == o.Out {
+			return r
+		}
+		out := maps.Clone(r.Out)
+		if out == nil {
+			out = map[string]bool{}
+		}
+		if o.Out {
+			out[o.Zone] = true
+		} else {
+			delete(out, o.Zone)
+		}
+		r.Out = out
+	case o.Version > r.Version:
+		r.Version, r.Body = o.Version, o.Body
+	default:
+		return r
+	}
+	r.Seq++
+	return r
+}
+
+// Kind tells messages apart.
+type Kind uint8
+
+const (
+	Pass Kind = iota + 1
+	Done      // from the tail: committed
+	Told      // the committed register whole, to one that lacks it
+)
+
+// Message is what members say to one another.
+type Message struct {
+	Kind Kind      `cbor:"1,keyasint"`
+	From string    `cbor:"2,keyasint"`
+	N    uint64    `cbor:"3,keyasint,omitempty"` // the view
+	Seq  uint64    `cbor:"4,keyasint,omitempty"`
+	Reg  *Register `cbor:"5,keyasint,omitempty"`
+}
+
+// Send is an action. With Durable set it must wait until what is held now is on stable storage. To may be this
+// machine itself.
+type Send struct {
+	To      string // identity
+	Message Message
+	Durable bool
+}
+
+// Engine is one machine's part.
+type Engine struct {
+	id        string
+	view      view.View
+	held      Register
+	committed Register
+	known     bool // committed holds something
+	at        uint64
+	syncedIn  uint64 // the last view of which a pass was taken, or whose head this was
+	passedAt  time.Duration
+	out       []Send
+	changed   bool
+	news      bool
+	pending   []Register // passed in this view, not committed yet, oldest first
+}
+
+// New makes an engine from what was on disk.
+//
+// SyncedIn is kept beside the register: without it a member that was killed and came back would take a late pass of
+// the same view for the first one, and fall behind what it had already vouched for.
+func New(id string, held Register, syncedIn uint64) *Engine {
+	return &Engine{id: id, held: held, syncedIn: syncedIn}
+}
+
+// Output is what a step brings.
+type Output struct {
+	Send      []Send
+	Save      bool // Held changed
+	Committed bool // Committed changed
+}
+
+func (e *Engine) flush() Output {
+	o := Output{e.out, e.changed, e.news}
+	e.out, e.changed, e.news = nil, false, false
+	return o
+}
+
+// Held is what must be kept on disk.
+func (e *Engine) Held() Register { return e.held }
+
+// SyncedIn is kept beside it.
+func (e *Engine) SyncedIn() uint64 { return e.syncedIn }
+
+// Committed is the newest register known to be committed, and whether any is.
+func (e *Engine) Committed() (Register, bool) { return e.committed, e.known }
+
+// CommittedIn is the view in which this machine last saw a commit.
+func (e *Engine) CommittedIn() uint64 { return e.at }
+
+// Head tells whether orders enter here.
+func (e *Engine) Head() bool { return len(e.view.Chain) > 0 && e.view.Chain[0] == e.id }
+
+// Adopt takes on a view.
+func (e *Engine) Adopt(now time.Duration, v view.View) Output {
+	if v.N <= e.view.N {
+		return e.flush()
+	}
+	e.view, e.pending = v, nil
+	if e.Head() {
+		e.syncedIn, e.changed = v.N, true
+		e.pending = []Register{e.held}
+		e.pass(now)
+	}
+	return e.flush()
+}
+
+// pass sends the register on, or, at the tail, tells that it is committed.
+func (e *Engine) pass(now time.Duration) {
+	e.passedAt = now
+	i := e.view.Place(e.id)
+	if i < 0 {
+		return
+	}
+	reg := e.held
+	if i+1 < len(e.view.Chain) {
+		e.out = append(e.out, Send{e.view.Chain[i+1], Message{Kind: Pass, From: e.id, N: e.view.N, Seq: reg.Seq, Reg: &reg}, true})
+		return
+	}
+	for _, m := range e.view.Roster {
+		msg := Message{Kind: Done, From: e.id, N: e.view.N, Seq: reg.Seq}
+		if e.view.Place(m.ID) < 0 {
+			msg.Reg = &reg
+		}
+		e.out = append(e.out, Send{m.ID, msg, true})
+	}
+}
+
+// Enter takes an order at the head. It returns the number that must be committed in the view for the order to hold.
+func (e *Engine) Enter(now time.Duration, o Order) (uint64, uint64, Output) {
+	if next := e.held.Apply(o); next.Seq != e.held.Seq {
+		e.held, e.changed = next, true
+		e.pending = append(e.pending, next)
+		e.pass(now)
+	}
+	return e.view.N, e.held.Seq, e.flush()
+}
+
+// Receive takes in a message.
+func (e *Engine) Receive(now time.Duration, m Message) Output {
+	switch m.Kind {
+	case Pass:
+		i := e.view.Place(e.id)
+		if m.N != e.view.N || m.Reg == nil || i < 1 || e.view.Chain[i-1] != m.From {
+			break // of another view: its sender may not commit through us
+		}
+		synced := e.syncedIn == e.view.N
+		if synced && m.Reg.Seq < e.held.Seq {
+			break // late
+		}
+		if !synced || m.Reg.Seq > e.held.Seq {
+			e.held, e.changed, e.syncedIn = *m.Reg, true, e.view.N
+		}
+		if !slices.ContainsFunc(e.pending, func(r Register) bool { return r.Seq == e.held.Seq }) &&
+			(e.at != e.view.N || e.committed.Seq < e.held.Seq) {
+			e.pending = append(e.pending, e.held)
+		}
+		e.pass(now)
+	case Done:
+		if m.N != e.view.N {
+			break
+		}
+		if m.Reg != nil {
+			e.commit(*m.Reg, m.N)
+			break
+		}
+		for i, r := range e.pending {
+			if r.Seq == m.Seq {
+				e.pending = e.pending[i+1:]
+				e.commit(r, m.N)
+				break
+			}
+		}
+	case Told:
+		if m.Reg != nil {
+			e.commit(*m.Reg, e.at)
+		}
+	}
+	return e.flush()
+}
+
+func (e *Engine) commit(r Register, n uint64) {
+	if e.known && r.Seq < e.committed.Seq {
+		return
+	}
+	e.news = e.news || !e.known || r.Seq > e.committed.Seq || n != e.at
+	e.committed, e.known, e.at = r, true, n
+}
+
+// Lacks answers a machine that has committed less than this one.
+func (e *Engine) Lacks(id string, seq uint64, known bool) Output {
+	if e.known && (!known || seq < e.committed.Seq) && id != e.id {
+		reg := e.committed
+		e.out = append(e.out, Send{id, Message{Kind: Told, From: e.id, Reg: &reg}, false})
+	}
+	return e.flush()
+}
+
+// Tick repeats what was passed and is not committed.
+func (e *Engine) Tick(now time.Duration) Output {
+	if e.syncedIn == e.view.N && len(e.pending) > 0 && now-e.passedAt >= passAgain {
+		e.pass(now)
+	}
+	return e.flush()
+}
+
+// Settled tells whether all that is held here is committed in the present view.
+func (e *Engine) Settled() bool {
+	return e.syncedIn == e.view.N && e.known && e.at == e.view.N && len(e.pending) == 0 && e.committed.Seq == e.held.Seq
+}
--- /dev/null
+++ b/hive/registry/registry.go
@@ -0,0 +1,215 @@
+// Package registry knows the replicas: their lives as they beat, drain and end. It is free of I/O.
+//
+// Lives are soft state: whoever was told first tells on, and a comb that lost them hears them again from replicas,
+// other combs and foragers. Within a life only a higher sequence tells something new; leaving is never taken back,
+// and an ended id never returns, since each start of a replica has a new one.
+package registry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	coldMoved  = 400 * time.Millisecond // a cold end that moved by less is no news
+	keepGone   = 60 * time.Second       // ended ids are remembered for so long, against late words of them
+	doubtGrace = 50 * time.Millisecond  // a beat may have been under way when its zone was given back
+)
+
+// Life is one life of a replica, as it is told from governor to governor.
+type Life struct {
+	ID       string `cbor:"1,keyasint"`
+	Service  string `cbor:"2,keyasint,omitempty"`
+	Addr     string `cbor:"3,keyasint,omitempty"`
+	Zone     string `cbor:"4,keyasint,omitempty"`
+	Slots    int    `cbor:"5,keyasint,omitempty"`
+	Draining bool   `cbor:"6,keyasint,omitempty"`
+	Gone     bool   `cbor:"7,keyasint,omitempty"`
+	Cold     int64  `cbor:"8,keyasint,omitempty"` // milliseconds that it stays cold
+	Seq      uint64 `cbor:"9,keyasint,omitempty"`
+	Age      int64  `cbor:"10,keyasint,omitempty"` // milliseconds since it beat
+	Doubt    bool   `cbor:"11,keyasint,omitempty"` // it may have turned cold: its zone was just given back
+}
+
+type entry struct {
+	Life
+	heard     time.Duration // last beat, by this clock
+	direct    time.Duration // last beat to this comb
+	coldUntil time.Duration
+	endedAt   time.Duration
+	rev       uint64
+	doubtAt   time.Duration
+	doubtSeq  uint64
+}
+
+// Registry holds lives. The zero value is not ready; use New.
+type Registry struct {
+	lives map[string]*entry
+	rev   uint64
+	most  time.Duration // silence after which a replica counts as gone
+}
+
+// New makes a registry in which a replica silent for so long counts as gone.
+func New(most time.Duration) *Registry { return &Registry{lives: map[string]*entry{}, most: most} }
+
+// Rev is the number of the newest change.
+func (r *Registry) Rev() uint64 { return r.rev }
+
+func (r *Registry) news(e *entry) { r.rev++; e.rev = r.rev }
+
+// Beat takes a replica's own word and tells whether anything is new, and whether that must not wait.
+func (r *Registry) Beat(now time.Duration, l Life) (news, urgent bool) {
+	l.Age, l.Doubt = 0, false
+	news, urgent = r.take(now, l, true)
+	if e := r.lives[l.ID]; e != nil {
+		e.direct = now
+	}
+	return
+}
+
+func (r *Registry) take(now time.Duration, l Life, direct bool) (news, urgent bool) {
+	e := r.lives[l.ID]
+	if e == nil {
+		e = &entry{Life: l, heard: now - time.Duration(l.Age)*time.Millisecond, coldUntil: now + time.Duration(l.Cold)*time.Millisecond, direct: -time.Hour}
+		if l.Gone {
+			e.endedAt = now
+		}
+		e.doubtAt, e.doubtSeq = now, l.Seq
+		r.lives[l.ID] = e
+		r.news(e)
+		return true, l.Draining || l.Gone
+	}
+	if e.Gone {
+		return false, false
+	}
+	if l.Gone {
+		e.Gone, e.endedAt = true, now
+		r.news(e)
+		return true, true
+	}
+	if l.Draining && !e.Draining {
+		e.Draining, news, urgent = true, true, true
+	}
+	if l.Seq > e.Seq {
+		e.Seq, e.heard = l.Seq, max(e.heard, now-time.Duration(l.Age)*time.Millisecond)
+		until := now + time.Duration(l.Cold)*time.Millisecond
+		settled := !e.Doubt || direct && now > e.doubtAt+doubtGrace || l.Seq >= e.doubtSeq+2
+		if settled && e.Doubt {
+			e.Doubt, news = false, true
+		}
+		if moved := until - e.coldUntil; l.Cold > 0 && moved.Abs() > coldMoved || l.Cold == 0 && e.coldUntil > now+coldMoved {
+			e.coldUntil, news = until, true
+		}
+		if l.Addr != "" && (e.Addr != l.Addr || e.Slots != l.Slots || e.Service != l.Service) {
+			e.Addr, e.Slots, e.Service, e.Zone, news = l.Addr, l.Slots, l.Service, l.Zone, true
+		}
+	}
+	if news {
+		r.news(e)
+	}
+	return news, urgent
+}
+
+// Leave takes a replica's word that it ends.
+func (r *Registry) Leave(now time.Duration, id string) bool {
+	news, _ := r.take(now, Life{ID: id, Gone: true}, true)
+	return news
+}
+
+// Merge takes what another governor tells. It returns whether anything is new and whether that must not wait.
+func (r *Registry) Merge(now time.Duration, lives []Life) (news, urgent bool) {
+	for _, l := range lives {
+		if l.Addr == "" && !l.Gone && r.lives[l.ID] == nil {
+			continue // a sign of life of one that is not known yet
+		}
+		n, u := r.take(now, l, false)
+		news, urgent = news || n, urgent || u
+	}
+	return
+}
+
+// Expire ends lives that have been silent too long, and forgets those that ended long ago.
+func (r *Registry) Expire(now time.Duration) (ended []string) {
+	for id, e := range r.lives {
+		if !e.Gone && now-e.heard > r.most {
+			e.Gone, e.endedAt = true, now
+			r.news(e)
+			ended = append(ended, id)
+		}
+		if e.Gone && now-e.endedAt > keepGone {
+			delete(r.lives, id)
+		}
+	}
+	slices.Sort(ended)
+	return ended
+}
+
+// Excuse moves all signs of life forward, after this governor was held up or cut off and could hear nobody.
+func (r *Registry) Excuse(now time.Duration) {
+	for _, e := range r.lives {
+		e.heard = max(e.heard, now-r.most/2)
+	}
+}
+
+// Doubt takes the replicas of a zone for cold until they have said more: its evacuation has just ended.
+func (r *Registry) Doubt(now time.Duration, zone string) {
+	for _, e := range r.lives {
+		if e.Zone == zone && !e.Gone {
+			e.Doubt, e.doubtAt, e.doubtSeq = true, now, e.Seq
+			r.news(e)
+		}
+	}
+}
+
+func (e *entry) told(now time.Duration) Life {
+	l := e.Life
+	l.Cold = max((e.coldUntil - now).Milliseconds(), 0)
+	l.Age = max((now - e.heard).Milliseconds(), 0)
+	return l
+}
+
+// All stands for the first revision: every life, also the ended ones.
+const All = 0
+
+// Changes lists the lives that changed after a revision, oldest change first.
+func (r *Registry) Changes(now time.Duration, since uint64) []Life {
+	var all []*entry
+	for _, e := range r.lives {
+		if e.rev > since {
+			all = append(all, e)
+		}
+	}
+	slices.SortFunc(all, func(a, b *entry) int { return cmp.Compare(a.rev, b.rev) })
+	lives := make([]Life, len(all))
+	for i, e := range all {
+		lives[i] = e.told(now)
+	}
+	return lives
+}
+
+// Signs lists the replicas that beat at this comb since a moment, without what does not change.
+func (r *Registry) Signs(now, since time.Duration) []Life {
+	var all []Life
+	for id, e := range r.lives {
+		if e.direct >= since && !e.Gone {
+			all = append(all, Life{ID: id, Seq: e.Seq, Cold: e.told(now).Cold, Age: e.told(now).Age})
+		}
+	}
+	slices.SortFunc(all, func(a, b Life) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Each calls f for every life that has not ended, in the order of ids.
+func (r *Registry) Each(now time.Duration, f func(Life)) {
+	ids := make([]string, 0, len(r.lives))
+	for id := range r.lives {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		if e := r.lives[id]; !e.Gone {
+			f(e.told(now))
+		}
+	}
+}
--- /dev/null
+++ b/hive/spread/spread.go
@@ -0,0 +1,327 @@
+// Package spread chooses the replica that a request goes to, from the tables that a control-plane governor sends and
+// what this proxy governor meets itself. It is free of I/O; clock and chance are handed in.
+package spread
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"zincloft.example/zincloft/hive/registry"
+)
+
+const (
+	outFirst   = 400 * time.Millisecond // a replica that cannot be called is left for so long, twice as long each time
+	outMost    = 6 * time.Second
+	loadFades  = 1500 * time.Millisecond // what others have under way at a replica is believed less with time
+	nearRoom   = 0.85                    // replicas of the own zone are used while their slots are filled less than this
+	queueShare = 1.5                     // a replica with so many requests to each slot counts as full
+	badShare   = 0.5                     // of the newest tries spoilt, from which a replica gets only what others cannot take
+	keepEnded  = time.Minute
+	tellAgain  = 250 * time.Millisecond // until there is room again, where nothing better is known
+)
+
+// Replica is one life of a replica as this governor sees it.
+type Replica struct {
+	ID, Service, Addr, Zone string
+	Slots                   int
+	Draining, Gone          bool
+	Weight                  float64 // from the table; 0: held out
+
+	coldUntil time.Duration
+	doubt     bool
+	grant     float64 // requests a second while cold
+	tokens    float64
+	tokensAt  time.Duration
+
+	inflight int
+	others   float64 // requests that others had there when it last told
+	toldAt   time.Duration
+	outUntil time.Duration
+	fails    int
+	spoilt   float64 // moving share of tries that brought nothing
+
+	// Since the last report.
+	Tries, Dropped         int
+	Took                   time.Duration // of the good ones, summed
+	Good                   int
+	Running, Waiting, Told int
+}
+
+// Spread holds the replicas. Its calls are not made side by side.
+type Spread struct {
+	zone     string
+	all      map[string]*Replica
+	services map[string][]*Replica
+	out      map[string]bool
+	granted  map[string]float64
+	ended    map[string]time.Duration // ids that are not to come back: stale words of them may still arrive
+}
+
+// New makes an empty one for a governor in a zone.
+func New(zone string) *Spread {
+	return &Spread{zone: zone, all: map[string]*Replica{}, services: map[string][]*Replica{}, out: map[string]bool{}, granted: map[string]float64{},
+		ended: map[string]time.Duration{}}
+}
+
+// Get returns a replica by id, or nil.
+func (s *Spread) Get(id string) *Replica { return s.all[id] }
+
+// All lists the replicas in the order of their ids.
+func (s *Spread) All() []*Replica {
+	return slices.SortedFunc(maps.Values(s.all), func(a, b *Replica) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Lives takes in word of replicas. It returns those to which no connection is wanted any more.
+func (s *Spread) Lives(now time.Duration, whole bool, lives []registry.Life) (ended []string) {
+	defer func() {
+		for _, id := range ended {
+			s.ended[id] = now
+		}
+		for id, at := range s.ended {
+			if s.all[id] == nil && now-at > keepEnded {
+				delete(s.ended, id)
+			}
+		}
+	}()
+	if whole {
+		named := map[string]bool{}
+		for _, l := range lives {
+			named[l.ID] = true
+		}
+		for id := range s.all {
+			if !named[id] {
+				s.remove(id)
+				ended = append(ended, id)
+			}
+		}
+	}
+	for _, l := range lives {
+		r := s.all[l.ID]
+		if l.Gone {
+			if r != nil {
+				s.remove(l.ID)
+				ended = append(ended, l.ID)
+			}
+			continue
+		}
+		if r == nil {
+			if _, left := s.ended[l.ID]; left || l.Addr == "" {
+				continue
+			}
+			r = &Replica{ID: l.ID, Weight: 1, grant: s.granted[l.ID], tokens: 1, tokensAt: now}
+			s.all[l.ID] = r
+		}
+		if r.Service != l.Service {
+			s.unlist(r)
+			r.Service = l.Service
+			s.services[l.Service] = append(s.services[l.Service], r)
+			slices.SortFunc(s.services[l.Service], func(a, b *Replica) int { return cmp.Compare(a.ID, b.ID) })
+		}
+		r.Addr, r.Zone, r.Slots = l.Addr, l.Zone, max(l.Slots, 1)
+		if l.Draining && !r.Draining {
+			r.Draining = true
+			ended = append(ended, l.ID)
+		}
+		r.coldUntil, r.doubt = now+time.Duration(l.Cold)*time.Millisecond, l.Doubt
+	}
+	return ended
+}
+
+func (s *Spread) unlist(r *Replica) {
+	s.services[r.Service] = slices.DeleteFunc(s.services[r.Service], func(x *Replica) bool { return x == r })
+	if len(s.services[r.Service]) == 0 {
+		delete(s.services, r.Service)
+	}
+}
+
+func (s *Spread) remove(id string) {
+	r := s.all[id]
+	r.Gone = true
+	s.unlist(r)
+	delete(s.all, id)
+}
+
+// Evacuated sets the zones whose replicas get nothing.
+func (s *Spread) Evacuated(zones []string) {
+	clear(s.out)
+	for _, z := range zones {
+		s.out[z] = true
+	}
+}
+
+// Line sets a weight of the table.
+func (s *Spread) Line(id string, weight float64) {
+	if r := s.all[id]; r != nil {
+		r.Weight = weight
+	}
+}
+
+// Grants sets what this governor may send to cold replicas, a second, in place of all that was granted before.
+func (s *Spread) Grants(now time.Duration, grants map[string]float64) {
+	s.granted = grants
+	for id, r := range s.all {
+		r.refill(now)
+		r.grant = grants[id]
+	}
+}
+
+// Cold tells whether a replica must be spared.
+func (r *Replica) Cold(now time.Duration) bool { return r.doubt || now < r.coldUntil }
+
+// Warms turns a replica cold for a time that it told itself.
+func (r *Replica) Chill(now, left time.Duration) { r.coldUntil = max(r.coldUntil, now+left) }
+
+func (r *Replica) refill(now time.Duration) {
+	r.tokens = min(r.tokens+r.grant*(now-r.tokensAt).Seconds(), 1)
+	r.tokensAt = now
+}
+
+// busy estimates the requests that a replica has, running and waiting.
+func (r *Replica) busy(now time.Duration) float64 {
+	fade := 1 - min(float64(now-r.toldAt)/float64(loadFades), 1)
+	return float64(r.inflight) + r.others*fade
+}
+
+// fill is the share of a replica's slots that the next request would find taken.
+func (r *Replica) fill(now time.Duration) float64 { return r.busy(now) / float64(max(r.Slots, 1)) }
+
+// Pick chooses a replica of a service for a request that was not yet at those that tried names. If there is none
+// it tells after how long there may be one.
+func (s *Spread) Pick(now time.Duration, service string, tried func(string) bool, chance func() float64) (*Replica, time.Duration) {
+	var near, far, cold, poor []*Replica
+	for _, r := range s.services[service] {
+		if r.Draining || s.out[r.Zone] || tried(r.ID) {
+			continue
+		}
+		if r.Cold(now) {
+			if r.refill(now); r.tokens >= 1 && now >= r.outUntil {
+				cold = append(cold, r)
+			}
+			continue
+		}
+		switch {
+		case now < r.outUntil || r.Weight <= 0 || r.spoilt > badShare:
+			poor = append(poor, r)
+		case r.Zone == s.zone:
+			near = append(near, r)
+		default:
+			far = append(far, r)
+		}
+	}
+	// Exception: bytes between zones cost, so the own zone's replicas go first while they have room. Weights still
+	// say how it is shared among them, and all share it by weight once they are full.
+	if r := best(now, near, nearRoom, chance); r != nil {
+		return r, 0
+	}
+	warm := append(near, far...)
+	if r := best(now, warm, queueShare, chance); r != nil {
+		return r, 0
+	}
+	if len(cold) > 0 {
+		r := cold[int(chance()*float64(len(cold)))%len(cold)]
+		return r, 0
+	}
+	if r := best(now, warm, 1e9, chance); r != nil {
+		return r, 0
+	}
+	if r := best(now, poor, 1e9, chance); r != nil { // nothing better is left: those may have come back
+		return r, 0
+	}
+	return nil, tellAgain
+}
+
+// best draws two replicas by weight and takes the less filled, among those filled less than most.
+func best(now time.Duration, from []*Replica, most float64, chance func() float64) *Replica {
+	a, b := draw(from, chance), draw(from, chance)
+	if a == nil {
+		return nil
+	}
+	if b.fill(now) < a.fill(now) {
+		a = b
+	}
+	if a.fill(now) < most {
+		return a
+	}
+	a = slices.MinFunc(from, func(a, b *Replica) int { return cmp.Compare(a.fill(now), b.fill(now)) })
+	if a.fill(now) < most {
+		return a
+	}
+	return nil
+}
+
+func draw(from []*Replica, chance func() float64) *Replica {
+	sum := 0.0
+	for _, r := range from {
+		sum += max(r.Weight, 1e-3)
+	}
+	left := chance() * sum
+	for _, r := range from {
+		if left -= max(r.Weight, 1e-3); left < 0 {
+			return r
+		}
+	}
+	if len(from) > 0 {
+		return from[len(from)-1]
+	}
+	return nil
+}
+
+// Begin counts a request that is about to be sent.
+func (s *Spread) Begin(now time.Duration, r *Replica) {
+	if r.Cold(now) {
+		r.refill(now)
+		r.tokens--
+	}
+	r.inflight++
+	r.Tries++
+}
+
+// Outcome is what became of a try.
+type Outcome int
+
+const (
+	Good     Outcome = iota // a whole answer
+	Full                    // it did not run the request
+	Spoilt                  // an answer that is none, or cut short, or a failure of its own
+	Silent                  // no answer, or the connection broke
+	Uncalled                // it could not be called
+	Left                    // the client left
+)
+
+// End counts a try's outcome.
+func (s *Spread) End(now time.Duration, r *Replica, o Outcome, took time.Duration) {
+	r.inflight--
+	bad := 0.0
+	switch o {
+	case Good:
+		r.fails, r.outUntil = 0, 0
+		r.Good++
+		r.Took += took
+	case Left:
+		return
+	case Full:
+		r.Dropped++
+		return
+	case Spoilt:
+		r.Dropped++
+		bad = 1
+	case Silent, Uncalled:
+		r.Dropped++
+		bad = 1
+		wait := min(outFirst<<min(r.fails, 5), outMost)
+		r.fails++
+		if o == Uncalled || r.fails > 1 {
+			r.outUntil = now + wait
+		}
+	}
+	r.spoilt += (bad - r.spoilt) / 8
+}
+
+// Load takes a replica's own word on its load, from an answer.
+func (r *Replica) Load(now time.Duration, running, waiting, slots int) {
+	r.Running, r.Waiting, r.Told = running, waiting, slots
+	r.others = max(float64(running+waiting-r.inflight), 0)
+	r.toldAt = now
+}
--- /dev/null
+++ b/hive/view/view.go
@@ -0,0 +1,479 @@
+// Package view agrees on who forms the chain of core machines, and mends it. It is free of I/O: events in, actions
+// out, clock and chance handed in.
+//
+// A view is a number, a roster (every core machine whose word counts) and the chain, an ordered part of the roster.
+// View n+1 is decided by one round of single-decree agreement among the roster of view n, so any two decisions meet
+// in a machine that knows of both. A machine is known by the identity of its disk: one that lost its disk has lost
+// its word, comes back under another identity, and counts nowhere until a view has taken it in.
+package view
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Time is a moment on the caller's steady clock.
+type Time = time.Duration
+
+const (
+	BeatEvery    = 200 * time.Millisecond // beats go to every peer this often
+	suspectAfter = 800 * time.Millisecond // a peer silent for so long is taken for lost
+	settleFor    = 300 * time.Millisecond // a joiner must have been in touch for so long
+	rankWait     = 300 * time.Millisecond // each further machine in the chain waits so much longer to propose
+	proposalMost = 500 * time.Millisecond // a proposal without an outcome is given up
+	forgetAfter  = 20 * time.Second       // a stranger that is not in the roster is forgotten
+	heldUp       = 400 * time.Millisecond // between two ticks: then it was we who were held up
+)
+
+// Member is a core machine.
+type Member struct {
+	ID   string `cbor:"1,keyasint"` // its disk's identity
+	Addr string `cbor:"2,keyasint"` // where governors call it
+	Zone string `cbor:"3,keyasint,omitempty"`
+	Call string `cbor:"4,keyasint,omitempty"` // where replicas and operators call it
+}
+
+// View is one agreed state of the core. It is not changed once made.
+type View struct {
+	N      uint64   `cbor:"1,keyasint"`
+	Roster []Member `cbor:"2,keyasint"`
+	Chain  []string `cbor:"3,keyasint"` // identities, head first
+
+	// Fresh names those of the chain that may not hold yet what their predecessors hold. None of them may become the
+	// head before a commit in this view has shown that it was filled.
+	Fresh []string `cbor:"4,keyasint,omitempty"`
+}
+
+// In tells whether an identity's word counts in the view.
+func (v View) In(id string) bool {
+	return slices.ContainsFunc(v.Roster, func(m Member) bool { return m.ID == id })
+}
+
+// Place is an identity's place in the chain, or -1.
+func (v View) Place(id string) int { return slices.Index(v.Chain, id) }
+
+// Majority is how many of the roster must agree.
+func (v View) Majority() int { return len(v.Roster)/2 + 1 }
+
+// Ballot orders proposals.
+type Ballot struct {
+	Round uint64 `cbor:"1,keyasint"`
+	By    string `cbor:"2,keyasint"`
+}
+
+// Less tells whether b comes before c.
+func (b Ballot) Less(c Ballot) bool {
+	return cmp.Or(cmp.Compare(b.Round, c.Round), cmp.Compare(b.By, c.By)) < 0
+}
+
+// Durable is what must be on stable storage before what rests on it is told.
+type Durable struct {
+	View     View   `cbor:"1,keyasint"`
+	Promised Ballot `cbor:"2,keyasint"` // of the agreement on view N+1, as the next two
+	Accepted Ballot `cbor:"3,keyasint"`
+	Value    *View  `cbor:"4,keyasint,omitempty"`
+}
+
+// Kind tells messages apart.
+type Kind uint8
+
+const (
+	Beat Kind = iota + 1
+	Prepare
+	Promise
+	Refuse
+	Accept
+	Accepted
+	Decided
+)
+
+// Message is what core machines say to one another about views.
+type Message struct {
+	Kind   Kind     `cbor:"1,keyasint"`
+	From   Member   `cbor:"2,keyasint"`
+	N      uint64   `cbor:"3,keyasint,omitempty"` // beats: the view held; else the number agreed on
+	Ballot Ballot   `cbor:"4,keyasint,omitempty"`
+	Held   Ballot   `cbor:"5,keyasint,omitempty"` // Promise: accepted before; Refuse: promised
+	View   *View    `cbor:"6,keyasint,omitempty"` // Prepare: the view before; Accept, Decided: the view itself
+	Sick   bool     `cbor:"7,keyasint,omitempty"` // beats: its disk does not take writes
+	Hears  []string `cbor:"8,keyasint,omitempty"`
+}
+
+// Send is an action: a message to a peer's address. With Durable set it must wait until what is held now is on
+// stable storage.
+type Send struct {
+	To      Member
+	Message Message
+	Durable bool
+}
+
+type peer struct {
+	Member
+	heard   Time // last beat
+	since   Time // in touch without a gap since
+	hearsMe bool
+	sick    bool
+}
+
+// Engine is one core machine's part. Make it with New.
+type Engine struct {
+	self    Member
+	d       Durable
+	chance  func() float64
+	peers   map[string]*peer // by identity
+	sick    bool
+	ticked  Time
+	beatAt  Time
+	needed  Time // a change has been wanted since; 0: none is
+	round   uint64
+	out     []Send
+	adopted bool
+	changed bool
+
+	proposing struct {
+		on       bool
+		at       Time
+		ballot   Ballot
+		value    View
+		accept   bool
+		promised map[string]bool
+		accepted map[string]bool
+		best     Ballot
+	}
+	waitUntil Time
+	settledIn uint64
+	seeds     []string
+}
+
+// New makes an engine from what was on disk. Seeds are addresses to greet until somebody is heard there.
+func New(self Member, d Durable, seeds []string, chance func() float64) *Engine {
+	return &Engine{self: self, d: d, seeds: seeds, chance: chance, peers: map[string]*peer{}, ticked: -1}
+}
+
+// Vouches tells whether this machine knows of no view after number n that may have been decided.
+func (e *Engine) Vouches(n uint64) bool {
+	return e.d.View.N == n && e.d.Value == nil && e.d.View.In(e.self.ID)
+}
+
+// Heard tells whether a machine was heard lately and hears this one.
+func (e *Engine) Heard(now Time, id string) bool { return e.touch(now, id) }
+
+// Output is what a step brings.
+type Output struct {
+	Send    []Send
+	Save    bool // Durable changed
+	Adopted bool // another view is held now
+}
+
+func (e *Engine) flush() Output {
+	o := Output{Send: e.out, Save: e.changed, Adopted: e.adopted}
+	e.out, e.changed, e.adopted = nil, false, false
+	return o
+}
+
+// Durable is the present state to be kept.
+func (e *Engine) Durable() Durable { return e.d }
+
+// View is the newest view known to be decided.
+func (e *Engine) View() View { return e.d.View }
+
+// SetSick tells whether the disk takes writes.
+func (e *Engine) SetSick(sick bool) { e.sick = sick }
+
+// SetSettled tells the last view in which a commit was seen: by then all its chain was filled.
+func (e *Engine) SetSettled(n uint64) { e.settledIn = n }
+
+// Self is this machine.
+func (e *Engine) Self() Member { return e.self }
+
+func (e *Engine) touch(now Time, id string) bool {
+	p := e.peers[id]
+	return p != nil && now-p.heard < suspectAfter && p.hearsMe
+}
+
+func (e *Engine) sound(now Time, id string) bool {
+	if id == e.self.ID {
+		return !e.sick
+	}
+	return e.touch(now, id) && !e.peers[id].sick
+}
+
+// InTouch tells whether this machine's word counts and reaches a majority. One that does not must refuse at once.
+func (e *Engine) InTouch(now Time) bool {
+	if !e.d.View.In(e.self.ID) {
+		return false
+	}
+	n := 0
+	for _, m := range e.d.View.Roster {
+		if m.ID == e.self.ID || e.touch(now, m.ID) {
+			n++
+		}
+	}
+	return n >= e.d.View.Majority()
+}
+
+// Peers lists the machines heard of lately, this one excepted.
+func (e *Engine) Peers(now Time) []Member {
+	var all []Member
+	for _, p := range e.peers {
+		if now-p.heard < forgetAfter {
+			all = append(all, p.Member)
+		}
+	}
+	for _, m := range e.d.View.Roster {
+		if e.peers[m.ID] == nil && m.ID != e.self.ID {
+			all = append(all, m)
+		}
+	}
+	for _, addr := range e.seeds {
+		if addr != e.self.Addr && !slices.ContainsFunc(all, func(m Member) bool { return m.Addr == addr }) {
+			all = append(all, Member{Addr: addr})
+		}
+	}
+	slices.SortFunc(all, func(a, b Member) int { return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Addr, b.Addr)) })
+	return all
+}
+
+func (e *Engine) send(to Member, m Message, durable bool) {
+	m.From = e.self
+	e.out = append(e.out, Send{to, m, durable})
+}
+
+// Tick lets time pass: beats, suspicion, proposals.
+func (e *Engine) Tick(now Time) Output {
+	if e.ticked >= 0 && now-e.ticked > heldUp { // frozen or starved: silence meanwhile tells nothing of the others
+		for _, p := range e.peers {
+			p.heard = max(p.heard, now-suspectAfter/2)
+		}
+		e.needed = 0
+	}
+	e.ticked = now
+	if now >= e.beatAt {
+		e.beatAt = now + BeatEvery
+		b := Message{Kind: Beat, N: e.d.View.N, Sick: e.sick}
+		for id, p := range e.peers {
+			if now-p.heard < suspectAfter {
+				b.Hears = append(b.Hears, id)
+			}
+		}
+		slices.Sort(b.Hears)
+		for _, m := range e.Peers(now) {
+			e.send(m, b, false)
+		}
+	}
+	for id, p := range e.peers {
+		if now-p.heard > forgetAfter && !e.d.View.In(id) {
+			delete(e.peers, id)
+		}
+	}
+	if e.proposing.on && now-e.proposing.at > proposalMost {
+		e.proposing.on = false
+		e.waitUntil = now + Time(e.chance()*float64(proposalMost))
+	}
+	e.propose(now)
+	return e.flush()
+}
+
+// want is the view that should follow, if one should.
+func (e *Engine) want(now Time) (View, bool) {
+	v := e.d.View
+	if v.Place(e.self.ID) < 0 || e.sick || !e.InTouch(now) {
+		return View{}, false
+	}
+	next := View{N: v.N + 1, Roster: slices.Clone(v.Roster)}
+	for _, id := range v.Chain {
+		if e.sound(now, id) {
+			next.Chain = append(next.Chain, id)
+		}
+	}
+	joins := func(id string) bool {
+		return e.sound(now, id) && now-e.peers[id].since >= settleFor
+	}
+	if e.settledIn != v.N {
+		for _, id := range next.Chain {
+			if slices.Contains(v.Fresh, id) {
+				next.Fresh = append(next.Fresh, id)
+			}
+		}
+		if len(next.Chain) == 0 || slices.Contains(next.Fresh, next.Chain[0]) {
+			return View{}, false // nobody is left who surely holds what was promised: wait for one
+		}
+	}
+	for _, m := range v.Roster { // known, but out of the chain
+		if v.Place(m.ID) < 0 && joins(m.ID) {
+			next.Chain, next.Fresh = append(next.Chain, m.ID), append(next.Fresh, m.ID)
+		}
+	}
+	for _, p := range e.strangers() {
+		if !joins(p.ID) {
+			continue
+		}
+		i := slices.IndexFunc(next.Roster, func(m Member) bool { return m.Addr == p.Addr })
+		if i >= 0 && e.touch(now, next.Roster[i].ID) {
+			continue
+		}
+		if i >= 0 { // the machine came back with another disk
+			next.Chain = slices.DeleteFunc(next.Chain, func(id string) bool { return id == next.Roster[i].ID })
+			next.Roster[i] = p.Member
+		} else {
+			next.Roster = append(next.Roster, p.Member)
+		}
+		next.Chain, next.Fresh = append(next.Chain, p.ID), append(next.Fresh, p.ID)
+		break // one at a time: majorities of two views that follow each other must meet
+	}
+	return next, !slices.Equal(next.Chain, v.Chain) && len(next.Chain) >= next.Majority()
+}
+
+func (e *Engine) strangers() []*peer {
+	var all []*peer
+	for id, p := range e.peers {
+		if !e.d.View.In(id) {
+			all = append(all, p)
+		}
+	}
+	slices.SortFunc(all, func(a, b *peer) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+func (e *Engine) propose(now Time) {
+	next, ok := e.want(now)
+	if !ok {
+		e.needed = 0
+		return
+	}
+	if e.needed == 0 {
+		e.needed = now
+	}
+	rank := max(slices.Index(next.Chain, e.self.ID), 0)
+	if e.proposing.on || now < e.waitUntil || now-e.needed < Time(rank)*rankWait {
+		return
+	}
+	e.round = max(e.round, e.d.Promised.Round) + 1
+	p := &e.proposing
+	p.on, p.at, p.ballot, p.value, p.accept, p.best = true, now, Ballot{e.round, e.self.ID}, next, false, Ballot{}
+	p.promised, p.accepted = map[string]bool{}, map[string]bool{}
+	base := e.d.View
+	for _, m := range base.Roster {
+		e.send(m, Message{Kind: Prepare, N: next.N, Ballot: p.ballot, View: &base}, false)
+	}
+}
+
+func (e *Engine) adopt(v View) {
+	if v.N <= e.d.View.N {
+		return
+	}
+	e.d = Durable{View: v}
+	e.proposing.on, e.needed, e.round = false, 0, 0
+	e.changed, e.adopted = true, true
+}
+
+// Receive takes in a message.
+func (e *Engine) Receive(now Time, m Message) Output {
+	from := m.From
+	switch m.Kind {
+	case Beat:
+		e.beat(now, m)
+	case Decided:
+		if m.View != nil {
+			e.adopt(*m.View)
+		}
+	case Prepare:
+		if m.View != nil {
+			e.adopt(*m.View)
+		}
+		switch {
+		case m.N <= e.d.View.N:
+			v := e.d.View
+			e.send(from, Message{Kind: Decided, N: v.N, View: &v}, true)
+		case m.N != e.d.View.N+1 || !e.d.View.In(e.self.ID):
+		case !e.d.Promised.Less(m.Ballot):
+			e.send(from, Message{Kind: Refuse, N: m.N, Ballot: m.Ballot, Held: e.d.Promised}, false)
+		default:
+			e.d.Promised, e.changed = m.Ballot, true
+			e.send(from, Message{Kind: Promise, N: m.N, Ballot: m.Ballot, Held: e.d.Accepted, View: e.d.Value}, true)
+		}
+	case Accept:
+		if m.View == nil || m.N != e.d.View.N+1 || m.Ballot.Less(e.d.Promised) || !e.d.View.In(e.self.ID) {
+			return e.flush()
+		}
+		e.d.Promised, e.d.Accepted, e.d.Value, e.changed = m.Ballot, m.Ballot, m.View, true
+		e.send(from, Message{Kind: Accepted, N: m.N, Ballot: m.Ballot}, true)
+	case Refuse:
+		if p := &e.proposing; p.on && m.Ballot == p.ballot {
+			e.round = max(e.round, m.Held.Round)
+			p.on, e.waitUntil = false, now+Time(e.chance()*float64(proposalMost)/2)
+		}
+	case Promise, Accepted:
+		e.count(m)
+	}
+	return e.flush()
+}
+
+func (e *Engine) count(m Message) {
+	p := &e.proposing
+	if !p.on || m.Ballot != p.ballot || m.N != e.d.View.N+1 || !e.d.View.In(m.From.ID) {
+		return
+	}
+	if m.Kind == Promise && !p.accept {
+		p.promised[m.From.ID] = true
+		if m.View != nil && p.best.Less(m.Held) {
+			p.best, p.value = m.Held, *m.View
+		}
+		if len(p.promised) >= e.d.View.Majority() {
+			p.accept = true
+			value := p.value
+			for _, to := range e.d.View.Roster {
+				e.send(to, Message{Kind: Accept, N: m.N, Ballot: p.ballot, View: &value}, false)
+			}
+		}
+	}
+	if m.Kind == Accepted && p.accept {
+		p.accepted[m.From.ID] = true
+		if len(p.accepted) >= e.d.View.Majority() {
+			value := p.value
+			tell := map[string]Member{}
+			for _, to := range append(slices.Clone(e.d.View.Roster), value.Roster...) {
+				tell[to.ID] = to
+			}
+			for _, id := range sorted(tell) {
+				if id != e.self.ID {
+					e.send(tell[id], Message{Kind: Decided, N: value.N, View: &value}, false)
+				}
+			}
+			e.adopt(value)
+		}
+	}
+}
+
+func sorted(m map[string]Member) []string {
+	var ids []string
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (e *Engine) beat(now Time, m Message) {
+	if m.From.ID == e.self.ID {
+		return
+	}
+	p := e.peers[m.From.ID]
+	if p == nil {
+		p = &peer{since: now}
+		e.peers[m.From.ID] = p
+	} else if now-p.heard >= suspectAfter {
+		p.since = now
+	}
+	p.Member, p.heard, p.sick = m.From, now, m.Sick
+	if hears := slices.Contains(m.Hears, e.self.ID); hears && !p.hearsMe {
+		p.hearsMe, p.since = true, now
+	} else if !hears {
+		p.hearsMe = false
+	}
+	if m.N < e.d.View.N {
+		v := e.d.View
+		e.send(m.From, Message{Kind: Decided, N: v.N, View: &v}, true)
+	}
+}
--- /dev/null
+++ b/internal/forager/forager.go
@@ -0,0 +1,226 @@
+// Package forager is a proxy governor: it takes the requests of clients, sends them to replicas by the tables of a
+// control-plane governor (a comb), and reports what it met.
+package forager
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-chi/chi/v5"
+	"github.com/phuslu/log"
+
+	"zincloft.example/zincloft/hive/config"
+	"zincloft.example/zincloft/hive/spread"
+	"zincloft.example/zincloft/hive/tries"
+	"zincloft.example/zincloft/hive/view"
+	"zincloft.example/zincloft/internal/nodefile"
+	"zincloft.example/zincloft/internal/replica"
+)
+
+const (
+	sweepEvery  = time.Second
+	countsEvery = 10 * time.Second
+	leaveFor    = 2500 * time.Millisecond // after readiness falls, until the platform has noticed and looked elsewhere
+	leastGrace  = 300 * time.Millisecond  // of the grace period, kept for the end of the process itself
+	memoryPart  = 0.6                     // of the memory limit, the garbage collector's goal
+)
+
+// Forager is one proxy governor.
+type Forager struct {
+	set      *nodefile.Settings
+	log      *log.Logger
+	start    time.Time
+	config   atomic.Pointer[config.Config]
+	replicas *replica.Pool
+	stopping atomic.Bool
+	tabled   atomic.Bool // a whole table has come
+	front    sync.Once
+	server   *http.Server
+	frontLn  net.Listener
+	failed   chan error
+
+	mu        sync.Mutex
+	spread    *spread.Spread
+	budgets   map[string]*tries.Budget
+	requests  map[string]int
+	counts    map[string]int
+	seq       uint64 // of the register in force
+	combs     []view.Member
+	foragers  int
+	reportSeq uint64
+}
+
+// New makes a forager from its settings.
+func New(set *nodefile.Settings, logger *log.Logger) (*Forager, error) {
+	if set.Front == "" || set.Ready == "" {
+		return nil, merry.New("settings: network_settings.listen_addresses: a forager needs front and readiness")
+	}
+	return &Forager{set: set, log: logger, start: time.Now(), replicas: replica.NewPool(), spread: spread.New(set.Zone),
+		budgets: map[string]*tries.Budget{}, requests: map[string]int{}, counts: map[string]int{}, failed: make(chan error, 4)}, nil
+}
+
+func (f *Forager) now() time.Duration { return time.Since(f.start) }
+
+func (f *Forager) chance() float64 { return rand.Float64() }
+
+func (f *Forager) count(what string) {
+	f.mu.Lock()
+	f.counts[what]++
+	f.mu.Unlock()
+}
+
+// picked is a replica as it stood when it was chosen.
+type picked struct {
+	r        *spread.Replica
+	ID, Addr string
+}
+
+func (f *Forager) pick(service string, had func(string) bool, again bool) (picked, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, wait := f.spread.Pick(f.now(), service, had, f.chance)
+	if r == nil {
+		return picked{}, wait
+	}
+	f.spread.Begin(f.now(), r)
+	return picked{r, r.ID, r.Addr}, 0
+}
+
+func (f *Forager) budget(service string) *tries.Budget {
+	b := f.budgets[service]
+	if b == nil {
+		n := float64(max(f.foragers, 8))
+		b = tries.NewBudget(f.set.Bounds.RetryRatio/2, max(f.set.Bounds.RetrySlack/n/2, 1))
+		f.budgets[service] = b
+	}
+	return b
+}
+
+func (f *Forager) arrived(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.requests[service]++
+	f.budget(service).Earn()
+}
+
+func (f *Forager) spend(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.budget(service).Spend()
+}
+
+// Run serves until the process is told to stop.
+func (f *Forager) Run() error {
+	debug.SetMemoryLimit(int64(float64(f.set.MemoryMB<<20) * memoryPart))
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	ready, err := net.Listen("tcp", f.set.Ready)
+	if err != nil {
+		return merry.Prepend(err, "listening for readiness")
+	}
+	if f.frontLn, err = net.Listen("tcp", f.set.Front); err != nil {
+		return merry.Prepend(err, "listening for clients")
+	}
+	mux := chi.NewRouter()
+	mux.Get("/api/readiness", f.readiness)
+	readySrv := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second}
+	go func() { f.failed <- readySrv.Serve(ready) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.follow(ctx)
+	f.log.Info().Str("event", "start").Str("name", f.set.Name).Str("zone", f.set.Zone).Str("front", f.set.Front).Msg("")
+	sweep, counts := time.NewTicker(sweepEvery), time.NewTicker(countsEvery)
+	for {
+		select {
+		case err := <-f.failed:
+			return merry.Prepend(err, "serving")
+		case <-sweep.C:
+			f.replicas.Sweep(time.Now())
+		case <-counts.C:
+			f.logCounts()
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				f.reload()
+				continue
+			}
+			f.log.Info().Str("event", "stopping").Str("signal", s.String()).Msg("")
+			f.stop()
+			f.logCounts()
+			f.log.Info().Str("event", "stopped").Msg("")
+			return nil
+		}
+	}
+}
+
+// open starts to serve clients, with the limits of the first configuration.
+func (f *Forager) open(c *config.Config) {
+	f.front.Do(func() {
+		mux := chi.NewRouter()
+		mux.Handle("/*", http.HandlerFunc(f.serve))
+		mux.NotFound(f.serve)
+		mux.MethodNotAllowed(f.serve)
+		f.server = &http.Server{Handler: mux, ReadHeaderTimeout: c.Limits.Header, IdleTimeout: c.Limits.Idle,
+			MaxHeaderBytes: int(c.Limits.HeaderBytes), ErrorLog: nil}
+		f.server.ErrorLog = f.log.Std("", 0)
+		go func() {
+			if err := f.server.Serve(f.frontLn); err != http.ErrServerClosed {
+				f.failed <- err
+			}
+		}()
+	})
+}
+
+func (f *Forager) readiness(w http.ResponseWriter, _ *http.Request) {
+	if f.stopping.Load() || f.config.Load() == nil || !f.tabled.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// stop ends in order: readiness falls, connections end by their answers, then what is under way ends.
+func (f *Forager) stop() {
+	f.stopping.Store(true)
+	end := time.Now().Add(f.set.Bounds.GracePeriod - leastGrace)
+	time.Sleep(min(leaveFor, f.set.Bounds.GracePeriod/2))
+	if f.server == nil {
+		return
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	f.server.Shutdown(ctx)
+}
+
+func (f *Forager) reload() {
+	set, err := nodefile.Load()
+	if err != nil {
+		f.log.Error().Str("event", "settings_refused").Err(err).Msg("")
+		return
+	}
+	f.mu.Lock()
+	f.set.Seeds = set.Seeds
+	f.mu.Unlock()
+	f.log.Info().Str("event", "settings_read").Int("seeds", len(set.Seeds)).Msg("")
+}
+
+func (f *Forager) logCounts() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.counts) == 0 {
+		return
+	}
+	e := f.log.Info().Str("event", "counts")
+	for _, k := range sortedKeys(f.counts) {
+		e = e.Int(k, f.counts[k])
+	}
+	e.Msg("")
+	clear(f.counts)
+}
--- /dev/null
+++ b/internal/forager/front.go
@@ -0,0 +1,217 @@
+package forager
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"zincloft.example/zincloft/hive/config"
+	"zincloft.example/zincloft/hive/spread"
+	"zincloft.example/zincloft/hive/tries"
+	"zincloft.example/zincloft/internal/replica"
+)
+
+const (
+	noDeadline  = 30 * time.Second       // where neither the client nor the route sets one
+	lastMoment  = 10 * time.Millisecond  // an answer on time must still travel
+	comeBack    = 300 * time.Millisecond // until a refused client finds room, where nothing better is known
+	notYetReady = time.Second
+)
+
+// refuse answers that the request has not run and when to come again.
+func refuse(w http.ResponseWriter, status int, after time.Duration) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	finish(w, status)
+}
+
+func finish(w http.ResponseWriter, status int) {
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// serve takes one request of a client through to its end.
+func (f *Forager) serve(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	if f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c := f.config.Load()
+	if c == nil {
+		refuse(w, http.StatusServiceUnavailable, notYetReady)
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route, ok := c.Find(r.Host, path)
+	if !ok {
+		f.count("no_route")
+		finish(w, http.StatusNotFound)
+		return
+	}
+	most := noDeadline
+	if route.Timeout > 0 {
+		most = route.Timeout
+	}
+	if ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64); err == nil && ms > 0 {
+		most = min(most, time.Duration(ms*float64(time.Millisecond)))
+	}
+	body, status := readBody(w, r, c.Limits.BodyBytes)
+	if status != 0 {
+		f.count("body_" + strconv.Itoa(status))
+		finish(w, status)
+		return
+	}
+	f.forward(w, r, route, body, began, began.Add(most-min(lastMoment, most/10)))
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, int) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, 0
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	if err != nil {
+		return nil, http.StatusBadRequest
+	}
+	return body, 0
+}
+
+func (f *Forager) forward(w http.ResponseWriter, r *http.Request, route config.Route, body []byte, began, deadline time.Time) {
+	service := route.Pick(f.chance())
+	q := &replica.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: replica.EndToEnd(r.Header), Body: body,
+		Attempt: r.Header.Get("X-Attempt-Id"), Deadline: deadline}
+	if route.Safe {
+		q.Stop = r.Context() // a safe request whose client left is dropped; an unsafe one is left to end
+	}
+	f.arrived(service)
+	t := tries.Request{Safe: route.Safe, MaxAttempts: route.MaxAttempts}
+	var tried []string
+	var last replica.Result
+	had := func(id string) bool {
+		for _, x := range tried {
+			if x == id {
+				return true
+			}
+		}
+		return false
+	}
+	for {
+		picked, wait := f.pick(service, had, t.Sent > 0)
+		if picked.ID == "" {
+			if t.Sent == 0 || last.Verdict == tries.NotRun {
+				f.count("no_room")
+				refuse(w, http.StatusServiceUnavailable, wait)
+				return
+			}
+			break
+		}
+		tried = append(tried, picked.ID)
+		q.Instance = picked.ID
+		sent := time.Now()
+		last = f.replicas.Do(picked.ID, picked.Addr, q)
+		if last.Unsent {
+			t.Unsent++
+		} else {
+			t.Sent++
+		}
+		f.outcome(picked, r, last, time.Since(sent))
+		t.Left = time.Until(deadline)
+		t.Failed = last.Answer != nil && last.Answer.Status >= 500
+		if r.Context().Err() != nil && route.Safe {
+			panic(http.ErrAbortHandler)
+		}
+		if last.Verdict == tries.Answered && !t.Failed || !tries.Again(last.Verdict, t) {
+			break
+		}
+		if !last.Unsent && !f.spend(service) {
+			f.count("budget")
+			break
+		}
+	}
+	if last.Verdict == tries.Answered {
+		pass(w, r, last.Answer)
+		return
+	}
+	switch status := tries.Final(last.Verdict, last.Expired); status {
+	case http.StatusServiceUnavailable:
+		refuse(w, status, comeBack)
+	default:
+		f.count("final_" + strconv.Itoa(status))
+		finish(w, status)
+	}
+}
+
+// pass hands a replica's answer to the client.
+func pass(w http.ResponseWriter, r *http.Request, a *replica.Answer) {
+	h := w.Header()
+	for k, v := range replica.EndToEnd(a.Header) {
+		h[k] = v
+	}
+	if h["Content-Type"] == nil {
+		h["Content-Type"] = nil // none is to be guessed
+	}
+	if a.Length >= 0 && r.Method != http.MethodHead && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
+		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	w.WriteHeader(a.Status)
+	w.Write(a.Body)
+	if a.Rest != nil {
+		if err := a.Rest(w); err != nil {
+			panic(http.ErrAbortHandler) // a cut answer must not appear complete
+		}
+	}
+}
+
+// outcome books what became of a try.
+func (f *Forager) outcome(p picked, r *http.Request, res replica.Result, took time.Duration) {
+	o := spread.Good
+	switch {
+	case res.Unsent:
+		o = spread.Uncalled
+	case res.Full:
+		o = spread.Full
+	case r.Context().Err() != nil && res.Verdict != tries.Answered:
+		o = spread.Left
+	case res.Verdict == tries.MayHaveRun && (res.Cause == "spoilt" || res.Cause == "cut" || res.Cause == "surplus" || res.Cause == "not_http"):
+		o = spread.Spoilt
+	case res.Verdict == tries.MayHaveRun:
+		o = spread.Silent
+	case res.Answer.Status >= 500:
+		o = spread.Spoilt
+	}
+	if res.Cause != "" {
+		f.count("try_" + res.Cause)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	f.spread.End(now, p.r, o, took)
+	if res.Answer != nil {
+		loadOf(now, p.r, res.Answer.Header)
+	}
+}
+
+func loadOf(now time.Duration, r *spread.Replica, h http.Header) {
+	v := h.Get("X-Instance-Load")
+	if v == "" {
+		return
+	}
+	parts := strings.Split(v, ",")
+	if len(parts) != 3 {
+		return
+	}
+	var n [3]int
+	for i, s := range parts {
+		x, err := strconv.Atoi(strings.TrimSpace(s))
+		if err != nil || x < 0 || x > 1<<20 {
+			return
+		}
+		n[i] = x
+	}
+	r.Load(now, n[0], n[1], n[2])
+}
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,304 @@
+// Package link carries messages between the gateway's governors: frames of CBOR over TCP.
+package link
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sys/unix"
+
+	"zincloft.example/zincloft/hive/chain"
+	"zincloft.example/zincloft/hive/registry"
+	"zincloft.example/zincloft/hive/view"
+)
+
+const (
+	mostFrame   = 8 << 20
+	dialMost    = 500 * time.Millisecond
+	writeMost   = time.Second
+	userTimeout = time.Second
+	queueMost   = 256
+	pauseLeast  = 100 * time.Millisecond
+	pauseMost   = 800 * time.Millisecond
+)
+
+// Hello begins a connection.
+type Hello struct {
+	Member  view.Member `cbor:"1,keyasint"` // a comb's; of a forager only Addr and Zone
+	Forager string      `cbor:"2,keyasint,omitempty"`
+}
+
+// Enter asks the head to take an order; Entered tells what must be committed for it to hold.
+type Enter struct {
+	Token uint64      `cbor:"1,keyasint"`
+	Order chain.Order `cbor:"2,keyasint"`
+}
+
+type Entered struct {
+	Token uint64 `cbor:"1,keyasint"`
+	N     uint64 `cbor:"2,keyasint"`
+	Seq   uint64 `cbor:"3,keyasint"`
+	OK    bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// Confirm asks whether view N is still the newest; Confirmed answers.
+type Confirm struct {
+	Token uint64 `cbor:"1,keyasint"`
+	N     uint64 `cbor:"2,keyasint"`
+	OK    bool   `cbor:"3,keyasint,omitempty"`
+}
+
+// Line is a replica's weight in a table; 0 takes it out.
+type Line struct {
+	Replica string  `cbor:"1,keyasint"`
+	Weight  float32 `cbor:"2,keyasint,omitempty"`
+	Grant   float32 `cbor:"3,keyasint,omitempty"` // requests a second that this forager may send it while cold
+}
+
+// State tells a forager what is in force: whole at first, then what changed.
+type State struct {
+	Whole    bool            `cbor:"1,keyasint,omitempty"`
+	Seq      uint64          `cbor:"2,keyasint,omitempty"` // of the register; 0: not told here
+	Version  uint64          `cbor:"3,keyasint,omitempty"`
+	Body     []byte          `cbor:"4,keyasint,omitempty"` // where the version changed
+	Out      []string        `cbor:"5,keyasint,omitempty"`
+	Lives    []registry.Life `cbor:"6,keyasint,omitempty"`
+	Lines    []Line          `cbor:"7,keyasint,omitempty"`
+	Combs    []view.Member   `cbor:"8,keyasint,omitempty"`
+	Foragers int             `cbor:"9,keyasint,omitempty"` // known over all combs
+	Grants   []Line          `cbor:"10,keyasint,omitempty"`
+	Granted  bool            `cbor:"11,keyasint,omitempty"` // Grants are all that hold
+	Young    bool            `cbor:"12,keyasint,omitempty"` // the comb has just started and may not know all lives
+}
+
+// Sum is what a forager met at a replica since its last report.
+type Sum struct {
+	Replica string `cbor:"1,keyasint"`
+	Tries   int    `cbor:"2,keyasint,omitempty"`
+	Dropped int    `cbor:"3,keyasint,omitempty"`
+	Took    int64  `cbor:"4,keyasint,omitempty"` // microseconds, mean of the good ones
+	Running int    `cbor:"5,keyasint,omitempty"` // by the replica's newest answer
+	Waiting int    `cbor:"6,keyasint,omitempty"`
+	Slots   int    `cbor:"7,keyasint,omitempty"` // 0: it told no load
+}
+
+// Report is what a forager tells its comb, once per report period.
+type Report struct {
+	Over     int64           `cbor:"1,keyasint"` // milliseconds
+	Sums     []Sum           `cbor:"2,keyasint,omitempty"`
+	Requests map[string]int  `cbor:"3,keyasint,omitempty"` // by service
+	Failed   map[string]int  `cbor:"4,keyasint,omitempty"`
+	Lives    []registry.Life `cbor:"5,keyasint,omitempty"` // what it was told, to a comb that may not know
+	Seq      uint64          `cbor:"6,keyasint,omitempty"`
+}
+
+// Fleet tells other combs which foragers are with one.
+type Fleet struct {
+	Foragers int `cbor:"1,keyasint"`
+}
+
+// Msg is one frame; the fields that are set tell what it is. An empty one is a sign of life.
+type Msg struct {
+	Hello     *Hello          `cbor:"1,keyasint,omitempty"`
+	View      *view.Message   `cbor:"2,keyasint,omitempty"`
+	Chain     *chain.Message  `cbor:"3,keyasint,omitempty"`
+	Enter     *Enter          `cbor:"4,keyasint,omitempty"`
+	Entered   *Entered        `cbor:"5,keyasint,omitempty"`
+	Confirm   *Confirm        `cbor:"6,keyasint,omitempty"`
+	Confirmed *Confirm        `cbor:"7,keyasint,omitempty"`
+	Lives     []registry.Life `cbor:"8,keyasint,omitempty"`
+	State     *State          `cbor:"9,keyasint,omitempty"`
+	Report    *Report         `cbor:"10,keyasint,omitempty"`
+	Fleet     *Fleet          `cbor:"11,keyasint,omitempty"`
+	Committed *Committed      `cbor:"12,keyasint,omitempty"`
+}
+
+// Committed tells, beside a beat, what is known to be committed.
+type Committed struct {
+	Seq   uint64 `cbor:"1,keyasint,omitempty"`
+	Known bool   `cbor:"2,keyasint,omitempty"`
+}
+
+var decMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// Frame encodes a message with its length before it.
+func Frame(m *Msg) ([]byte, error) {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, merry.Prepend(err, "encoding a message")
+	}
+	return append(binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(body)), uint32(len(body))), body...), nil
+}
+
+// Read reads one frame.
+func Read(r io.Reader) (*Msg, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > mostFrame {
+		return nil, merry.Errorf("a frame of %d bytes", n)
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, err
+	}
+	m := &Msg{}
+	if err := decMode.Unmarshal(body, m); err != nil {
+		return nil, merry.Prepend(err, "decoding a message")
+	}
+	return m, nil
+}
+
+// Dialer returns a dialer whose connections end when what was sent stays unacknowledged for so long.
+func Dialer(most, unacked time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: most, KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
+		return Unacked(c, unacked)
+	}}
+}
+
+// Unacked sets how long sent bytes may stay unacknowledged.
+func Unacked(c syscall.RawConn, d time.Duration) error {
+	var inner error
+	err := c.Control(func(fd uintptr) {
+		inner = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return inner
+}
+
+// Conn is a connection to write frames to from several goroutines; one goroutine writes them.
+type Conn struct {
+	net.Conn
+	queue chan []byte
+	once  sync.Once
+	done  chan struct{}
+}
+
+// Wrap starts the writer of a connection.
+func Wrap(c net.Conn) *Conn {
+	x := &Conn{Conn: c, queue: make(chan []byte, queueMost), done: make(chan struct{})}
+	go x.write()
+	return x
+}
+
+func (c *Conn) write() {
+	for {
+		select {
+		case b := <-c.queue:
+			c.SetWriteDeadline(time.Now().Add(writeMost))
+			if _, err := c.Conn.Write(b); err != nil {
+				c.End()
+				return
+			}
+		case <-c.done:
+			return
+		}
+	}
+}
+
+// Send queues a frame; a peer that does not read loses its connection.
+func (c *Conn) Send(frame []byte) {
+	select {
+	case c.queue <- frame:
+	case <-c.done:
+	default:
+		c.End()
+	}
+}
+
+// End closes the connection.
+func (c *Conn) End() { c.once.Do(func() { close(c.done); c.Conn.Close() }) }
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+// Line to one peer, dialled again for as long as it is wanted. What cannot be sent is dropped: those who need it
+// say it again.
+type Peer struct {
+	queue chan []byte
+	stop  chan struct{}
+	once  sync.Once
+}
+
+// To starts sending to an address; each connection begins with hello.
+func To(addr string, hello []byte) *Peer {
+	p := &Peer{queue: make(chan []byte, queueMost), stop: make(chan struct{})}
+	go p.run(addr, hello)
+	return p
+}
+
+// Send queues a frame, or drops it.
+func (p *Peer) Send(frame []byte) {
+	select {
+	case p.queue <- frame:
+	default:
+	}
+}
+
+// Stop ends the peer.
+func (p *Peer) Stop() { p.once.Do(func() { close(p.stop) }) }
+
+func (p *Peer) run(addr string, hello []byte) {
+	d := Dialer(dialMost, userTimeout)
+	pause := pauseLeast
+	for {
+		conn, err := d.Dial("tcp", addr)
+		if err == nil {
+			pause = pauseLeast
+			p.pump(conn, hello)
+			conn.Close()
+		}
+		wait := time.NewTimer(pause)
+		pause = min(pause*2, pauseMost)
+	drop:
+		for {
+			select {
+			case <-p.queue: // stale by the time that the peer is there again
+			case <-wait.C:
+				break drop
+			case <-p.stop:
+				wait.Stop()
+				return
+			}
+		}
+	}
+}
+
+func (p *Peer) pump(conn net.Conn, hello []byte) {
+	gone := make(chan struct{})
+	go func() { // the peer says nothing here; its end is noticed at once
+		var b [1]byte
+		conn.Read(b[:])
+		close(gone)
+	}()
+	next := hello
+	for {
+		conn.SetWriteDeadline(time.Now().Add(writeMost))
+		if _, err := conn.Write(next); err != nil {
+			return
+		}
+		select {
+		case next = <-p.queue:
+		case <-gone:
+			return
+		case <-p.stop:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/nodefile/nodefile.go
@@ -0,0 +1,204 @@
+// Package nodefile reads and checks the settings file that tells a process of the gateway who and where it is.
+//
+// The file is YAML. It is turned into JSON by a library and then read by gjson paths; each message names the path
+// at fault. Fields that are not known are skipped.
+package nodefile
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/goccy/go-yaml"
+	"github.com/tidwall/gjson"
+)
+
+// Variable is the environment variable that holds the settings file's path.
+const Variable = "ZINCLOFT_NODE_FILE"
+
+// Bounds are the figures of the rules that decisions here lean on.
+type Bounds struct {
+	AddressReuse  time.Duration // after a replica's end, its address may be another's
+	AckDeadline   time.Duration // an operator's order wants its acknowledgement
+	DrainDeadline time.Duration // sending to a leaving replica ends within this of its acknowledgement
+	GracePeriod   time.Duration // between SIGTERM and SIGKILL
+	ConfigWithin  time.Duration // a configuration is in force everywhere
+	Evacuation    time.Duration // a zone gets nothing more
+	CatchUp       time.Duration // a machine that came back counts as lost for so long
+	RetryRatio    float64       // further tries for each request
+	RetryWindow   time.Duration
+	RetrySlack    float64 // further tries beyond the ratio, in a window, over all governors
+	ColdOverage   float64 // times cold_per_s that a cold replica may be sent in a second
+	ColdSlack     float64 // requests beyond that
+}
+
+// Settings are what one process is told.
+type Settings struct {
+	Name, Role, Class  string
+	Serves             []string
+	IP                 netip.Addr
+	Zone, Region       string
+	Counted            bool
+	FirstStart         bool
+	DataDir            string // empty: no disk
+	MemoryMB           int64
+	Descriptors        int64
+	Front, Ready       string // empty where the role serves no clients
+	Control            string // empty where it serves no replicas and operators
+	PortFirst, PortEnd int
+	Seeds              []netip.AddrPort
+	Zones              map[string]string // zone to region
+	Heartbeat          time.Duration     // a replica's beats are so far apart
+	LossMachines       int               // counted machines that may be lost at once
+	Bounds             Bounds
+}
+
+type reader struct {
+	doc gjson.Result
+	err error
+}
+
+func (r *reader) fail(path, why string) {
+	if r.err == nil {
+		r.err = merry.Errorf("settings: %s: %s", path, why)
+	}
+}
+
+func (r *reader) text(path string, needed bool) string {
+	v := r.doc.Get(path)
+	if v.Type == gjson.String && v.Str != "" {
+		return v.Str
+	}
+	if v.Exists() && v.Type != gjson.Null && v.Type != gjson.String {
+		r.fail(path, "is not a text")
+	} else if needed {
+		r.fail(path, "is missing or empty")
+	}
+	return ""
+}
+
+func (r *reader) number(path string, least, def float64) float64 {
+	v := r.doc.Get(path)
+	switch {
+	case !v.Exists() || v.Type == gjson.Null:
+		return def
+	case v.Type != gjson.Number:
+		r.fail(path, "is not a number")
+	case v.Num < least:
+		r.fail(path, "is too small")
+	}
+	return v.Num
+}
+
+func (r *reader) span(path string, def time.Duration) time.Duration {
+	s := r.text(path, false)
+	if s == "" {
+		return def
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil || d <= 0 {
+		r.fail(path, `is not a time such as "1500ms"`)
+	}
+	return d
+}
+
+func (r *reader) address(path string) string {
+	s := r.text(path, false)
+	if s == "" {
+		return ""
+	}
+	if _, err := netip.ParseAddrPort(s); err != nil {
+		r.fail(path, "is not an address with a port")
+	}
+	return s
+}
+
+// Load reads the file that Variable names.
+func Load() (*Settings, error) {
+	path := os.Getenv(Variable)
+	if path == "" {
+		return nil, merry.Errorf("settings: %s is not set", Variable)
+	}
+	return Read(path)
+}
+
+// Read reads a settings file.
+func Read(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, merry.Prepend(err, "settings")
+	}
+	s, err := Parse(raw)
+	if err != nil {
+		return nil, merry.Prepend(err, path)
+	}
+	return s, nil
+}
+
+// Parse reads settings and names the first path at fault.
+func Parse(raw []byte) (*Settings, error) {
+	doc, err := yaml.YAMLToJSON(raw)
+	if err != nil {
+		return nil, merry.Errorf("settings: not YAML: %v", err)
+	}
+	r := &reader{doc: gjson.ParseBytes(doc)}
+	if !r.doc.IsObject() {
+		return nil, merry.New("settings: the file holds no tables")
+	}
+	self, net, rule := "self_settings.", "network_settings.", "rule_terms."
+	s := &Settings{
+		Name: r.text(self+"node_name", true), Role: r.text(self+"role", false), Class: r.text(self+"machine_class", false),
+		Zone: r.text(self+"zone", true), Region: r.text(self+"region", false),
+		Counted: r.doc.Get(self + "counted").Bool(), FirstStart: r.doc.Get(self + "first_start").Bool(),
+		DataDir:     r.text(self+"data_directory", false),
+		MemoryMB:    int64(r.number(self+"limits.memory_mb", 16, 256)),
+		Descriptors: int64(r.number(self+"limits.file_descriptors", 64, 1024)),
+		Front:       r.address(net + "listen_addresses.front"), Ready: r.address(net + "listen_addresses.readiness"),
+		Control:      r.address(net + "listen_addresses.control"),
+		Heartbeat:    r.span("platform_settings.heartbeat_interval", 1500*time.Millisecond),
+		LossMachines: int(r.number(rule+"fault_tolerance.machines", 0, 1)),
+		Zones:        map[string]string{},
+	}
+	ip, err := netip.ParseAddr(r.text(self+"ip_address", true))
+	if err != nil {
+		r.fail(self+"ip_address", "is not an IP address")
+	}
+	s.IP = ip
+	for _, v := range r.doc.Get(self + "serves").Array() {
+		s.Serves = append(s.Serves, v.String())
+	}
+	ports := r.doc.Get(net + "internal_port_range").Array()
+	if len(ports) != 2 || ports[0].Int() < 1 || ports[1].Int() > 65535 || ports[1].Int()-ports[0].Int() < 1 {
+		r.fail(net+"internal_port_range", "is not a first and a last port, two at least")
+	} else {
+		s.PortFirst, s.PortEnd = int(ports[0].Int()), int(ports[1].Int())
+	}
+	for i, v := range r.doc.Get(net + "seed_nodes").Array() {
+		a, err := netip.ParseAddrPort(v.String())
+		if err != nil {
+			r.fail(net+"seed_nodes."+string(rune('0'+i%10)), "is not an address with a port")
+			continue
+		}
+		s.Seeds = append(s.Seeds, a)
+	}
+	if len(s.Seeds) == 0 {
+		r.fail(net+"seed_nodes", "names nobody")
+	}
+	for zone, region := range r.doc.Get(net + "zones").Map() {
+		s.Zones[zone] = region.String()
+	}
+	b := rule + "bounds."
+	s.Bounds = Bounds{
+		AddressReuse: r.span(b+"address_reuse", 2*time.Second), AckDeadline: r.span(b+"ack_deadline", 5*time.Second),
+		DrainDeadline: r.span(b+"drain_deadline", 2*time.Second), GracePeriod: r.span(b+"grace_period", 6*time.Second),
+		ConfigWithin: r.span(b+"config_deadline", 2*time.Second), Evacuation: r.span(b+"evacuation", 5*time.Second),
+		CatchUp: r.span(b+"catch_up", 4*time.Second), RetryRatio: r.number(b+"retry_budget_ratio", 0, 0.2),
+		RetryWindow: r.span(b+"budget_window", 10*time.Second), RetrySlack: r.number(b+"retry_budget_slack", 0, 10),
+		ColdOverage: r.number(b+"cold_overage", 1, 1.5), ColdSlack: r.number(b+"cold_slack", 0, 5),
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,66 @@
+// Package program is what the gateway's daemons share: command line, logs, exit status.
+package program
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/integrii/flaggy"
+	"github.com/phuslu/log"
+
+	"zincloft.example/zincloft/internal/nodefile"
+)
+
+// Version is told by --version.
+var Version = "0.1.0"
+
+// Runner serves until the process is told to stop.
+type Runner interface{ Run() error }
+
+// Logger writes one line of key=value for each event.
+func Logger(w io.Writer, name string) *log.Logger {
+	return &log.Logger{Level: log.InfoLevel, TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		Writer: &log.ConsoleWriter{Writer: w, Formatter: log.LogfmtFormatter{TimeField: "time"}.Formatter}}
+}
+
+// Main runs a daemon. Without a verb, or with `run`, it serves; `check` reads the settings and says what is wrong.
+func Main(name, what string, build func(*nodefile.Settings, *log.Logger) (Runner, error)) {
+	p := flaggy.NewParser(name)
+	p.Description = what
+	p.Version = Version
+	path := os.Getenv(nodefile.Variable)
+	p.String(&path, "s", "settings", "path of the settings file; "+nodefile.Variable+" names it too")
+	check := flaggy.NewSubcommand("check")
+	check.Description = "read the settings, say what is wrong, and end"
+	run := flaggy.NewSubcommand("run")
+	run.Description = "serve (also without a verb)"
+	p.AttachSubcommand(check, 1)
+	p.AttachSubcommand(run, 1)
+	if err := p.Parse(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if path != "" {
+		os.Setenv(nodefile.Variable, path)
+	}
+	set, err := nodefile.Load()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	logger := Logger(os.Stderr, name)
+	r, err := build(set, logger)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if check.Used {
+		fmt.Printf("%s: %s in zone %s: settings hold\n", name, set.Name, set.Zone)
+		return
+	}
+	if err := r.Run(); err != nil {
+		logger.Error().Str("event", "end").Err(err).Msg("")
+		os.Exit(1)
+	}
+}
