A replica that tells no load counts as busy as the fleet is now, not as it ever was

Cause: weigh raised the load of a replica that tells none to the highest mean load seen, and never let it fall; before each weighing took the mean as it was.

Now the load of one that tells none is the mean, set at each weighing. TestUnreportedLoadFollowsTheMean fails without it (11.5 against 29.5).

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -496,7 +496,9 @@
 	spare, flows := 0.0, 1.0
 	for _, r := range g.replicas {
 		r.want, r.most, r.cold = [2]float64{}, g.bound(now, r), !g.warm(now, r)
-		if !math.IsInf(r.most, 1) || !r.known { // idle for its small share, which says nothing of its fair one
+		if !r.known {
+			r.load = g.meanLoad
+		} else if !math.IsInf(r.most, 1) { // idle for its small share, which says nothing of its fair one
 			r.load = max(r.load, g.meanLoad)
 		}
 		if r.size == 0 || g.jammed {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -204,6 +204,20 @@
 	}
 }
 
+// TestUnreportedLoadFollowsTheMean has a replica that never tells its load beside three that were full and are idle again. It
+// counts as busy as the fleet is now: held at the most that the fleet ever was, it would keep a third of its share for good.
+func TestUnreportedLoadFollowsTheMean(t *testing.T) {
+	p := newPlay(site(), 4, 2)
+	p.load = map[ReplicaID]float64{1: 1, 2: 1, 3: 1, 4: Absent}
+	p.run(20)
+	p.load = map[ReplicaID]float64{1: 0.1, 2: 0.1, 3: 0.1, 4: Absent}
+	p.run(60)
+	told, untold := p.g.byID[1].want[common], p.g.byID[4].want[common]
+	if untold < 0.9*told {
+		t.Errorf("weight %.1f where no load is told, %.1f where it is that of the fleet", untold, told)
+	}
+}
+
 func TestSilentReplica(t *testing.T) {
 	p := newPlay(site(), 4, 2)
 	p.run(3)
