The decision module steers the gateway: one governor a service in each comb

Need: tables of all weights alike. hive/steer translates lives and reports to the module's events and its lines to what foragers are told; hive/words holds what governors say to one another, so that decisions import no I/O.

--- a/hive/config/config.go
+++ b/hive/config/config.go
@@ -227,6 +227,20 @@
 	return routes[best], true
 }
 
+// RoutesTo lists the routes that may send to a service.
+func (c *Config) RoutesTo(service string) (to []Route) {
+	for _, routes := range c.hosts {
+		for _, r := range routes {
+			for _, s := range r.Shares {
+				if s.Service == service {
+					to = append(to, r)
+				}
+			}
+		}
+	}
+	return to
+}
+
 // Pick chooses a service of the route by its shares; chance is from 0 up to 1.
 func (r Route) Pick(chance float64) string {
 	sum := 0.0
--- /dev/null
+++ b/hive/words/words.go
@@ -0,0 +1,89 @@
+// Package words holds what the gateway's governors say to one another, beside what their own packages define.
+package words
+
+import (
+	"zincloft.example/zincloft/hive/chain"
+	"zincloft.example/zincloft/hive/registry"
+	"zincloft.example/zincloft/hive/view"
+)
+
+// Hello begins a connection.
+type Hello struct {
+	Member  view.Member `cbor:"1,keyasint"` // a comb's; of a forager only Addr and Zone
+	Forager string      `cbor:"2,keyasint,omitempty"`
+}
+
+// Enter asks the head to take an order; Entered tells what must be committed for it to hold.
+type Enter struct {
+	Token uint64      `cbor:"1,keyasint"`
+	Order chain.Order `cbor:"2,keyasint"`
+}
+
+type Entered struct {
+	Token uint64 `cbor:"1,keyasint"`
+	N     uint64 `cbor:"2,keyasint"`
+	Seq   uint64 `cbor:"3,keyasint"`
+	OK    bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// Confirm asks whether view N is still the newest; Confirmed answers.
+type Confirm struct {
+	Token uint64 `cbor:"1,keyasint"`
+	N     uint64 `cbor:"2,keyasint"`
+	OK    bool   `cbor:"3,keyasint,omitempty"`
+}
+
+// Line is a replica's weight in a table; 0 takes it out.
+type Line struct {
+	Replica string  `cbor:"1,keyasint"`
+	Weight  float32 `cbor:"2,keyasint,omitempty"`
+	Grant   float32 `cbor:"3,keyasint,omitempty"` // requests a second that this forager may send it while cold
+}
+
+// State tells a forager what is in force: whole at first, then what changed.
+type State struct {
+	Whole    bool            `cbor:"1,keyasint,omitempty"`
+	Seq      uint64          `cbor:"2,keyasint,omitempty"` // of the register; 0: not told here
+	Version  uint64          `cbor:"3,keyasint,omitempty"`
+	Body     []byte          `cbor:"4,keyasint,omitempty"` // where the version changed
+	Out      []string        `cbor:"5,keyasint,omitempty"`
+	Lives    []registry.Life `cbor:"6,keyasint,omitempty"`
+	Lines    []Line          `cbor:"7,keyasint,omitempty"`
+	Combs    []view.Member   `cbor:"8,keyasint,omitempty"`
+	Foragers int             `cbor:"9,keyasint,omitempty"` // known over all combs
+	Grants   []Line          `cbor:"10,keyasint,omitempty"`
+	Granted  bool            `cbor:"11,keyasint,omitempty"` // Grants are all that hold
+	Young    bool            `cbor:"12,keyasint,omitempty"` // the comb has just started and may not know all lives
+}
+
+// Sum is what a forager met at a replica since its last report.
+type Sum struct {
+	Replica string `cbor:"1,keyasint"`
+	Tries   int    `cbor:"2,keyasint,omitempty"`
+	Dropped int    `cbor:"3,keyasint,omitempty"`
+	Took    int64  `cbor:"4,keyasint,omitempty"` // microseconds, mean of the good ones
+	Running int    `cbor:"5,keyasint,omitempty"` // by the replica's newest answer
+	Waiting int    `cbor:"6,keyasint,omitempty"`
+	Slots   int    `cbor:"7,keyasint,omitempty"` // 0: it told no load
+}
+
+// Report is what a forager tells its comb, once per report period.
+type Report struct {
+	Over     int64           `cbor:"1,keyasint"` // milliseconds
+	Sums     []Sum           `cbor:"2,keyasint,omitempty"`
+	Requests map[string]int  `cbor:"3,keyasint,omitempty"` // by service
+	Failed   map[string]int  `cbor:"4,keyasint,omitempty"`
+	Lives    []registry.Life `cbor:"5,keyasint,omitempty"` // what it was told, to a comb that may not know
+	Seq      uint64          `cbor:"6,keyasint,omitempty"`
+}
+
+// Fleet tells other combs which foragers are with one.
+type Fleet struct {
+	Foragers int `cbor:"1,keyasint"`
+}
+
+// Committed tells, beside a beat, what is known to be committed.
+type Committed struct {
+	Seq   uint64 `cbor:"1,keyasint,omitempty"`
+	Known bool   `cbor:"2,keyasint,omitempty"`
+}
--- a/internal/combd/calls.go
+++ b/internal/combd/calls.go
@@ -12,6 +12,8 @@
 	"zincloft.example/zincloft/hive/chain"
 	"zincloft.example/zincloft/hive/config"
 	"zincloft.example/zincloft/hive/registry"
+	"zincloft.example/zincloft/hive/words"
+	"zincloft.example/zincloft/internal/link"
 )
 
 const (
@@ -226,7 +228,7 @@
 			x.sentAt = now
 			if v.Chain[0] != c.view.Self().ID {
 				if m, ok := c.member(v.Chain[0]); ok {
-					c.to(m.Addr, &linkMsg{Enter: &linkEnter{Token: token, Order: x.o}})
+					c.to(m.Addr, &link.Msg{Enter: &words.Enter{Token: token, Order: x.o}})
 				}
 			} else if !c.sick {
 				n, seq, out := c.chain.Enter(now, x.o)
@@ -253,7 +255,7 @@
 				x.votes[c.view.Self().ID] = true
 			}
 			for _, m := range v.Roster {
-				c.to(m.Addr, &linkMsg{Confirm: &linkConfirm{Token: token, N: v.N}})
+				c.to(m.Addr, &link.Msg{Confirm: &words.Confirm{Token: token, N: v.N}})
 			}
 		}
 	}
--- a/internal/combd/combd.go
+++ b/internal/combd/combd.go
@@ -24,7 +24,9 @@
 	"zincloft.example/zincloft/hive/chain"
 	"zincloft.example/zincloft/hive/config"
 	"zincloft.example/zincloft/hive/registry"
+	"zincloft.example/zincloft/hive/steer"
 	"zincloft.example/zincloft/hive/view"
+	"zincloft.example/zincloft/hive/words"
 	"zincloft.example/zincloft/internal/cell"
 	"zincloft.example/zincloft/internal/link"
 	"zincloft.example/zincloft/internal/nodefile"
@@ -82,6 +84,9 @@
 	config *config.Config // committed
 	wasOut []string
 
+	steer    *steer.Steer
+	steerRev uint64
+
 	streams  map[*link.Conn]*stream
 	fleets   map[string]int // foragers of other combs, by identity
 	gossipAt time.Duration
@@ -113,7 +118,9 @@
 	if set.DataDir == "" {
 		return nil, merry.New("settings: self_settings.data_directory: a comb needs a disk")
 	}
-	return &Comb{set: set, log: logger, start: time.Now(), loop: make(chan func(), 1024), peers: map[string]*link.Peer{},
+	site := steer.Site{Seed: mrand.Uint64(), Zone: set.Zone, Zones: sortedKeys(set.Zones), Combs: max(len(set.Seeds), 1),
+		LinkMbps: set.LinkMbps, DrainGrace: set.Bounds.DrainDeadline}
+	return &Comb{set: set, steer: steer.New(site), log: logger, start: time.Now(), loop: make(chan func(), 1024), peers: map[string]*link.Peer{},
 		orders: map[uint64]*order{}, reads: map[uint64]*read{}, streams: map[*link.Conn]*stream{}, fleets: map[string]int{},
 		touched: map[string]bool{}, counts: map[string]int{}, failed: make(chan error, 4),
 		reg: registry.New(time.Duration(silentBeats * float64(set.Heartbeat)))}, nil
@@ -168,7 +175,7 @@
 	self := view.Member{ID: k.Disk, Addr: c.addr(), Zone: c.set.Zone, Call: c.set.Control}
 	c.view = view.New(self, k.View, seeds, mrand.Float64)
 	c.chain = chain.New(k.Disk, k.Register, k.SyncedIn)
-	c.hello, err = link.Frame(&link.Msg{Hello: &link.Hello{Member: self}})
+	c.hello, err = link.Frame(&link.Msg{Hello: &words.Hello{Member: self}})
 	if err != nil {
 		return err
 	}
@@ -289,6 +296,7 @@
 		}
 	}
 	c.gossip(now)
+	c.steer.Tick(now)
 	c.tell(now, false)
 	if now-c.countAt > 10*time.Second && len(c.counts) > 0 {
 		c.countAt = now
@@ -377,7 +385,7 @@
 			msg := &link.Msg{View: &s.Message}
 			if s.Message.Kind == view.Beat {
 				r, known := c.chain.Committed()
-				msg.Committed = &link.Committed{Seq: r.Seq, Known: known}
+				msg.Committed = &words.Committed{Seq: r.Seq, Known: known}
 			}
 			c.to(s.To.Addr, msg)
 		})
@@ -453,6 +461,8 @@
 				c.log.Error().Str("event", "config_unreadable").Uint64("version", r.Version).Err(err).Msg("")
 			} else {
 				c.config = conf
+				c.steer.Configure(now, conf, c.foragers())
+				c.steerRev = registry.All
 				c.log.Info().Str("event", "config").Uint64("version", r.Version).Uint64("seq", r.Seq).Int("routes", conf.Routes).Msg("")
 			}
 		}
@@ -527,7 +537,7 @@
 	case m.Chain != nil:
 		c.chained(now, c.chain.Receive(now, *m.Chain))
 	case m.Enter != nil:
-		ans := &link.Entered{Token: m.Enter.Token}
+		ans := &words.Entered{Token: m.Enter.Token}
 		if c.chain.Head() && c.view.InTouch(now) && !c.sick {
 			n, seq, out := c.chain.Enter(now, m.Enter.Order)
 			ans.N, ans.Seq, ans.OK = n, seq, true
@@ -540,7 +550,7 @@
 			c.advance(now)
 		}
 	case m.Confirm != nil:
-		c.to(from.Addr, &link.Msg{Confirmed: &link.Confirm{Token: m.Confirm.Token, N: m.Confirm.N, OK: c.view.Vouches(m.Confirm.N)}})
+		c.to(from.Addr, &link.Msg{Confirmed: &words.Confirm{Token: m.Confirm.Token, N: m.Confirm.N, OK: c.view.Vouches(m.Confirm.N)}})
 	case m.Confirmed != nil:
 		if r := c.reads[m.Confirmed.Token]; r != nil && m.Confirmed.OK && m.Confirmed.N == r.n {
 			r.votes[from.ID] = true
--- a/internal/combd/streams.go
+++ b/internal/combd/streams.go
@@ -12,15 +12,10 @@
 	"zincloft.example/zincloft/hive/chain"
 	"zincloft.example/zincloft/hive/registry"
 	"zincloft.example/zincloft/hive/view"
+	"zincloft.example/zincloft/hive/words"
 	"zincloft.example/zincloft/internal/link"
 )
 
-type (
-	linkMsg     = link.Msg
-	linkEnter   = link.Enter
-	linkConfirm = link.Confirm
-)
-
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
 func sortedUnique(s []string) []string { return slices.Compact(slices.Sorted(slices.Values(s))) }
@@ -45,7 +40,7 @@
 }
 
 // forager holds a forager's stream until it ends.
-func (c *Comb) forager(conn net.Conn, h *link.Hello) {
+func (c *Comb) forager(conn net.Conn, h *words.Hello) {
 	x := link.Wrap(conn)
 	defer x.End()
 	s := &stream{conn: x, name: h.Forager, zone: h.Member.Zone}
@@ -55,6 +50,7 @@
 			return
 		}
 		c.streams[x] = s
+		c.steer.Join(c.now(), s.name, s.zone)
 		c.tell(c.now(), true)
 	})
 	for {
@@ -74,12 +70,19 @@
 }
 
 func (c *Comb) left(s *stream) {
+	for _, o := range c.streams {
+		if o.name == s.name {
+			return // it has come again meanwhile
+		}
+	}
+	c.steer.Leave(c.now(), s.name)
 	c.log.Info().Str("event", "forager_left").Str("name", s.name).Msg("")
 }
 
 // reported takes what a forager met. What it was told by a comb before us is taken like another comb's word.
-func (c *Comb) reported(s *stream, r *link.Report) {
+func (c *Comb) reported(s *stream, r *words.Report) {
 	now := c.now()
+	c.steer.Report(now, s.name, r)
 	if len(r.Lives) > 0 {
 		if news, urgent := c.reg.Merge(now, r.Lives); news {
 			c.tell(now, urgent)
@@ -101,16 +104,17 @@
 	if news {
 		c.newsAt = now
 	}
-	total := len(c.streams)
-	for _, n := range c.fleets {
-		total += n
+	total := c.foragers()
+	if rev := c.reg.Rev(); rev > c.steerRev {
+		c.steer.Lives(now, c.reg.Changes(now, c.steerRev))
+		c.steerRev = rev
 	}
 	var grants map[*stream]map[string]float32
 	if news {
 		grants = c.deal(now)
 	}
 	for _, s := range c.streams {
-		st := link.State{}
+		st := words.State{}
 		say := now-s.saidAt >= signEvery
 		if !s.whole {
 			st.Whole, st.Young, s.whole, say = true, c.young(now), true, true
@@ -127,6 +131,9 @@
 				st.Lives, say = c.reg.Changes(now, s.rev), true
 				s.rev = rev
 			}
+			if lines := c.steer.Lines(s.name); len(lines) > 0 {
+				st.Lines, say = lines, true
+			}
 			if !s.combs {
 				st.Combs, s.combs, say = c.combs(now), true, true
 			}
@@ -136,7 +143,7 @@
 			if g := grants[s]; !maps.Equal(g, s.grants) {
 				st.Granted, s.grants, say = true, g, true
 				for _, id := range sortedKeys(g) {
-					st.Grants = append(st.Grants, link.Line{Replica: id, Grant: g[id]})
+					st.Grants = append(st.Grants, words.Line{Replica: id, Grant: g[id]})
 				}
 			}
 		}
@@ -150,6 +157,15 @@
 	}
 }
 
+// foragers is how many there are, over all combs.
+func (c *Comb) foragers() int {
+	total := len(c.streams)
+	for _, n := range c.fleets {
+		total += n
+	}
+	return total
+}
+
 func (c *Comb) combs(now time.Duration) []view.Member {
 	all := []view.Member{c.view.Self()}
 	for _, m := range c.view.Peers(now) {
@@ -230,7 +246,7 @@
 			continue
 		}
 		touch := c.view.Heard(now, m.ID)
-		msg := &link.Msg{Lives: lately, Fleet: &link.Fleet{Foragers: len(c.streams)}}
+		msg := &link.Msg{Lives: lately, Fleet: &words.Fleet{Foragers: len(c.streams)}}
 		if touch && !c.touched[m.ID] {
 			msg.Lives = c.reg.Changes(now, registry.All)
 		}
--- a/internal/forager/follow.go
+++ b/internal/forager/follow.go
@@ -12,6 +12,7 @@
 	"zincloft.example/zincloft/hive/config"
 	"zincloft.example/zincloft/hive/registry"
 	"zincloft.example/zincloft/hive/view"
+	"zincloft.example/zincloft/hive/words"
 	"zincloft.example/zincloft/internal/link"
 )
 
@@ -85,7 +86,7 @@
 			c.Send(b)
 		}
 	}
-	send(&link.Msg{Hello: &link.Hello{Forager: f.set.Name, Member: view.Member{Addr: f.set.IP.String(), Zone: f.set.Zone}}})
+	send(&link.Msg{Hello: &words.Hello{Forager: f.set.Name, Member: view.Member{Addr: f.set.IP.String(), Zone: f.set.Zone}}})
 	done := make(chan struct{})
 	defer close(done)
 	began := time.Now()
@@ -105,7 +106,7 @@
 		if !stood && m.State.Whole {
 			stood = true
 			f.log.Info().Str("event", "comb_joined").Str("comb", addr).Uint64("seq", m.State.Seq).Msg("")
-			send(&link.Msg{Report: &link.Report{Lives: f.lives(), Seq: f.heldSeq()}})
+			send(&link.Msg{Report: &words.Report{Lives: f.lives(), Seq: f.heldSeq()}})
 			go f.report(send, done)
 		}
 		if known, home := f.home(addr); known && !home && time.Since(began) > homeAgain {
@@ -153,16 +154,16 @@
 }
 
 // sums takes what was met at replicas since the last report.
-func (f *Forager) sums() *link.Report {
+func (f *Forager) sums() *words.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	rep := &link.Report{Requests: f.requests}
+	rep := &words.Report{Requests: f.requests}
 	f.requests = map[string]int{}
 	for _, r := range f.spread.All() {
 		if r.Tries == 0 && r.Good == 0 && r.Dropped == 0 {
 			continue
 		}
-		s := link.Sum{Replica: r.ID, Tries: r.Good + r.Dropped, Dropped: r.Dropped, Running: r.Running, Waiting: r.Waiting, Slots: r.Told}
+		s := words.Sum{Replica: r.ID, Tries: r.Good + r.Dropped, Dropped: r.Dropped, Running: r.Running, Waiting: r.Waiting, Slots: r.Told}
 		if r.Good > 0 {
 			s.Took = (r.Took / time.Duration(r.Good)).Microseconds()
 		}
@@ -173,7 +174,7 @@
 }
 
 // take puts in force what a comb tells. Within a life nothing goes back: an older register is passed over.
-func (f *Forager) take(s *link.State) {
+func (f *Forager) take(s *words.State) {
 	var c *config.Config
 	if len(s.Body) > 0 {
 		if held := f.config.Load(); held == nil || held.Version < s.Version {
--- a/internal/nodefile/nodefile.go
+++ b/internal/nodefile/nodefile.go
@@ -44,6 +44,7 @@
 	DataDir            string // empty: no disk
 	MemoryMB           int64
 	Descriptors        int64
+	LinkMbps           float64
 	Front, Ready       string // empty where the role serves no clients
 	Control            string // empty where it serves no replicas and operators
 	PortFirst, PortEnd int
@@ -154,6 +155,7 @@
 		DataDir:     r.text(self+"data_directory", false),
 		MemoryMB:    int64(r.number(self+"limits.memory_mb", 16, 256)),
 		Descriptors: int64(r.number(self+"limits.file_descriptors", 64, 1024)),
+		LinkMbps:    r.number(self+"limits.link_mbps", 0.01, 100),
 		Front:       r.address(net + "listen_addresses.front"), Ready: r.address(net + "listen_addresses.readiness"),
 		Control:      r.address(net + "listen_addresses.control"),
 		Heartbeat:    r.span("platform_settings.heartbeat_interval", 1500*time.Millisecond),
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
+	"strings"
 
 	"github.com/integrii/flaggy"
 	"github.com/phuslu/log"
@@ -21,7 +23,22 @@
 // Logger writes one line of key=value for each event.
 func Logger(w io.Writer, name string) *log.Logger {
 	return &log.Logger{Level: log.InfoLevel, TimeFormat: "2006-01-02T15:04:05.000Z07:00",
-		Writer: &log.ConsoleWriter{Writer: w, Formatter: log.LogfmtFormatter{TimeField: "time"}.Formatter}}
+		Writer: &log.ConsoleWriter{Writer: w, Formatter: func(w io.Writer, a *log.FormatterArgs) (int, error) {
+			b := append([]byte("time="), a.Time...)
+			b = append(append(append(b, " level="...), a.Level...), " program="+name...)
+			for _, kv := range a.KeyValues {
+				b = append(append(append(b, ' '), kv.Key...), '=')
+				if strings.ContainsAny(kv.Value, " \"=\n") || kv.Value == "" {
+					b = strconv.AppendQuote(b, kv.Value)
+				} else {
+					b = append(b, kv.Value...)
+				}
+			}
+			if a.Message != "" {
+				b = strconv.AppendQuote(append(b, " message="...), a.Message)
+			}
+			return w.Write(append(b, '\n'))
+		}}}
 }
 
 // Main runs a daemon. Without a verb, or with `run`, it serves; `check` reads the settings and says what is wrong.
