Slow safe requests go to a second replica; combs keep lives on disk and meet at once

Lives are kept beside the register, as a hint. A machine heard for the first time is answered at once, links dial again within 250 ms, and a comb that has just started removes nobody for 0.8 s (seen: view 6 dropped a comb that had started 40 ms before). A safe request without an answer after 0.55 of its target is offered to a second replica with free slots, out of the budget; connections to replicas have keep-alive probes.

--- a/hive/spread/spread.go
+++ b/hive/spread/spread.go
@@ -12,14 +12,15 @@
 )
 
 const (
-	outFirst   = 400 * time.Millisecond // a replica that cannot be called is left for so long, twice as long each time
-	outMost    = 6 * time.Second
-	loadFades  = 1500 * time.Millisecond // what others have under way at a replica is believed less with time
-	nearRoom   = 0.85                    // replicas of the own zone are used while their slots are filled less than this
-	queueShare = 1.5                     // a replica with so many requests to each slot counts as full
-	badShare   = 0.5                     // of the newest tries spoilt, from which a replica gets only what others cannot take
-	keepEnded  = time.Minute
-	tellAgain  = 250 * time.Millisecond // until there is room again, where nothing better is known
+	outFirst    = 400 * time.Millisecond // a replica that cannot be called is left for so long, twice as long each time
+	outMost     = 6 * time.Second
+	loadFades   = 1500 * time.Millisecond // what others have under way at a replica is believed less with time
+	nearRoom    = 0.85                    // replicas of the own zone are used while their slots are filled less than this
+	queueShare  = 1.5                     // a replica with so many requests to each slot counts as full
+	badShare    = 0.5                     // of the newest tries spoilt, from which a replica gets only what others cannot take
+	beatenAfter = 300 * time.Millisecond  // a replica left before this was not slow
+	keepEnded   = time.Minute
+	tellAgain   = 250 * time.Millisecond // until there is room again, where nothing better is known
 )
 
 // Replica is one life of a replica as this governor sees it.
@@ -232,6 +233,24 @@
 	return nil, tellAgain
 }
 
+// Spare chooses as Pick does, but only a warm replica with free slots.
+func (s *Spread) Spare(now time.Duration, service string, tried func(string) bool, chance func() float64) (*Replica, time.Duration) {
+	var near, far []*Replica
+	for _, r := range s.services[service] {
+		switch {
+		case r.Draining || s.out[r.Zone] || tried(r.ID) || r.Cold(now) || now < r.outUntil || r.Weight <= 0 || r.spoilt > badShare:
+		case r.Zone == s.zone:
+			near = append(near, r)
+		default:
+			far = append(far, r)
+		}
+	}
+	if r := best(now, near, nearRoom, chance); r != nil {
+		return r, 0
+	}
+	return best(now, far, nearRoom, chance), tellAgain
+}
+
 // best draws two replicas by weight and takes the less filled, among those filled less than most.
 func best(now time.Duration, from []*Replica, most float64, chance func() float64) *Replica {
 	a, b := draw(from, chance), draw(from, chance)
@@ -299,7 +318,14 @@
 		r.fails, r.outUntil = 0, 0
 		r.Good++
 		r.Took += took
-	case Left:
+	case Left: // or beaten by another; a second time without a good answer between tells something
+		if took < beatenAfter {
+			return
+		}
+		r.fails++
+		if r.fails > 1 {
+			r.outUntil = now + min(outFirst<<min(r.fails-2, 5), outMost)
+		}
 		return
 	case Full:
 		r.Dropped++
--- a/hive/tries/tries.go
+++ b/hive/tries/tries.go
@@ -29,14 +29,24 @@
 }
 
 const (
-	leastLeft  = 20 * time.Millisecond // with less time than this left, another try is of no use
-	unsentMost = 4                     // calls that fail before anything is sent are no arrivals, but cost time
+	leastLeft = 20 * time.Millisecond // with less time than this left, another try is of no use
+
+	// UnsentMost bounds calls that fail before anything is sent: they are no arrivals, but cost time.
+	UnsentMost = 4
+
+	hedgeShare = 0.55 // of the route's target, after which a second replica can still answer within it
 )
 
+// HedgeAfter is how long a safe request waits for its answer until it is offered to a second replica beside the first.
+func HedgeAfter(target, left time.Duration) (time.Duration, bool) {
+	wait := time.Duration(hedgeShare * float64(target))
+	return wait, target > 0 && wait+leastLeft < left
+}
+
 // Again tells whether the request may be offered to another replica. Further arrivals must be covered by a budget
 // besides, which is asked last so that nothing is taken from it in vain.
 func Again(v Verdict, r Request) bool {
-	if r.Left < leastLeft || r.Unsent > unsentMost {
+	if r.Left < leastLeft || r.Unsent > UnsentMost {
 		return false
 	}
 	if r.Sent >= r.MaxAttempts {
--- a/hive/view/view.go
+++ b/hive/view/view.go
@@ -19,6 +19,7 @@
 const (
 	BeatEvery    = 200 * time.Millisecond // beats go to every peer this often
 	suspectAfter = 800 * time.Millisecond // a peer silent for so long is taken for lost
+	sureAfter    = 200 * time.Millisecond // a change must have been wanted for so long
 	settleFor    = 300 * time.Millisecond // a joiner must have been in touch for so long
 	rankWait     = 300 * time.Millisecond // each further machine in the chain waits so much longer to propose
 	proposalMost = 500 * time.Millisecond // a proposal without an outcome is given up
@@ -124,6 +125,7 @@
 	peers   map[string]*peer // by identity
 	sick    bool
 	ticked  Time
+	began   Time // the first tick: before that, nobody could be heard
 	beatAt  Time
 	needed  Time // a change has been wanted since; 0: none is
 	round   uint64
@@ -248,16 +250,13 @@
 		}
 		e.needed = 0
 	}
+	if e.ticked < 0 {
+		e.began = now
+	}
 	e.ticked = now
 	if now >= e.beatAt {
 		e.beatAt = now + BeatEvery
-		b := Message{Kind: Beat, N: e.d.View.N, Sick: e.sick}
-		for id, p := range e.peers {
-			if now-p.heard < suspectAfter {
-				b.Hears = append(b.Hears, id)
-			}
-		}
-		slices.Sort(b.Hears)
+		b := e.word(now)
 		for _, m := range e.Peers(now) {
 			e.send(m, b, false)
 		}
@@ -275,10 +274,22 @@
 	return e.flush()
 }
 
+// word is a beat: that this machine lives, and whom it hears.
+func (e *Engine) word(now Time) Message {
+	b := Message{Kind: Beat, N: e.d.View.N, Sick: e.sick}
+	for id, p := range e.peers {
+		if now-p.heard < suspectAfter {
+			b.Hears = append(b.Hears, id)
+		}
+	}
+	slices.Sort(b.Hears)
+	return b
+}
+
 // want is the view that should follow, if one should.
 func (e *Engine) want(now Time) (View, bool) {
 	v := e.d.View
-	if v.Place(e.self.ID) < 0 || e.sick || !e.InTouch(now) {
+	if v.Place(e.self.ID) < 0 || e.sick || !e.InTouch(now) || now-e.began < suspectAfter {
 		return View{}, false
 	}
 	next := View{N: v.N + 1, Roster: slices.Clone(v.Roster)}
@@ -346,7 +357,7 @@
 		e.needed = now
 	}
 	rank := max(slices.Index(next.Chain, e.self.ID), 0)
-	if e.proposing.on || now < e.waitUntil || now-e.needed < Time(rank)*rankWait {
+	if e.proposing.on || now < e.waitUntil || now-e.needed < sureAfter+Time(rank)*rankWait {
 		return
 	}
 	e.round = max(e.round, e.d.Promised.Round) + 1
@@ -460,6 +471,7 @@
 		return
 	}
 	p := e.peers[m.From.ID]
+	fresh := p == nil || now-p.heard >= suspectAfter
 	if p == nil {
 		p = &peer{since: now}
 		e.peers[m.From.ID] = p
@@ -472,6 +484,9 @@
 	} else if !hears {
 		p.hearsMe = false
 	}
+	if fresh { // it is told at once that it is heard: after a restart of all, nothing can begin before
+		e.send(m.From, e.word(now), false)
+	}
 	if m.N < e.d.View.N {
 		v := e.d.View
 		e.send(m.From, Message{Kind: Decided, N: v.N, View: &v}, true)
--- a/internal/combd/combd.go
+++ b/internal/combd/combd.go
@@ -42,8 +42,8 @@
 	youngFor    = 2.2                    // beats after which a comb that started knows all replicas
 	slowDisk    = 400 * time.Millisecond // a write that takes longer makes the disk count as sick
 	diskAgain   = 300 * time.Millisecond
+	keepLives   = time.Second // changes of replicas are written this often at the most
 	memoryPart  = 0.6
-	stopWithin  = 500 * time.Millisecond
 )
 
 // kept is what lies on disk.
@@ -52,6 +52,10 @@
 	View     view.Durable   `cbor:"2,keyasint"`
 	Register chain.Register `cbor:"3,keyasint"`
 	SyncedIn uint64         `cbor:"4,keyasint"`
+
+	// Lives are kept as a hint only: a comb that comes back after a loss of all machines would else know those few
+	// replicas that beat first, and have all traffic sent to them.
+	Lives []registry.Life `cbor:"5,keyasint,omitempty"`
 }
 
 const keptKey = "state"
@@ -76,6 +80,8 @@
 	savingAt   time.Duration
 	sick       bool
 	retryAt    time.Duration
+	keptRev    uint64
+	keptAt     time.Duration
 	gated      []gatedSend
 
 	orders map[uint64]*order
@@ -123,7 +129,7 @@
 	return &Comb{set: set, steer: steer.New(site), log: logger, start: time.Now(), loop: make(chan func(), 1024), peers: map[string]*link.Peer{},
 		orders: map[uint64]*order{}, reads: map[uint64]*read{}, streams: map[*link.Conn]*stream{}, fleets: map[string]int{},
 		touched: map[string]bool{}, counts: map[string]int{}, failed: make(chan error, 4),
-		reg: registry.New(time.Duration(silentBeats * float64(set.Heartbeat)))}, nil
+		alone: true, reg: registry.New(time.Duration(silentBeats * float64(set.Heartbeat)))}, nil
 }
 
 func (c *Comb) now() time.Duration { return time.Since(c.start) }
@@ -172,6 +178,11 @@
 			}
 		}
 	}
+	for i := range k.Lives {
+		k.Lives[i].Age = 0 // heard now, as far as anyone knows; those that do not beat go as any silent one
+	}
+	c.reg.Merge(c.now(), k.Lives)
+	c.keptRev = c.reg.Rev()
 	self := view.Member{ID: k.Disk, Addr: c.addr(), Zone: c.set.Zone, Call: c.set.Control}
 	c.view = view.New(self, k.View, seeds, mrand.Float64)
 	c.chain = chain.New(k.Disk, k.Register, k.SyncedIn)
@@ -188,7 +199,7 @@
 }
 
 func (c *Comb) snapshot() ([]byte, error) {
-	return cbor.Marshal(kept{c.view.Self().ID, c.view.Durable(), c.chain.Held(), c.chain.SyncedIn()})
+	return cbor.Marshal(kept{c.view.Self().ID, c.view.Durable(), c.chain.Held(), c.chain.SyncedIn(), c.reg.Changes(c.now(), registry.All)})
 }
 
 func (c *Comb) put() error {
@@ -317,9 +328,11 @@
 		}
 		return
 	}
-	if c.gen == c.saved && !c.sick || now < c.retryAt {
+	news := c.reg.Rev() != c.keptRev && now-c.keptAt > keepLives
+	if c.gen == c.saved && !c.sick && !news || now < c.retryAt {
 		return
 	}
+	c.keptRev, c.keptAt = c.reg.Rev(), now
 	raw, err := c.snapshot()
 	if err != nil {
 		c.failed <- err
--- a/internal/combd/streams.go
+++ b/internal/combd/streams.go
@@ -45,7 +45,7 @@
 	defer x.End()
 	s := &stream{conn: x, name: h.Forager, zone: h.Member.Zone}
 	c.post(func() {
-		if c.alone {
+		if c.alone = c.alone && !c.view.InTouch(c.now()); c.alone {
 			x.End()
 			return
 		}
@@ -64,8 +64,10 @@
 		}
 	}
 	c.post(func() {
-		delete(c.streams, x)
-		c.left(s)
+		if c.streams[x] != nil {
+			delete(c.streams, x)
+			c.left(s)
+		}
 	})
 }
 
--- a/internal/forager/forager.go
+++ b/internal/forager/forager.go
@@ -85,10 +85,15 @@
 	ID, Addr string
 }
 
-func (f *Forager) pick(service string, had func(string) bool, again bool) (picked, time.Duration) {
+// pick chooses a replica and counts the request there. With spare set only one with free slots will do.
+func (f *Forager) pick(service string, had func(string) bool, spare bool) (picked, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r, wait := f.spread.Pick(f.now(), service, had, f.chance)
+	choose := f.spread.Pick
+	if spare {
+		choose = f.spread.Spare
+	}
+	r, wait := choose(f.now(), service, had, f.chance)
 	if r == nil {
 		return picked{}, wait
 	}
--- a/internal/forager/front.go
+++ b/internal/forager/front.go
@@ -1,9 +1,11 @@
 package forager
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -63,7 +65,7 @@
 		finish(w, status)
 		return
 	}
-	f.forward(w, r, route, body, began, began.Add(most-min(lastMoment, most/10)))
+	f.forward(w, r, route, body, began.Add(most-min(lastMoment, most/10)))
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, int) {
@@ -81,56 +83,100 @@
 	return body, 0
 }
 
-func (f *Forager) forward(w http.ResponseWriter, r *http.Request, route config.Route, body []byte, began, deadline time.Time) {
+// attempt is a try's end.
+type attempt struct {
+	picked
+	res  replica.Result
+	took time.Duration
+}
+
+// forward offers a request to replicas until one has answered or no further try may be made.
+//
+// A safe request that waits long for its answer is offered to a second replica beside the first: against replicas that
+// went dark under it, and answers that got lost. Whoever answers first is heard; the other connection is closed, and
+// with it the work there.
+func (f *Forager) forward(w http.ResponseWriter, r *http.Request, route config.Route, body []byte, deadline time.Time) {
 	service := route.Pick(f.chance())
-	q := &replica.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: replica.EndToEnd(r.Header), Body: body,
+	q := replica.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: replica.EndToEnd(r.Header), Body: body,
 		Attempt: r.Header.Get("X-Attempt-Id"), Deadline: deadline}
-	if route.Safe {
-		q.Stop = r.Context() // a safe request whose client left is dropped; an unsafe one is left to end
+	var hedge <-chan time.Time
+	if route.Safe { // a safe request whose client left is dropped; an unsafe one is left to end
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		q.Stop = ctx
+		if wait, ok := tries.HedgeAfter(route.Target, time.Until(deadline)); ok && route.MaxAttempts > 1 {
+			timer := time.NewTimer(wait)
+			defer timer.Stop()
+			hedge = timer.C
+		}
 	}
 	f.arrived(service)
 	t := tries.Request{Safe: route.Safe, MaxAttempts: route.MaxAttempts}
 	var tried []string
-	var last replica.Result
-	had := func(id string) bool {
-		for _, x := range tried {
-			if x == id {
-				return true
-			}
+	had := func(id string) bool { return slices.Contains(tried, id) }
+	ends := make(chan attempt, route.MaxAttempts+tries.UnsentMost+1)
+	pending := 0
+	offer := func(spare bool) (bool, time.Duration) {
+		p, wait := f.pick(service, had, spare)
+		if p.ID == "" {
+			return false, wait
 		}
-		return false
-	}
-	for {
-		picked, wait := f.pick(service, had, t.Sent > 0)
-		if picked.ID == "" {
-			if t.Sent == 0 || last.Verdict == tries.NotRun {
-				f.count("no_room")
-				refuse(w, http.StatusServiceUnavailable, wait)
+		tried = append(tried, p.ID)
+		q := q
+		q.Instance = p.ID
+		pending++
+		t.Sent++
+		go func() {
+			sent := time.Now()
+			res := f.replicas.Do(p.ID, p.Addr, &q)
+			took := time.Since(sent)
+			f.outcome(p, res, took, q.Stop != nil && q.Stop.Err() != nil)
+			ends <- attempt{p, res, took}
+		}()
+		return true, 0
+	}
+	if ok, wait := offer(false); !ok {
+		f.count("no_room")
+		refuse(w, http.StatusServiceUnavailable, wait)
+		return
+	}
+	last := replica.Result{Verdict: tries.NotRun}
+	for pending > 0 {
+		select {
+		case <-hedge:
+			hedge = nil
+			if t.Sent < t.MaxAttempts && pending == 1 && f.spend(service) {
+				if ok, _ := offer(true); ok {
+					f.count("hedged")
+				}
+			}
+			continue
+		case e := <-ends:
+			pending--
+			if e.res.Unsent {
+				t.Sent--
+				t.Unsent++
+			}
+			t.Left = time.Until(deadline)
+			t.Failed = e.res.Answer != nil && e.res.Answer.Status >= 500
+			if e.res.Verdict == tries.Answered && !t.Failed {
+				pass(w, r, e.res.Answer)
 				return
 			}
-			break
-		}
-		tried = append(tried, picked.ID)
-		q.Instance = picked.ID
-		sent := time.Now()
-		last = f.replicas.Do(picked.ID, picked.Addr, q)
-		if last.Unsent {
-			t.Unsent++
-		} else {
-			t.Sent++
-		}
-		f.outcome(picked, r, last, time.Since(sent))
-		t.Left = time.Until(deadline)
-		t.Failed = last.Answer != nil && last.Answer.Status >= 500
-		if r.Context().Err() != nil && route.Safe {
-			panic(http.ErrAbortHandler)
-		}
-		if last.Verdict == tries.Answered && !t.Failed || !tries.Again(last.Verdict, t) {
-			break
-		}
-		if !last.Unsent && !f.spend(service) {
-			f.count("budget")
-			break
+			if e.res.Verdict > last.Verdict || last.Answer == nil {
+				last = e.res
+			}
+			if r.Context().Err() != nil && route.Safe {
+				panic(http.ErrAbortHandler)
+			}
+			if !tries.Again(e.res.Verdict, t) || pending > 0 {
+				continue
+			}
+			if !e.res.Unsent && !f.spend(service) {
+				f.count("budget")
+				continue
+			}
+			offer(false)
 		}
 	}
 	if last.Verdict == tries.Answered {
@@ -168,14 +214,14 @@
 }
 
 // outcome books what became of a try.
-func (f *Forager) outcome(p picked, r *http.Request, res replica.Result, took time.Duration) {
+func (f *Forager) outcome(p picked, res replica.Result, took time.Duration, stopped bool) {
 	o := spread.Good
 	switch {
 	case res.Unsent:
 		o = spread.Uncalled
 	case res.Full:
 		o = spread.Full
-	case r.Context().Err() != nil && res.Verdict != tries.Answered:
+	case stopped && res.Verdict != tries.Answered:
 		o = spread.Left
 	case res.Verdict == tries.MayHaveRun && (res.Cause == "spoilt" || res.Cause == "cut" || res.Cause == "surplus" || res.Cause == "not_http"):
 		o = spread.Spoilt
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -26,7 +26,7 @@
 	userTimeout = time.Second
 	queueMost   = 256
 	pauseLeast  = 100 * time.Millisecond
-	pauseMost   = 800 * time.Millisecond
+	pauseMost   = 250 * time.Millisecond
 )
 
 // Msg is one frame; the fields that are set tell what it is. An empty one is a sign of life.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -170,7 +170,9 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := nc.(*net.TCPConn).SyscallConn()
+	tc := nc.(*net.TCPConn)
+	tc.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 1})
+	raw, err := tc.SyscallConn()
 	if err != nil {
 		nc.Close()
 		return nil, err
