The core's decisions in one package free of I/O; a silent replica is doubted, never ended by hearsay

A comb frozen until 30.75 s woke and wrote

core-hobart-a-1 event=replica_silent id=i-c543616032 (all of them, in one tick)

and its word that they were gone went to everybody for good. Ruled out: the chain (seq 9 committed at 37.2 s), the foragers' streams.

Now silence is a comb's own judgement (Life.Silent), taken back by the next beat, not taken over by other combs; a comb that was held up for a second excuses everyone. hive/core holds orders, reads, the gate before the disk and the engines, so that a simulation drives what the daemon runs.

--- /dev/null
+++ b/hive/core/core.go
@@ -0,0 +1,425 @@
+// Package core is what one core machine decides about the lasting state: it joins the agreed view, the chain, the
+// disk and the callers' orders and questions. It is free of I/O: calls tell what happened, and the actions they
+// return tell what to do. A daemon and a simulation drive the same code.
+package core
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"zincloft.example/zincloft/hive/chain"
+	"zincloft.example/zincloft/hive/registry"
+	"zincloft.example/zincloft/hive/view"
+	"zincloft.example/zincloft/hive/words"
+)
+
+const (
+	// AnswerWithin is when a caller is refused that could not be answered: callers go elsewhere after a second.
+	AnswerWithin = 900 * time.Millisecond
+
+	enterAgain = 250 * time.Millisecond
+	slowDisk   = 400 * time.Millisecond // a write that takes longer makes the disk count as sick
+	diskAgain  = 300 * time.Millisecond // until a write that failed is tried again
+	hintsEvery = time.Second            // hints alone are written this often at the most
+	never      = -time.Hour
+)
+
+// Kept is what lies on disk.
+type Kept struct {
+	Disk     string         `cbor:"1,keyasint"` // its identity
+	View     view.Durable   `cbor:"2,keyasint"`
+	Register chain.Register `cbor:"3,keyasint"`
+	SyncedIn uint64         `cbor:"4,keyasint"`
+
+	// Lives are kept as a hint only: a comb that comes back after a loss of all machines would else know those few
+	// replicas that beat first, and have all traffic sent to them.
+	Lives []registry.Life `cbor:"5,keyasint,omitempty"`
+}
+
+// Decode reads what lies on disk.
+func Decode(raw []byte) (k Kept, err error) { return k, cbor.Unmarshal(raw, &k) }
+
+// Message is what core machines say to one another about the lasting state.
+type Message struct {
+	View      *view.Message    `cbor:"1,keyasint,omitempty"`
+	Chain     *chain.Message   `cbor:"2,keyasint,omitempty"`
+	Enter     *words.Enter     `cbor:"3,keyasint,omitempty"`
+	Entered   *words.Entered   `cbor:"4,keyasint,omitempty"`
+	Confirm   *words.Confirm   `cbor:"5,keyasint,omitempty"`
+	Confirmed *words.Confirm   `cbor:"6,keyasint,omitempty"`
+	Committed *words.Committed `cbor:"7,keyasint,omitempty"`
+}
+
+// Send is a message for the machine at an address.
+type Send struct {
+	To      string
+	Message Message
+}
+
+// Answer ends a caller's order or question.
+type Answer struct {
+	Token  uint64
+	Status int
+	Body   []byte
+	Where  string // with a redirect: the control address of who answers
+}
+
+// Actions are what is to be done, in the order of their kinds.
+type Actions struct {
+	Send      []Send
+	Answers   []Answer
+	Write     []byte // not nil: to be brought on stable storage, then told to Written
+	Committed bool   // another register is committed
+	Viewed    bool   // another view is held
+	Sick      string // not empty: what has become of the disk
+}
+
+type order struct {
+	o        chain.Order
+	entered  bool
+	n, seq   uint64
+	sentAt   time.Duration
+	deadline time.Duration
+}
+
+type read struct {
+	n, seq   uint64
+	votes    map[string]bool
+	asked    bool
+	deadline time.Duration
+}
+
+type gated struct {
+	gen uint64
+	to  view.Member
+	m   Message
+}
+
+// Core is one machine's part. Its calls are not made side by side.
+type Core struct {
+	view  *view.Engine
+	chain *chain.Engine
+	hints Hints
+
+	gen, saved, writing uint64
+	busy                bool
+	busySince           time.Duration
+	retryAt             time.Duration
+	sick                bool
+	hintRev             uint64
+	hintAt              time.Duration
+	gated               []gated
+	self                []Message // to this machine itself, next
+
+	orders map[uint64]*order
+	reads  map[uint64]*read
+	token  uint64
+	out    Actions
+}
+
+// Hints are what is kept beside the lasting state, and may be lost.
+type Hints interface {
+	Revision() uint64 // moves when Lives changes
+	Lives() []registry.Life
+}
+
+// New makes a core from what was on disk.
+func New(self view.Member, k Kept, seeds []string, chance func() float64, hints Hints) *Core {
+	c := &Core{view: view.New(self, k.View, seeds, chance), chain: chain.New(k.Disk, k.Register, k.SyncedIn), hints: hints,
+		orders: map[uint64]*order{}, reads: map[uint64]*read{}}
+	c.hintRev = hints.Revision()
+	return c
+}
+
+// First is the view with which a system starts for the first time: its seeds, in order.
+func First(addrs []string) view.View {
+	v := view.View{N: 1}
+	for _, addr := range slices.Compact(slices.Sorted(slices.Values(addrs))) {
+		v.Roster = append(v.Roster, view.Member{ID: addr + "/0", Addr: addr})
+		v.Chain = append(v.Chain, addr+"/0")
+	}
+	return v
+}
+
+// Start begins with the view that was on disk.
+func (c *Core) Start(now time.Duration) Actions {
+	if c.view.View().N > 0 {
+		c.adopted(now)
+	}
+	return c.flush(now)
+}
+
+// Kept encodes what must be on disk now.
+func (c *Core) Kept() ([]byte, error) {
+	return cbor.Marshal(Kept{c.view.Self().ID, c.view.Durable(), c.chain.Held(), c.chain.SyncedIn(), c.hints.Lives()})
+}
+
+// Self is this machine; View the view held; Register what is committed, if anything is known to be.
+func (c *Core) Self() view.Member                { return c.view.Self() }
+func (c *Core) View() view.View                  { return c.view.View() }
+func (c *Core) Register() (chain.Register, bool) { return c.chain.Committed() }
+
+// InTouch tells whether this machine's word counts and reaches a majority.
+func (c *Core) InTouch(now time.Duration) bool { return c.view.InTouch(now) }
+
+// Peers lists the other machines; Heard tells whether one hears and is heard.
+func (c *Core) Peers(now time.Duration) []view.Member   { return c.view.Peers(now) }
+func (c *Core) Heard(now time.Duration, id string) bool { return c.view.Heard(now, id) }
+
+// Tick lets time pass.
+func (c *Core) Tick(now time.Duration) Actions {
+	if c.busy && now-c.busySince > slowDisk {
+		c.setSick(true, "slow")
+	}
+	if c.chain.Settled() {
+		c.view.SetSettled(c.chain.CommittedIn())
+	}
+	c.viewed(now, c.view.Tick(now))
+	c.chained(c.chain.Tick(now))
+	return c.flush(now)
+}
+
+// Receive takes a message of another machine.
+func (c *Core) Receive(now time.Duration, from view.Member, m Message) Actions {
+	c.receive(now, from, m)
+	return c.flush(now)
+}
+
+func (c *Core) receive(now time.Duration, from view.Member, m Message) {
+	switch {
+	case m.View != nil:
+		c.viewed(now, c.view.Receive(now, *m.View))
+		if k := m.Committed; k != nil {
+			c.chained(c.chain.Lacks(from.ID, k.Seq, k.Known))
+		}
+	case m.Chain != nil:
+		c.chained(c.chain.Receive(now, *m.Chain))
+	case m.Enter != nil:
+		ans := &words.Entered{Token: m.Enter.Token}
+		if c.chain.Head() && c.view.InTouch(now) && !c.sick {
+			n, seq, out := c.chain.Enter(now, m.Enter.Order)
+			ans.N, ans.Seq, ans.OK = n, seq, true
+			c.chained(out)
+		}
+		c.send(from, Message{Entered: ans}, false)
+	case m.Entered != nil:
+		if o := c.orders[m.Entered.Token]; o != nil && m.Entered.OK {
+			o.entered, o.n, o.seq = true, m.Entered.N, m.Entered.Seq
+		}
+	case m.Confirm != nil:
+		c.send(from, Message{Confirmed: &words.Confirm{Token: m.Confirm.Token, N: m.Confirm.N, OK: c.view.Vouches(m.Confirm.N)}}, true)
+	case m.Confirmed != nil:
+		if r := c.reads[m.Confirmed.Token]; r != nil && m.Confirmed.OK && m.Confirmed.N == r.n {
+			r.votes[from.ID] = true
+		}
+	}
+}
+
+// Order takes a caller's order. Its Answer comes now or later: 200 once it is committed, else 503.
+func (c *Core) Order(now time.Duration, o chain.Order) (uint64, Actions) {
+	c.token++
+	c.orders[c.token] = &order{o: o, deadline: now + AnswerWithin, sentAt: never}
+	return c.token, c.flush(now)
+}
+
+// Read takes a caller's question for the configuration.
+//
+// It is answered with what is committed, once a majority has said that no later view may have been decided: a machine
+// that was cut off must not answer with what it last knew. One outside the chain sends the caller to the tail.
+func (c *Core) Read(now time.Duration) (uint64, Actions) {
+	c.token++
+	v := c.view.View()
+	switch {
+	case !c.view.InTouch(now):
+		c.out.Answers = append(c.out.Answers, Answer{Token: c.token, Status: http.StatusServiceUnavailable})
+	case v.Place(c.view.Self().ID) < 0:
+		a := Answer{Token: c.token, Status: http.StatusServiceUnavailable}
+		for _, p := range c.view.Peers(now) {
+			if p.ID == v.Chain[len(v.Chain)-1] && p.Call != "" {
+				a.Status, a.Where = http.StatusTemporaryRedirect, p.Call
+			}
+		}
+		c.out.Answers = append(c.out.Answers, a)
+	default:
+		c.reads[c.token] = &read{votes: map[string]bool{}, n: v.N, seq: c.chain.Held().Seq, deadline: now + AnswerWithin}
+	}
+	return c.token, c.flush(now)
+}
+
+// Written tells what became of the last Write.
+func (c *Core) Written(now time.Duration, err error) Actions {
+	took := now - c.busySince
+	c.busy = false
+	if err != nil {
+		c.setSick(true, err.Error())
+		c.retryAt = now + diskAgain
+		return c.flush(now)
+	}
+	c.setSick(took > slowDisk, "slow")
+	c.saved = c.writing
+	i := 0
+	for ; i < len(c.gated) && c.gated[i].gen <= c.saved; i++ {
+		c.send(c.gated[i].to, c.gated[i].m, false)
+	}
+	c.gated = append([]gated(nil), c.gated[i:]...)
+	return c.flush(now)
+}
+
+func (c *Core) setSick(sick bool, why string) {
+	if sick == c.sick {
+		return
+	}
+	c.sick = sick
+	c.view.SetSick(sick)
+	if c.out.Sick = "well"; sick {
+		c.out.Sick = why
+	}
+}
+
+// send hands a message over, or keeps it until what is held now is on stable storage: nothing may be promised that a
+// loss of power would undo.
+func (c *Core) send(to view.Member, m Message, durable bool) {
+	if durable && c.gen != c.saved {
+		c.gated = append(c.gated, gated{c.gen, to, m})
+		return
+	}
+	if to.ID == c.view.Self().ID {
+		c.self = append(c.self, m)
+		return
+	}
+	c.out.Send = append(c.out.Send, Send{to.Addr, m})
+}
+
+func (c *Core) viewed(now time.Duration, o view.Output) {
+	if o.Save {
+		c.gen++
+	}
+	for _, s := range o.Send {
+		m := Message{View: &s.Message}
+		if s.Message.Kind == view.Beat {
+			r, known := c.chain.Committed()
+			m.Committed = &words.Committed{Seq: r.Seq, Known: known}
+		}
+		c.send(s.To, m, s.Durable)
+	}
+	if o.Adopted {
+		c.adopted(now)
+	}
+}
+
+func (c *Core) adopted(now time.Duration) {
+	c.out.Viewed = true
+	c.chained(c.chain.Adopt(now, c.view.View()))
+}
+
+func (c *Core) chained(o chain.Output) {
+	if o.Save {
+		c.gen++
+	}
+	for _, s := range o.Send {
+		if to, ok := c.member(s.To); ok {
+			c.send(to, Message{Chain: &s.Message}, s.Durable)
+		}
+	}
+	c.out.Committed = c.out.Committed || o.Committed
+}
+
+func (c *Core) member(id string) (view.Member, bool) {
+	if id == c.view.Self().ID {
+		return c.view.Self(), true
+	}
+	for _, m := range c.view.View().Roster {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return c.view.Known(id)
+}
+
+// flush brings everything as far as it goes and returns what is to be done.
+func (c *Core) flush(now time.Duration) Actions {
+	for {
+		c.advance(now)
+		if len(c.self) == 0 {
+			break
+		}
+		m := c.self[0]
+		c.self = c.self[1:]
+		c.receive(now, c.view.Self(), m)
+	}
+	rev := c.hints.Revision()
+	news := rev != c.hintRev && now-c.hintAt > hintsEvery
+	if !c.busy && (c.gen != c.saved || c.sick || news) && now >= c.retryAt {
+		if raw, err := c.Kept(); err == nil {
+			c.out.Write, c.busy, c.busySince, c.writing = raw, true, now, c.gen
+			c.hintRev, c.hintAt = rev, now
+		}
+	}
+	out := c.out
+	c.out = Actions{}
+	return out
+}
+
+// advance moves orders and reads on as far as they go.
+func (c *Core) advance(now time.Duration) {
+	v := c.view.View()
+	touch := c.view.InTouch(now)
+	r, known := c.chain.Committed()
+	var outs []chain.Output
+	for _, token := range slices.Sorted(maps.Keys(c.orders)) {
+		x := c.orders[token]
+		if x.entered && v.N != x.n {
+			x.entered = false // that head's word counts no more; each order may be entered again
+		}
+		status := 0
+		switch {
+		case x.entered && known && c.chain.CommittedIn() == x.n && r.Seq >= x.seq:
+			status = http.StatusOK
+		case !touch || now > x.deadline:
+			status = http.StatusServiceUnavailable
+		case !x.entered && len(v.Chain) > 0 && now-x.sentAt >= enterAgain:
+			x.sentAt = now
+			if v.Chain[0] != c.view.Self().ID {
+				if m, ok := c.member(v.Chain[0]); ok {
+					c.send(m, Message{Enter: &words.Enter{Token: token, Order: x.o}}, false)
+				}
+			} else if !c.sick {
+				n, seq, out := c.chain.Enter(now, x.o)
+				x.entered, x.n, x.seq = true, n, seq
+				outs = append(outs, out)
+			}
+		}
+		if status != 0 {
+			c.out.Answers = append(c.out.Answers, Answer{Token: token, Status: status})
+			delete(c.orders, token)
+		}
+	}
+	for _, token := range slices.Sorted(maps.Keys(c.reads)) {
+		x := c.reads[token]
+		a := Answer{Token: token}
+		switch {
+		case !touch || now > x.deadline || v.N != x.n:
+			a.Status = http.StatusServiceUnavailable
+		case len(x.votes) >= v.Majority() && c.chain.CommittedIn() == v.N && known && r.Seq >= x.seq:
+			if a.Status, a.Body = http.StatusOK, r.Body; len(r.Body) == 0 {
+				a.Status = http.StatusNotFound
+			}
+		case !x.asked:
+			x.asked = true
+			for _, m := range v.Roster {
+				c.send(m, Message{Confirm: &words.Confirm{Token: token, N: v.N}}, false)
+			}
+		}
+		if a.Status != 0 {
+			c.out.Answers = append(c.out.Answers, a)
+			delete(c.reads, token)
+		}
+	}
+	for _, out := range outs {
+		c.chained(out)
+	}
+}
--- a/hive/registry/registry.go
+++ b/hive/registry/registry.go
@@ -13,6 +13,7 @@
 
 const (
 	coldMoved  = 400 * time.Millisecond // a cold end that moved by less is no news
+	silentMost = 30 * time.Second       // after so long a silent one is taken for gone
 	keepGone   = 60 * time.Second       // ended ids are remembered for so long, against late words of them
 	doubtGrace = 50 * time.Millisecond  // a beat may have been under way when its zone was given back
 )
@@ -30,6 +31,10 @@
 	Seq      uint64 `cbor:"9,keyasint,omitempty"`
 	Age      int64  `cbor:"10,keyasint,omitempty"` // milliseconds since it beat
 	Doubt    bool   `cbor:"11,keyasint,omitempty"` // it may have turned cold: its zone was just given back
+
+	// Silent is one governor's own judgement, and is taken back by the next sign of life. It is never taken over from
+	// others nor final: a comb that was frozen has heard nobody, and must not end the whole fleet when it wakes.
+	Silent bool `cbor:"12,keyasint,omitempty"`
 }
 
 type entry struct {
@@ -70,6 +75,7 @@
 
 func (r *Registry) take(now time.Duration, l Life, direct bool) (news, urgent bool) {
 	e := r.lives[l.ID]
+	l.Silent = false
 	if e == nil {
 		e = &entry{Life: l, heard: now - time.Duration(l.Age)*time.Millisecond, coldUntil: now + time.Duration(l.Cold)*time.Millisecond, direct: -time.Hour}
 		if l.Gone {
@@ -93,6 +99,9 @@
 	}
 	if l.Seq > e.Seq {
 		e.Seq, e.heard = l.Seq, max(e.heard, now-time.Duration(l.Age)*time.Millisecond)
+		if e.Silent && now-e.heard < r.most {
+			e.Silent, news = false, true
+		}
 		until := now + time.Duration(l.Cold)*time.Millisecond
 		settled := !e.Doubt || direct && now > e.doubtAt+doubtGrace || l.Seq >= e.doubtSeq+2
 		if settled && e.Doubt {
@@ -129,26 +138,33 @@
 	return
 }
 
-// Expire ends lives that have been silent too long, and forgets those that ended long ago.
-func (r *Registry) Expire(now time.Duration) (ended []string) {
+// Expire marks lives that have been silent too long, and forgets those that ended long ago.
+func (r *Registry) Expire(now time.Duration) (silent []string) {
 	for id, e := range r.lives {
-		if !e.Gone && now-e.heard > r.most {
+		switch {
+		case e.Gone && now-e.endedAt > keepGone:
+			delete(r.lives, id)
+		case !e.Gone && now-e.heard > silentMost:
 			e.Gone, e.endedAt = true, now
 			r.news(e)
-			ended = append(ended, id)
-		}
-		if e.Gone && now-e.endedAt > keepGone {
-			delete(r.lives, id)
+		case !e.Gone && !e.Silent && now-e.heard > r.most:
+			e.Silent = true
+			r.news(e)
+			silent = append(silent, id)
 		}
 	}
-	slices.Sort(ended)
-	return ended
+	slices.Sort(silent)
+	return silent
 }
 
 // Excuse moves all signs of life forward, after this governor was held up or cut off and could hear nobody.
 func (r *Registry) Excuse(now time.Duration) {
 	for _, e := range r.lives {
 		e.heard = max(e.heard, now-r.most/2)
+		if e.Silent {
+			e.Silent = false
+			r.news(e)
+		}
 	}
 }
 
--- a/hive/spread/spread.go
+++ b/hive/spread/spread.go
@@ -27,7 +27,7 @@
 type Replica struct {
 	ID, Service, Addr, Zone string
 	Slots                   int
-	Draining, Gone          bool
+	Draining, Gone, Silent  bool
 	Weight                  float64 // from the table; 0: held out
 
 	coldUntil time.Duration
@@ -125,6 +125,7 @@
 			r.Draining = true
 			ended = append(ended, l.ID)
 		}
+		r.Silent = l.Silent
 		r.coldUntil, r.doubt = now+time.Duration(l.Cold)*time.Millisecond, l.Doubt
 	}
 	return ended
@@ -203,7 +204,7 @@
 			continue
 		}
 		switch {
-		case now < r.outUntil || r.Weight <= 0 || r.spoilt > badShare:
+		case r.Silent || now < r.outUntil || r.Weight <= 0 || r.spoilt > badShare:
 			poor = append(poor, r)
 		case r.Zone == s.zone:
 			near = append(near, r)
@@ -238,7 +239,7 @@
 	var near, far []*Replica
 	for _, r := range s.services[service] {
 		switch {
-		case r.Draining || s.out[r.Zone] || tried(r.ID) || r.Cold(now) || now < r.outUntil || r.Weight <= 0 || r.spoilt > badShare:
+		case r.Draining || r.Silent || s.out[r.Zone] || tried(r.ID) || r.Cold(now) || now < r.outUntil || r.Weight <= 0 || r.spoilt > badShare:
 		case r.Zone == s.zone:
 			near = append(near, r)
 		default:
--- a/hive/steer/steer.go
+++ b/hive/steer/steer.go
@@ -150,7 +150,7 @@
 		switch {
 		case l.Gone:
 			e.State = rules.Gone
-		case l.Draining:
+		case l.Draining || l.Silent:
 			e.State = rules.Draining
 		}
 		if l.Cold > 0 || l.Doubt {
--- a/hive/view/view.go
+++ b/hive/view/view.go
@@ -158,6 +158,14 @@
 	return e.d.View.N == n && e.d.Value == nil && e.d.View.In(e.self.ID)
 }
 
+// Known is a machine heard of, by its identity.
+func (e *Engine) Known(id string) (Member, bool) {
+	if p := e.peers[id]; p != nil {
+		return p.Member, true
+	}
+	return Member{}, false
+}
+
 // Heard tells whether a machine was heard lately and hears this one.
 func (e *Engine) Heard(now Time, id string) bool { return e.touch(now, id) }
 
--- a/internal/combd/calls.go
+++ b/internal/combd/calls.go
@@ -11,44 +11,15 @@
 
 	"zincloft.example/zincloft/hive/chain"
 	"zincloft.example/zincloft/hive/config"
+	"zincloft.example/zincloft/hive/core"
 	"zincloft.example/zincloft/hive/registry"
-	"zincloft.example/zincloft/hive/words"
-	"zincloft.example/zincloft/internal/link"
 )
 
 const (
-	answerWithin = 900 * time.Millisecond // callers go elsewhere after a second of silence
-	enterAgain   = 250 * time.Millisecond
-	bodyMost     = 16 << 20
-	beatMost     = 64 << 10
+	bodyMost = 16 << 20
+	beatMost = 64 << 10
 )
 
-// order is an operator's change on its way through the chain.
-type order struct {
-	o        chain.Order
-	entered  bool
-	n, seq   uint64
-	sentAt   time.Duration
-	deadline time.Duration
-	done     chan int
-}
-
-// read is an operator's question for the configuration.
-type read struct {
-	n        uint64
-	seq      uint64 // held when it came
-	votes    map[string]bool
-	asked    bool
-	deadline time.Duration
-	done     chan answer
-}
-
-type answer struct {
-	status int
-	body   []byte
-	where  string
-}
-
 // routes is the one dispatch of calls: method and path by the router, then the call's name, which stands in the query.
 func (c *Comb) routes() http.Handler {
 	mux := chi.NewRouter()
@@ -107,7 +78,7 @@
 	}
 	target := ask(c, func() string {
 		now := c.now()
-		if !c.view.InTouch(now) {
+		if !c.core.InTouch(now) {
 			return "-"
 		}
 		if news, urgent := c.reg.Beat(now, l); news {
@@ -137,8 +108,8 @@
 	if zone == c.set.Zone {
 		return c.set.Control
 	}
-	for _, m := range c.view.Peers(now) {
-		if m.Zone == zone && m.Call != "" && c.view.Heard(now, m.ID) {
+	for _, m := range c.core.Peers(now) {
+		if m.Zone == zone && m.Call != "" && c.core.Heard(now, m.ID) {
 			return m.Call
 		}
 	}
@@ -149,7 +120,7 @@
 	id := r.URL.Query().Get("of")
 	ok := ask(c, func() bool {
 		now := c.now()
-		if !c.view.InTouch(now) {
+		if !c.core.InTouch(now) {
 			return false
 		}
 		if c.reg.Leave(now, id) {
@@ -192,117 +163,31 @@
 
 // submit takes an order through the chain and returns the status for its caller.
 func (c *Comb) submit(o chain.Order) int {
-	x := &order{o: o, done: make(chan int, 1)}
-	c.post(func() {
-		now := c.now()
-		if !c.view.InTouch(now) {
-			x.done <- http.StatusServiceUnavailable
-			return
-		}
-		c.token++
-		c.orders[c.token] = x
-		x.deadline, x.sentAt = now+answerWithin, -time.Hour
-		c.advance(now)
-	})
-	return <-x.done
+	return c.await(func() (uint64, core.Actions) { return c.core.Order(c.now(), o) }).Status
 }
 
-// advance moves orders and reads on as far as they go.
-func (c *Comb) advance(now time.Duration) {
-	v := c.view.View()
-	touch := c.view.InTouch(now)
-	r, known := c.chain.Committed()
-	var outs []chain.Output
-	for token, x := range c.orders {
-		if x.entered && v.N != x.n {
-			x.entered = false // that head's word counts no more; each order may be entered again
-		}
-		switch {
-		case x.entered && known && c.chain.CommittedIn() == x.n && r.Seq >= x.seq:
-			x.done <- http.StatusOK
-			delete(c.orders, token)
-		case !touch || now > x.deadline:
-			x.done <- http.StatusServiceUnavailable
-			delete(c.orders, token)
-		case !x.entered && len(v.Chain) > 0 && now-x.sentAt >= enterAgain:
-			x.sentAt = now
-			if v.Chain[0] != c.view.Self().ID {
-				if m, ok := c.member(v.Chain[0]); ok {
-					c.to(m.Addr, &link.Msg{Enter: &words.Enter{Token: token, Order: x.o}})
-				}
-			} else if !c.sick {
-				n, seq, out := c.chain.Enter(now, x.o)
-				x.entered, x.n, x.seq = true, n, seq
-				outs = append(outs, out)
-			}
-		}
-	}
-	for token, x := range c.reads {
-		switch {
-		case !touch || now > x.deadline || v.N != x.n:
-			x.done <- answer{status: http.StatusServiceUnavailable}
-			delete(c.reads, token)
-		case len(x.votes) >= v.Majority() && c.chain.CommittedIn() == v.N && known && r.Seq >= x.seq:
-			if len(r.Body) == 0 {
-				x.done <- answer{status: http.StatusNotFound}
-			} else {
-				x.done <- answer{status: http.StatusOK, body: r.Body}
-			}
-			delete(c.reads, token)
-		case !x.asked:
-			x.asked = true
-			if c.view.Vouches(v.N) {
-				x.votes[c.view.Self().ID] = true
-			}
-			for _, m := range v.Roster {
-				c.to(m.Addr, &link.Msg{Confirm: &words.Confirm{Token: token, N: v.N}})
-			}
-		}
-	}
-	for _, out := range outs {
-		c.chained(now, out)
-	}
+func (c *Comb) await(f func() (uint64, core.Actions)) core.Answer {
+	done := make(chan core.Answer, 1)
+	c.post(func() {
+		token, a := f()
+		c.waiting[token] = done
+		c.do(a)
+	})
+	return <-done
 }
 
-// describe answers with what is committed, once a majority has said that no other view may have been decided: a
-// machine that was cut off must not answer with what it last knew.
 func (c *Comb) describe(w http.ResponseWriter, _ *http.Request) {
-	x := &read{votes: map[string]bool{}, done: make(chan answer, 1)}
-	c.post(func() {
-		now := c.now()
-		v := c.view.View()
-		if !c.view.InTouch(now) {
-			x.done <- answer{status: http.StatusServiceUnavailable}
-			return
-		}
-		if v.Place(c.view.Self().ID) < 0 { // the tail answers
-			if m, ok := c.member(v.Chain[len(v.Chain)-1]); ok {
-				for _, p := range c.view.Peers(now) {
-					if p.ID == m.ID && p.Call != "" {
-						x.done <- answer{status: http.StatusTemporaryRedirect, where: p.Call}
-						return
-					}
-				}
-			}
-			x.done <- answer{status: http.StatusServiceUnavailable}
-			return
-		}
-		c.token++
-		c.reads[c.token] = x
-		x.n, x.seq, x.deadline = v.N, c.chain.Held().Seq, now+answerWithin
-		c.advance(now)
-	})
-	a := <-x.done
-	switch a.status {
+	a := c.await(func() (uint64, core.Actions) { return c.core.Read(c.now()) })
+	switch a.Status {
 	case http.StatusTemporaryRedirect:
-		w.Header().Set("Location", "http://"+a.where+"/api/rpc?call=configuration.describe")
-		w.WriteHeader(a.status)
+		w.Header().Set("Location", "http://"+a.Where+"/api/rpc?call=configuration.describe")
+		w.WriteHeader(a.Status)
 	case http.StatusOK:
 		w.Header().Set("Content-Type", "application/json")
-		w.Write(a.body)
+		w.Write(a.Body)
 	case http.StatusNotFound:
-		say(w, a.status, "no configuration has been given yet")
+		say(w, a.Status, "no configuration has been given yet")
 	default:
-		say(w, a.status, "out of touch with the other combs")
+		say(w, a.Status, "out of touch with the other combs")
 	}
 }
--- a/internal/combd/combd.go
+++ b/internal/combd/combd.go
@@ -18,11 +18,10 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
 
-	"zincloft.example/zincloft/hive/chain"
 	"zincloft.example/zincloft/hive/config"
+	"zincloft.example/zincloft/hive/core"
 	"zincloft.example/zincloft/hive/registry"
 	"zincloft.example/zincloft/hive/steer"
 	"zincloft.example/zincloft/hive/view"
@@ -33,6 +32,7 @@
 )
 
 const (
+	heldUp      = time.Second // between two ticks
 	tickEvery   = 100 * time.Millisecond
 	gossipEvery = time.Second
 	tellAgain   = 3 * time.Second        // changes are told to other combs for so long, as links lose some
@@ -40,24 +40,10 @@
 	newsEvery   = 200 * time.Millisecond // changes that may wait are told this often
 	silentBeats = 3.6                    // a replica silent for so many beats counts as gone
 	youngFor    = 2.2                    // beats after which a comb that started knows all replicas
-	slowDisk    = 400 * time.Millisecond // a write that takes longer makes the disk count as sick
 	diskAgain   = 300 * time.Millisecond
-	keepLives   = time.Second // changes of replicas are written this often at the most
 	memoryPart  = 0.6
 )
 
-// kept is what lies on disk.
-type kept struct {
-	Disk     string         `cbor:"1,keyasint"`
-	View     view.Durable   `cbor:"2,keyasint"`
-	Register chain.Register `cbor:"3,keyasint"`
-	SyncedIn uint64         `cbor:"4,keyasint"`
-
-	// Lives are kept as a hint only: a comb that comes back after a loss of all machines would else know those few
-	// replicas that beat first, and have all traffic sent to them.
-	Lives []registry.Life `cbor:"5,keyasint,omitempty"`
-}
-
 const keptKey = "state"
 
 // Comb is one control-plane governor.
@@ -68,27 +54,14 @@
 	loop  chan func()
 	store *cell.Cell
 
-	view  *view.Engine
-	chain *chain.Engine
+	core  *core.Core
 	reg   *registry.Registry
 	peers map[string]*link.Peer // by address
 	hello []byte
 
-	// What waits for the disk.
-	gen, saved uint64
-	saving     bool
-	savingAt   time.Duration
-	sick       bool
-	retryAt    time.Duration
-	keptRev    uint64
-	keptAt     time.Duration
-	gated      []gatedSend
-
-	orders map[uint64]*order
-	reads  map[uint64]*read
-	token  uint64
-	config *config.Config // committed
-	wasOut []string
+	waiting map[uint64]chan core.Answer
+	config  *config.Config // committed
+	wasOut  []string
 
 	steer    *steer.Steer
 	steerRev uint64
@@ -103,6 +76,7 @@
 	inTouch  time.Duration // last time that this comb was
 	counts   map[string]int
 	countAt  time.Duration
+	ticked   time.Duration
 	failed   chan error
 }
 
@@ -111,11 +85,6 @@
 	rev uint64
 }
 
-type gatedSend struct {
-	gen  uint64
-	send func()
-}
-
 // New makes a comb from its settings.
 func New(set *nodefile.Settings, logger *log.Logger) (*Comb, error) {
 	if set.Control == "" {
@@ -127,7 +96,7 @@
 	site := steer.Site{Seed: mrand.Uint64(), Zone: set.Zone, Zones: sortedKeys(set.Zones), Combs: max(len(set.Seeds), 1),
 		LinkMbps: set.LinkMbps, DrainGrace: set.Bounds.DrainDeadline}
 	return &Comb{set: set, steer: steer.New(site), log: logger, start: time.Now(), loop: make(chan func(), 1024), peers: map[string]*link.Peer{},
-		orders: map[uint64]*order{}, reads: map[uint64]*read{}, streams: map[*link.Conn]*stream{}, fleets: map[string]int{},
+		waiting: map[uint64]chan core.Answer{}, streams: map[*link.Conn]*stream{}, fleets: map[string]int{},
 		touched: map[string]bool{}, counts: map[string]int{}, failed: make(chan error, 4),
 		alone: true, reg: registry.New(time.Duration(silentBeats * float64(set.Heartbeat)))}, nil
 }
@@ -151,9 +120,9 @@
 	for _, name := range store.SetAside {
 		c.log.Error().Str("event", "file_set_aside").Str("file", name).Msg("")
 	}
-	var k kept
+	var k core.Kept
 	if raw, ok := store.Get(keptKey); ok {
-		if err := cbor.Unmarshal(raw, &k); err != nil {
+		if k, err = core.Decode(raw); err != nil {
 			return merry.Prepend(err, "reading the kept state")
 		}
 	}
@@ -168,11 +137,7 @@
 			rand.Read(b[:])
 			k.Disk = c.addr() + "/" + hex.EncodeToString(b[:])
 		} else {
-			first := view.View{N: 1}
-			for _, addr := range sortedUnique(seeds) {
-				first.Roster = append(first.Roster, view.Member{ID: addr + "/0", Addr: addr})
-				first.Chain = append(first.Chain, addr+"/0")
-			}
+			first := core.First(seeds)
 			if first.In(k.Disk) {
 				k.View.View = first
 			}
@@ -182,15 +147,17 @@
 		k.Lives[i].Age = 0 // heard now, as far as anyone knows; those that do not beat go as any silent one
 	}
 	c.reg.Merge(c.now(), k.Lives)
-	c.keptRev = c.reg.Rev()
 	self := view.Member{ID: k.Disk, Addr: c.addr(), Zone: c.set.Zone, Call: c.set.Control}
-	c.view = view.New(self, k.View, seeds, mrand.Float64)
-	c.chain = chain.New(k.Disk, k.Register, k.SyncedIn)
+	c.core = core.New(self, k, seeds, mrand.Float64, hints{c})
 	c.hello, err = link.Frame(&link.Msg{Hello: &words.Hello{Member: self}})
 	if err != nil {
 		return err
 	}
-	if err := c.put(); err != nil {
+	raw, err := c.core.Kept()
+	if err != nil {
+		return err
+	}
+	if err := store.Put(map[string][]byte{keptKey: raw}); err != nil {
 		return merry.Prepend(err, "first write")
 	}
 	c.log.Info().Str("event", "start").Str("name", c.set.Name).Str("disk", k.Disk).Uint64("view", k.View.View.N).
@@ -198,17 +165,11 @@
 	return nil
 }
 
-func (c *Comb) snapshot() ([]byte, error) {
-	return cbor.Marshal(kept{c.view.Self().ID, c.view.Durable(), c.chain.Held(), c.chain.SyncedIn(), c.reg.Changes(c.now(), registry.All)})
-}
+// hints are the lives of replicas, as they are kept on disk.
+type hints struct{ c *Comb }
 
-func (c *Comb) put() error {
-	raw, err := c.snapshot()
-	if err != nil {
-		return err
-	}
-	return c.store.Put(map[string][]byte{keptKey: raw})
-}
+func (h hints) Revision() uint64       { return h.c.reg.Rev() }
+func (h hints) Lives() []registry.Life { return h.c.reg.Changes(h.c.now(), registry.All) }
 
 // Run serves until the process is told to stop.
 func (c *Comb) Run() error {
@@ -244,7 +205,8 @@
 		}
 	}()
 	go c.accept(inner)
-	c.adopted(c.now())
+	c.do(c.core.Start(c.now()))
+	c.ticked = c.now()
 	ticks := time.NewTicker(tickEvery)
 	for {
 		select {
@@ -281,17 +243,16 @@
 
 func (c *Comb) tick() {
 	now := c.now()
-	c.disk(now)
-	if c.chain.Settled() {
-		c.view.SetSettled(c.chain.CommittedIn())
-	}
-	c.viewed(now, c.view.Tick(now))
-	c.chained(now, c.chain.Tick(now))
-	c.advance(now)
-	alone := !c.view.InTouch(now)
+	if now-c.ticked > heldUp { // frozen or starved: nobody could be heard meanwhile
+		c.log.Warn().Str("event", "held_up").Dur("for", now-c.ticked).Msg("")
+		c.reg.Excuse(now)
+	}
+	c.ticked = now
+	c.do(c.core.Tick(now))
+	alone := !c.core.InTouch(now)
 	if alone != c.alone {
 		c.alone = alone
-		c.log.Info().Str("event", "in_touch").Bool("now", !alone).Uint64("view", c.view.View().N).Msg("")
+		c.log.Info().Str("event", "in_touch").Bool("now", !alone).Uint64("view", c.core.View().N).Msg("")
 		if alone {
 			for x := range c.streams {
 				x.End()
@@ -320,153 +281,42 @@
 	}
 }
 
-// disk keeps one write under way while something is to be kept. What rests on it goes out when it is synced.
-func (c *Comb) disk(now time.Duration) {
-	if c.saving {
-		if now-c.savingAt > slowDisk {
-			c.setSick(true, "slow")
+// do carries out what the core has decided.
+func (c *Comb) do(a core.Actions) {
+	now := c.now()
+	if a.Sick != "" {
+		c.log.Warn().Str("event", "disk").Str("state", a.Sick).Msg("")
+	}
+	for _, s := range a.Send {
+		c.to(s.To, &link.Msg{Core: &s.Message})
+	}
+	if a.Write != nil {
+		go func() {
+			err := c.store.Put(map[string][]byte{keptKey: a.Write})
+			c.post(func() { c.do(c.core.Written(c.now(), err)) })
+		}()
+	}
+	if a.Viewed {
+		v := c.core.View()
+		c.log.Info().Str("event", "view").Uint64("n", v.N).Strs("chain", v.Chain).Int("roster", len(v.Roster)).Msg("")
+		for _, s := range c.streams {
+			s.combs = false
 		}
-		return
-	}
-	news := c.reg.Rev() != c.keptRev && now-c.keptAt > keepLives
-	if c.gen == c.saved && !c.sick && !news || now < c.retryAt {
-		return
-	}
-	c.keptRev, c.keptAt = c.reg.Rev(), now
-	raw, err := c.snapshot()
-	if err != nil {
-		c.failed <- err
-		return
-	}
-	gen := c.gen
-	c.saving, c.savingAt = true, now
-	go func() {
-		err := c.store.Put(map[string][]byte{keptKey: raw})
-		c.post(func() {
-			now := c.now()
-			c.saving = false
-			if err != nil {
-				c.setSick(true, err.Error())
-				c.retryAt = now + diskAgain
-				return
-			}
-			c.setSick(now-c.savingAt > slowDisk, "slow")
-			c.saved = gen
-			c.release()
-			c.disk(c.now())
-		})
-	}()
-}
-
-func (c *Comb) setSick(sick bool, why string) {
-	if sick == c.sick {
-		return
 	}
-	c.sick = sick
-	c.view.SetSick(sick)
-	c.log.Warn().Str("event", "disk_sick").Bool("now", sick).Str("why", why).Msg("")
-}
-
-func (c *Comb) release() {
-	i := 0
-	for ; i < len(c.gated) && c.gated[i].gen <= c.saved; i++ {
-		c.gated[i].send()
-	}
-	c.gated = append([]gatedSend(nil), c.gated[i:]...)
-}
-
-// after runs f once what is held now is on disk, or now if nothing need be.
-func (c *Comb) after(durable bool, f func()) {
-	if !durable || c.gen == c.saved {
-		f()
-		return
-	}
-	c.gated = append(c.gated, gatedSend{c.gen, f})
-}
-
-func (c *Comb) viewed(now time.Duration, o view.Output) {
-	if o.Save {
-		c.gen++
-	}
-	for _, s := range o.Send {
-		c.after(s.Durable, func() {
-			if s.To.ID == c.view.Self().ID {
-				m := s.Message
-				c.later(func() { c.viewed(c.now(), c.view.Receive(c.now(), m)) })
-				return
-			}
-			msg := &link.Msg{View: &s.Message}
-			if s.Message.Kind == view.Beat {
-				r, known := c.chain.Committed()
-				msg.Committed = &words.Committed{Seq: r.Seq, Known: known}
-			}
-			c.to(s.To.Addr, msg)
-		})
-	}
-	if o.Adopted {
-		c.adopted(now)
-	}
-	if o.Save {
-		c.disk(now)
-	}
-}
-
-// later runs f after what is being done; the channel must not be waited for by its own reader.
-func (c *Comb) later(f func()) { go c.post(f) }
-
-func (c *Comb) adopted(now time.Duration) {
-	v := c.view.View()
-	if v.N == 0 {
-		return
-	}
-	c.log.Info().Str("event", "view").Uint64("n", v.N).Strs("chain", v.Chain).Int("roster", len(v.Roster)).Msg("")
-	c.chained(now, c.chain.Adopt(now, v))
-	for _, s := range c.streams {
-		s.combs = false
-	}
-}
-
-func (c *Comb) chained(now time.Duration, o chain.Output) {
-	if o.Save {
-		c.gen++
-	}
-	for _, s := range o.Send {
-		c.after(s.Durable, func() {
-			if s.To == c.view.Self().ID {
-				m := s.Message
-				c.later(func() { c.chained(c.now(), c.chain.Receive(c.now(), m)) })
-				return
-			}
-			if m, ok := c.member(s.To); ok {
-				c.to(m.Addr, &link.Msg{Chain: &s.Message})
-			}
-		})
-	}
-	if o.Save {
-		c.disk(now)
-	}
-	if o.Committed {
+	if a.Committed {
 		c.committed(now)
 	}
-}
-
-func (c *Comb) member(id string) (view.Member, bool) {
-	for _, m := range c.view.View().Roster {
-		if m.ID == id {
-			return m, true
-		}
-	}
-	for _, m := range c.view.Peers(c.now()) {
-		if m.ID == id {
-			return m, true
+	for _, x := range a.Answers {
+		if done := c.waiting[x.Token]; done != nil {
+			delete(c.waiting, x.Token)
+			done <- x
 		}
 	}
-	return view.Member{}, false
 }
 
 // committed puts a register that nobody can lose any more in force.
 func (c *Comb) committed(now time.Duration) {
-	r, _ := c.chain.Committed()
+	r, _ := c.core.Register()
 	if c.config == nil || c.config.Version != r.Version {
 		if len(r.Body) > 0 {
 			conf, err := config.Parse(r.Body)
@@ -481,7 +331,6 @@
 		}
 	}
 	c.evacuated(now, r)
-	c.advance(now)
 	c.tell(now, true)
 }
 
@@ -541,34 +390,8 @@
 // message takes what another comb says.
 func (c *Comb) message(from view.Member, m *link.Msg) {
 	now := c.now()
-	switch {
-	case m.View != nil:
-		c.viewed(now, c.view.Receive(now, *m.View))
-		if k := m.Committed; k != nil {
-			c.chained(now, c.chain.Lacks(from.ID, k.Seq, k.Known))
-		}
-	case m.Chain != nil:
-		c.chained(now, c.chain.Receive(now, *m.Chain))
-	case m.Enter != nil:
-		ans := &words.Entered{Token: m.Enter.Token}
-		if c.chain.Head() && c.view.InTouch(now) && !c.sick {
-			n, seq, out := c.chain.Enter(now, m.Enter.Order)
-			ans.N, ans.Seq, ans.OK = n, seq, true
-			c.chained(now, out)
-		}
-		c.to(from.Addr, &link.Msg{Entered: ans})
-	case m.Entered != nil:
-		if o := c.orders[m.Entered.Token]; o != nil && m.Entered.OK {
-			o.entered, o.n, o.seq = true, m.Entered.N, m.Entered.Seq
-			c.advance(now)
-		}
-	case m.Confirm != nil:
-		c.to(from.Addr, &link.Msg{Confirmed: &words.Confirm{Token: m.Confirm.Token, N: m.Confirm.N, OK: c.view.Vouches(m.Confirm.N)}})
-	case m.Confirmed != nil:
-		if r := c.reads[m.Confirmed.Token]; r != nil && m.Confirmed.OK && m.Confirmed.N == r.n {
-			r.votes[from.ID] = true
-			c.advance(now)
-		}
+	if m.Core != nil {
+		c.do(c.core.Receive(now, from, *m.Core))
 	}
 	if m.Fleet != nil {
 		c.fleets[from.ID] = m.Fleet.Foragers
--- a/internal/combd/streams.go
+++ b/internal/combd/streams.go
@@ -45,7 +45,7 @@
 	defer x.End()
 	s := &stream{conn: x, name: h.Forager, zone: h.Member.Zone}
 	c.post(func() {
-		if c.alone = c.alone && !c.view.InTouch(c.now()); c.alone {
+		if c.alone = c.alone && !c.core.InTouch(c.now()); c.alone {
 			x.End()
 			return
 		}
@@ -98,7 +98,7 @@
 
 // tell brings the foragers up to date: at once where it must not wait, else now and then.
 func (c *Comb) tell(now time.Duration, urgent bool) {
-	r, known := c.chain.Committed()
+	r, known := c.core.Register()
 	if !known || c.alone || c.config == nil {
 		return
 	}
@@ -169,8 +169,8 @@
 }
 
 func (c *Comb) combs(now time.Duration) []view.Member {
-	all := []view.Member{c.view.Self()}
-	for _, m := range c.view.Peers(now) {
+	all := []view.Member{c.core.Self()}
+	for _, m := range c.core.Peers(now) {
 		if m.ID != "" && m.Zone != "" {
 			all = append(all, m)
 		}
@@ -186,7 +186,7 @@
 	if c.config == nil || len(c.streams) == 0 {
 		return grants
 	}
-	part := coldPart / float64(max(len(c.view.View().Roster), 1))
+	part := coldPart / float64(max(len(c.core.View().Roster), 1))
 	c.reg.Each(now, func(l registry.Life) {
 		if l.Cold == 0 && !l.Doubt || l.Draining {
 			return
@@ -225,7 +225,7 @@
 
 // gossipNow tells the other combs at once.
 func (c *Comb) gossipNow(now time.Duration, lives []registry.Life) {
-	for _, m := range c.view.Peers(now) {
+	for _, m := range c.core.Peers(now) {
 		c.to(m.Addr, &link.Msg{Lives: lives})
 	}
 }
@@ -243,11 +243,11 @@
 		c.revs = c.revs[1:]
 	}
 	lately := c.reg.Changes(now, c.revs[0].rev)
-	for _, m := range c.view.Peers(now) {
+	for _, m := range c.core.Peers(now) {
 		if m.ID == "" {
 			continue
 		}
-		touch := c.view.Heard(now, m.ID)
+		touch := c.core.Heard(now, m.ID)
 		msg := &link.Msg{Lives: lately, Fleet: &words.Fleet{Foragers: len(c.streams)}}
 		if touch && !c.touched[m.ID] {
 			msg.Lives = c.reg.Changes(now, registry.All)
@@ -267,7 +267,7 @@
 		c.to(m.Addr, msg)
 	}
 	for id := range c.fleets {
-		if !c.view.Heard(now, id) {
+		if !c.core.Heard(now, id) {
 			delete(c.fleets, id)
 		}
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -13,9 +13,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sys/unix"
 
-	"zincloft.example/zincloft/hive/chain"
+	"zincloft.example/zincloft/hive/core"
 	"zincloft.example/zincloft/hive/registry"
-	"zincloft.example/zincloft/hive/view"
 	"zincloft.example/zincloft/hive/words"
 )
 
@@ -31,18 +30,12 @@
 
 // Msg is one frame; the fields that are set tell what it is. An empty one is a sign of life.
 type Msg struct {
-	Hello     *words.Hello     `cbor:"1,keyasint,omitempty"`
-	View      *view.Message    `cbor:"2,keyasint,omitempty"`
-	Chain     *chain.Message   `cbor:"3,keyasint,omitempty"`
-	Enter     *words.Enter     `cbor:"4,keyasint,omitempty"`
-	Entered   *words.Entered   `cbor:"5,keyasint,omitempty"`
-	Confirm   *words.Confirm   `cbor:"6,keyasint,omitempty"`
-	Confirmed *words.Confirm   `cbor:"7,keyasint,omitempty"`
-	Lives     []registry.Life  `cbor:"8,keyasint,omitempty"`
-	State     *words.State     `cbor:"9,keyasint,omitempty"`
-	Report    *words.Report    `cbor:"10,keyasint,omitempty"`
-	Fleet     *words.Fleet     `cbor:"11,keyasint,omitempty"`
-	Committed *words.Committed `cbor:"12,keyasint,omitempty"`
+	Hello  *words.Hello    `cbor:"1,keyasint,omitempty"`
+	Core   *core.Message   `cbor:"2,keyasint,omitempty"`
+	Lives  []registry.Life `cbor:"3,keyasint,omitempty"`
+	State  *words.State    `cbor:"4,keyasint,omitempty"`
+	Report *words.Report   `cbor:"5,keyasint,omitempty"`
+	Fleet  *words.Fleet    `cbor:"6,keyasint,omitempty"`
 }
 
 var decMode = func() cbor.DecMode {
