--- a/rules/api.go
+++ b/rules/api.go
@@ -1,6 +1,7 @@
 // Package rules decides which replicas the proxies of one governor send their flows to.
 //
-// This file holds the interface only: ids, settings, events and orders. Every decision is in rules.go.
+// This file holds the interface only: ids, settings, events and orders. The decisions are in rules.go, health.go, weigh.go
+// and publish.go.
 package rules
 
 import "time"
--- a/rules/state.go
+++ b/rules/state.go
@@ -10,7 +10,8 @@
 	"time"
 )
 
-// This file holds what a governor keeps in mind and the bookkeeping of it. Every decision is in rules.go.
+// This file holds what a governor keeps in mind and the bookkeeping of it. The decisions are in rules.go,
+// health.go, weigh.go and publish.go.
 
 // figures are what the settings come to.
 type figures struct {
@@ -510,3 +511,36 @@
 	slices.SortFunc(m, func(a, b Recalled) int { return cmp.Compare(a.Replica, b.Replica) })
 	return m
 }
+
+// take books up to n times so many lines to each proxy, and returns for how many times there is room.
+func (g *Governor) take(now Time, proxies []*proxy, n int, lines, room float64, messages int) int {
+	heads := 0.0
+	for _, p := range proxies {
+		if p.step == g.step {
+			continue
+		}
+		heads += g.fig.head
+		for len(p.messages) > 0 && p.messages[0] <= now-Time(g.fig.messageSpan) {
+			p.messages = p.messages[1:]
+		}
+		if len(p.messages) >= messages {
+			return 0
+		}
+	}
+	each := float64(len(proxies)) * lines
+	if each > 0 {
+		n = min(n, max(int((room-g.queue-heads)/each), 0))
+	}
+	if n == 0 {
+		return 0
+	}
+	for _, p := range proxies {
+		if p.step != g.step {
+			p.step, p.messages = g.step, append(p.messages, now)
+			g.written++
+		}
+	}
+	heads += float64(n) * each
+	g.lines, g.queue = g.lines+heads, g.queue+heads
+	return n
+}
