--- a/internal/combd/combd.go
+++ b/internal/combd/combd.go
@@ -5,16 +5,16 @@
 package combd
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	mrand "math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -171,11 +171,9 @@
 func (h hints) Revision() uint64       { return h.c.reg.Rev() }
 func (h hints) Lives() []registry.Life { return h.c.reg.Changes(h.c.now(), registry.All) }
 
-// Run serves until the process is told to stop.
-func (c *Comb) Run() error {
+// Run serves until the context ends.
+func (c *Comb) Run(ctx context.Context, hup <-chan os.Signal) error {
 	debug.SetMemoryLimit(int64(float64(c.set.MemoryMB<<20) * memoryPart))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for {
 		err := c.open()
 		if err == nil {
@@ -184,10 +182,8 @@
 		c.log.Error().Str("event", "disk").Err(err).Msg("")
 		select {
 		case <-time.After(diskAgain):
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				return nil
-			}
+		case <-ctx.Done():
+			return nil
 		}
 	}
 	inner, err := net.Listen("tcp", c.addr())
@@ -216,13 +212,12 @@
 			c.tick()
 		case err := <-c.failed:
 			return merry.Prepend(err, "serving")
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				c.reload()
-				continue
-			}
-			c.log.Info().Str("event", "stopping").Str("signal", s.String()).Msg("")
+		case <-hup:
+			c.reload()
+		case <-ctx.Done():
+			c.log.Info().Str("event", "stopped").Msg("")
 			srv.Close()
+			inner.Close()
 			for x := range c.streams {
 				x.End()
 			}
@@ -354,6 +349,9 @@
 func (c *Comb) accept(l net.Listener) {
 	for {
 		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
 		if err != nil {
 			c.failed <- err
 			return
--- a/internal/forager/forager.go
+++ b/internal/forager/forager.go
@@ -8,11 +8,9 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -124,11 +122,9 @@
 	return f.budget(service).Spend()
 }
 
-// Run serves until the process is told to stop.
-func (f *Forager) Run() error {
+// Run serves until the context ends, then ends in order.
+func (f *Forager) Run(ctx context.Context, hup <-chan os.Signal) error {
 	debug.SetMemoryLimit(int64(float64(f.set.MemoryMB<<20) * memoryPart))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	ready, err := net.Listen("tcp", f.set.Ready)
 	if err != nil {
 		return merry.Prepend(err, "listening for readiness")
@@ -140,9 +136,10 @@
 	mux.Get("/api/readiness", f.readiness)
 	readySrv := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second}
 	go func() { f.failed <- readySrv.Serve(ready) }()
-	ctx, cancel := context.WithCancel(context.Background())
+	defer readySrv.Close()
+	following, cancel := context.WithCancel(context.Background()) // also while it ends: drains still count
 	defer cancel()
-	go f.follow(ctx)
+	go f.follow(following)
 	f.log.Info().Str("event", "start").Str("name", f.set.Name).Str("zone", f.set.Zone).Str("front", f.set.Front).Msg("")
 	sweep, counts := time.NewTicker(sweepEvery), time.NewTicker(countsEvery)
 	for {
@@ -153,12 +150,10 @@
 			f.replicas.Sweep(time.Now())
 		case <-counts.C:
 			f.logCounts()
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				f.reload()
-				continue
-			}
-			f.log.Info().Str("event", "stopping").Str("signal", s.String()).Msg("")
+		case <-hup:
+			f.reload()
+		case <-ctx.Done():
+			f.log.Info().Str("event", "stopping").Msg("")
 			f.stop()
 			f.logCounts()
 			f.log.Info().Str("event", "stopped").Msg("")
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -2,11 +2,14 @@
 package program
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"github.com/integrii/flaggy"
 	"github.com/phuslu/log"
@@ -17,8 +20,10 @@
 // Version is told by --version.
 var Version = "0.1.0"
 
-// Runner serves until the process is told to stop.
-type Runner interface{ Run() error }
+// Runner serves until the context ends. A signal on hup has it read its settings again.
+type Runner interface {
+	Run(ctx context.Context, hup <-chan os.Signal) error
+}
 
 // Logger writes one line of key=value for each event.
 func Logger(w io.Writer, name string) *log.Logger {
@@ -76,7 +81,11 @@
 		fmt.Printf("%s: %s in zone %s: settings hold\n", name, set.Name, set.Zone)
 		return
 	}
-	if err := r.Run(); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hup := make(chan os.Signal, 4)
+	signal.Notify(hup, syscall.SIGHUP)
+	if err := r.Run(ctx, hup); err != nil {
 		logger.Error().Str("event", "end").Err(err).Msg("")
 		os.Exit(1)
 	}
--- /dev/null
+++ b/internal/stand/upstream/upstream.go
@@ -0,0 +1,193 @@
+// Package upstream is a stand-in for a replica, for tests and the demo: it answers requests on loopback as the
+// protocol page says, or badly where told to, and counts what has run.
+package upstream
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Behaviour is how a request is met.
+type Behaviour string
+
+const (
+	Well       Behaviour = ""           // a whole answer
+	Sheds      Behaviour = "sheds"      // 503, not executed
+	Other      Behaviour = "other"      // 421: another replica has the address
+	Cut        Behaviour = "cut"        // runs it, the answer ends early
+	Garbage    Behaviour = "garbage"    // runs it, and sends bytes that are no answer
+	Unsealed   Behaviour = "unsealed"   // runs it, and the answer lacks its seal
+	Encoded    Behaviour = "encoded"    // runs it, and claims an encoding
+	Lost       Behaviour = "lost"       // runs it, and closes without an answer
+	Silent     Behaviour = "silent"     // runs it, and says nothing
+	Surplus    Behaviour = "surplus"    // answers, and sends a second answer behind it
+	Late       Behaviour = "late"       // sends an answer of another request first
+	Fails      Behaviour = "fails"      // runs it, 500
+	Closes     Behaviour = "closes"     // answers, and closes the connection without a word
+	NoIdentity Behaviour = "noidentity" // runs it, and the answer names no attempt
+)
+
+// Replica is one stand-in.
+type Replica struct {
+	ID   string
+	Took time.Duration // of its work
+
+	ln    net.Listener
+	mu    sync.Mutex
+	next  []Behaviour
+	ran   map[string]int // by attempt
+	seen  []*http.Request
+	conns map[net.Conn]bool
+	opens int
+}
+
+// Start listens on loopback.
+func Start(id string, next ...Behaviour) (*Replica, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Replica{ID: id, ln: ln, next: next, ran: map[string]int{}, conns: map[net.Conn]bool{}}
+	go r.accept()
+	return r, nil
+}
+
+// Addr is where it listens.
+func (r *Replica) Addr() string { return r.ln.Addr().String() }
+
+// Then sets how the next requests are met; later ones are met well.
+func (r *Replica) Then(next ...Behaviour) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next = next
+}
+
+// Ran is how often attempts ran, by their ids.
+func (r *Replica) Ran() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]int{}
+	for k, v := range r.ran {
+		out[k] = v
+	}
+	return out
+}
+
+// Seen lists the requests that arrived.
+func (r *Replica) Seen() []*http.Request {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]*http.Request(nil), r.seen...)
+}
+
+// Opens is how many connections were opened to it.
+func (r *Replica) Opens() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.opens
+}
+
+// Close ends it, with all its connections.
+func (r *Replica) Close() {
+	r.ln.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		c.Close()
+	}
+}
+
+func (r *Replica) accept() {
+	for {
+		c, err := r.ln.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		r.conns[c] = true
+		r.opens++
+		r.mu.Unlock()
+		go r.serve(c)
+	}
+}
+
+func answer(status int, head, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), head, len(body), body)
+}
+
+func (r *Replica) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(q.Body)
+		q.Body = io.NopCloser(strings.NewReader(string(body)))
+		id := q.Header.Get("X-Attempt-Id")
+		if q.URL.Path == "/health" && id == "" {
+			io.WriteString(c, answer(200, "X-Instance-Id: "+r.ID+"\r\n", ""))
+			continue
+		}
+		r.mu.Lock()
+		b := Well
+		if len(r.next) > 0 {
+			b, r.next = r.next[0], r.next[1:]
+		}
+		if want := q.Header.Get("X-Target-Instance"); want != "" && want != r.ID {
+			b = Other
+		}
+		r.seen = append(r.seen, q)
+		if b != Sheds && b != Other {
+			r.ran[id]++
+		}
+		r.mu.Unlock()
+		if r.Took > 0 {
+			time.Sleep(r.Took)
+		}
+		echo := "X-Attempt-Id: " + id + "\r\n"
+		seal := echo + "X-Response-Seal: seal-" + id + "\r\nX-Instance-Load: 1,0,4\r\nKeep-Alive: timeout=10\r\n"
+		whole := answer(200, seal, "body of "+id+" from "+r.ID+"\n")
+		switch b {
+		case Well:
+			io.WriteString(c, whole)
+		case Sheds:
+			io.WriteString(c, answer(503, echo+"X-Not-Executed: 1\r\n", ""))
+		case Other:
+			io.WriteString(c, answer(421, echo+"X-Instance-Id: "+r.ID+"\r\n", ""))
+		case Cut:
+			io.WriteString(c, whole[:len(whole)-5])
+			return
+		case Garbage:
+			io.WriteString(c, "\x00\x01 not an answer\r\n\r\n")
+			return
+		case Unsealed:
+			io.WriteString(c, answer(200, echo, "x"))
+		case Encoded:
+			io.WriteString(c, answer(200, seal+"Content-Encoding: gzip\r\n", "x"))
+		case Lost:
+			return
+		case Silent:
+			io.Copy(io.Discard, br)
+			return
+		case Surplus:
+			io.WriteString(c, whole+answer(200, "X-Attempt-Id: other\r\nX-Response-Seal: s\r\n", "another's"))
+		case Late:
+			io.WriteString(c, answer(200, "X-Attempt-Id: other\r\nX-Response-Seal: s\r\n", "another's")+whole)
+		case Fails:
+			io.WriteString(c, answer(500, echo, "failed\n"))
+		case Closes:
+			io.WriteString(c, whole)
+			return
+		case NoIdentity:
+			io.WriteString(c, answer(200, "X-Response-Seal: s\r\n", "whose?"))
+		}
+	}
+}
