--- a/hive/spread/spread.go
+++ b/hive/spread/spread.go
@@ -111,7 +111,7 @@
 			if _, left := s.ended[l.ID]; left || l.Addr == "" {
 				continue
 			}
-			r = &Replica{ID: l.ID, Weight: 1, grant: s.granted[l.ID], tokens: 1, tokensAt: now}
+			r = &Replica{ID: l.ID, Weight: 1, grant: s.granted[l.ID], tokensAt: now}
 			s.all[l.ID] = r
 		}
 		if r.Service != l.Service {
@@ -165,7 +165,9 @@
 	s.granted = grants
 	for id, r := range s.all {
 		r.refill(now)
-		r.grant = grants[id]
+		if r.grant = grants[id]; r.grant == 0 {
+			r.tokens = 0 // the right is another's now
+		}
 	}
 }
 
@@ -217,6 +219,9 @@
 	if r := best(now, near, nearRoom, chance); r != nil {
 		return r, 0
 	}
+	if r := best(now, far, nearRoom, chance); r != nil {
+		return r, 0
+	}
 	warm := append(near, far...)
 	if r := best(now, warm, queueShare, chance); r != nil {
 		return r, 0
