A new life at an address, and a 421, end the old one everywhere at once

reaches server i-5739a1b9d3 ... answers 421 and doesn't run it (misdirected); the client gets 503

Every forager learnt it by a 421 of its own, out of the budget of further tries. Ruled out: the budget's size (spent on this alone).

--- a/hive/registry/registry.go
+++ b/hive/registry/registry.go
@@ -84,7 +84,14 @@
 		e.doubtAt, e.doubtSeq = now, l.Seq
 		r.lives[l.ID] = e
 		r.news(e)
-		return true, l.Draining || l.Gone
+		urgent = l.Draining || l.Gone
+		for _, o := range r.lives { // an address is one replica's at a time: who had it before has ended
+			if o != e && direct && o.Addr == l.Addr && !o.Gone {
+				o.Gone, o.endedAt, urgent = true, now, true
+				r.news(o)
+			}
+		}
+		return true, urgent
 	}
 	if e.Gone {
 		return false, false
--- a/hive/spread/spread.go
+++ b/hive/spread/spread.go
@@ -171,6 +171,16 @@
 	}
 }
 
+// Misdirected takes a replica out whose address another one has answered at. It is told whether that is new.
+func (s *Spread) Misdirected(now time.Duration, id string) bool {
+	if s.all[id] == nil {
+		return false
+	}
+	s.remove(id)
+	s.ended[id] = now
+	return true
+}
+
 // Cold tells whether a replica must be spared.
 func (r *Replica) Cold(now time.Duration) bool { return r.doubt || now < r.coldUntil }
 
--- a/hive/words/words.go
+++ b/hive/words/words.go
@@ -75,6 +75,7 @@
 	Failed   map[string]int  `cbor:"4,keyasint,omitempty"`
 	Lives    []registry.Life `cbor:"5,keyasint,omitempty"` // what it was told, to a comb that may not know
 	Seq      uint64          `cbor:"6,keyasint,omitempty"`
+	Gone     []string        `cbor:"7,keyasint,omitempty"` // another replica answered at their addresses
 }
 
 // Fleet tells other combs which foragers are with one.
--- a/internal/combd/streams.go
+++ b/internal/combd/streams.go
@@ -85,6 +85,13 @@
 func (c *Comb) reported(s *stream, r *words.Report) {
 	now := c.now()
 	c.steer.Report(now, s.name, r)
+	for _, id := range r.Gone {
+		if c.reg.Leave(now, id) {
+			c.log.Info().Str("event", "gone").Str("id", id).Str("by", s.name).Msg("")
+			c.gossipNow(now, []registry.Life{{ID: id, Gone: true}})
+			c.tell(now, true)
+		}
+	}
 	if len(r.Lives) > 0 {
 		if news, urgent := c.reg.Merge(now, r.Lives); news {
 			c.tell(now, urgent)
--- a/internal/forager/follow.go
+++ b/internal/forager/follow.go
@@ -144,6 +144,9 @@
 		select {
 		case <-done:
 			return
+		case id := <-f.gone:
+			f.replicas.Drop(id)
+			send(&link.Msg{Report: &words.Report{Gone: []string{id}}})
 		case <-t.C:
 			r := f.sums()
 			r.Over = time.Since(last).Milliseconds()
--- a/internal/forager/forager.go
+++ b/internal/forager/forager.go
@@ -46,6 +46,7 @@
 	server   *http.Server
 	frontLn  net.Listener
 	failed   chan error
+	gone     chan string // replicas whose address another one has
 
 	mu        sync.Mutex
 	spread    *spread.Spread
@@ -64,7 +65,7 @@
 		return nil, merry.New("settings: network_settings.listen_addresses: a forager needs front and readiness")
 	}
 	return &Forager{set: set, log: logger, start: time.Now(), replicas: replica.NewPool(), spread: spread.New(set.Zone),
-		budgets: map[string]*tries.Budget{}, requests: map[string]int{}, counts: map[string]int{}, failed: make(chan error, 4)}, nil
+		budgets: map[string]*tries.Budget{}, requests: map[string]int{}, counts: map[string]int{}, failed: make(chan error, 4), gone: make(chan string, 64)}, nil
 }
 
 func (f *Forager) now() time.Duration { return time.Since(f.start) }
--- a/internal/forager/front.go
+++ b/internal/forager/front.go
@@ -237,6 +237,12 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	f.spread.End(now, p.r, o, took)
+	if res.Answer != nil && res.Answer.Status == http.StatusMisdirectedRequest && f.spread.Misdirected(now, p.ID) {
+		select {
+		case f.gone <- p.ID: // everybody is to know at once
+		default:
+		}
+	}
 	if res.Answer != nil {
 		loadOf(now, p.r, res.Answer.Header)
 	}
