An agreement whose proposer has gone is brought to an end; hard cases of the core in the apiary

Ruled out: the chain (it committed throughout). Whoever holds an accepted value without a decision proposes it.

--- a/hive/apiary/apiary.go
+++ b/hive/apiary/apiary.go
@@ -22,8 +22,8 @@
 // Trouble is one thing that goes wrong, for a while.
 type Trouble struct {
 	At, For time.Duration
-	Kind    string // kill, power, wipe, freeze, cut, oneway, full, stall, all
-	On      int    // the machine; with all, every one
+	Kind    string // kill, power, wipe, freeze, cut, oneway, full, stall; all; ackpower, ackwipe; viewall
+	On      int    // the machine; all: every one; ack...: whoever acknowledges next; viewall: every one, at the next view
 }
 
 func (t Trouble) String() string {
@@ -62,19 +62,19 @@
 func Draw(seed uint64, machines, n int, lasts time.Duration) Schedule {
 	r := rand.New(rand.NewPCG(seed, 1))
 	s := Schedule{Seed: seed, Machines: machines, Seeds: min(machines, 3), Lasts: lasts, Calls: 40, Loss: 0.002 * float64(r.IntN(3))}
-	kinds := []string{"kill", "power", "wipe", "freeze", "cut", "oneway", "full", "stall", "all"}
+	kinds := []string{"kill", "power", "wipe", "freeze", "cut", "oneway", "full", "stall", "all", "ackpower", "ackwipe", "viewall"}
 	free := make([]time.Duration, (machines-1)/2) // each slot of tolerance, until when it is taken
 	at := 1500 * time.Millisecond
 	for range n {
 		at += time.Duration(r.Int64N(int64(3 * time.Second)))
 		t := Trouble{At: at, For: time.Duration(200+r.IntN(4000)) * time.Millisecond, Kind: kinds[r.IntN(len(kinds))], On: r.IntN(machines)}
-		if t.Kind == "all" {
+		if t.Kind == "all" || t.Kind == "viewall" {
 			t.For = time.Duration(r.IntN(900)) * time.Millisecond
 			if slices.Max(free) > at {
 				continue // only when nothing else is lost
 			}
 			for i := range free {
-				free[i] = at + t.For + catchUp
+				free[i] = at + t.For + catchUp + 2*time.Second
 			}
 			s.Troubles = append(s.Troubles, t)
 			continue
@@ -84,6 +84,9 @@
 			continue
 		}
 		free[slot] = at + t.For + restart + catchUp
+		if strings.HasPrefix(t.Kind, "ack") {
+			free[slot] += 2 * time.Second // it strikes within this
+		}
 		s.Troubles = append(s.Troubles, t)
 	}
 	return s
@@ -155,6 +158,8 @@
 	trouble time.Duration   // until when something is or was wrong
 	down    map[int]time.Duration
 	quiet   bool
+	onAck   []Trouble
+	onView  []Trouble
 }
 
 type none struct{}
@@ -292,6 +297,11 @@
 	}
 	if a.Viewed {
 		v := m.core.View()
+		for _, t := range w.onView {
+			w.onView, w.trouble = nil, w.now+t.For+restart
+			w.after(time.Duration(w.r.Int64N(int64(6*time.Millisecond))), func() { t.Kind = "all"; w.strike(t) })
+			break
+		}
 		w.res.Views = max(w.res.Views, v.N)
 		w.say("machine %d is in view %d: chain %s", m.i, v.N, strings.Join(v.Chain, " > "))
 		for i, at := range w.down {
@@ -352,6 +362,16 @@
 }
 
 func (w *world) strike(t Trouble) {
+	switch t.Kind {
+	case "ackpower", "ackwipe":
+		w.onAck = append(w.onAck, t)
+		w.after(2*time.Second, func() { w.onAck = slices.DeleteFunc(w.onAck, func(x Trouble) bool { return x == t }) })
+		return
+	case "viewall":
+		w.onView = append(w.onView, t)
+		w.after(2*time.Second, func() { w.onView = slices.DeleteFunc(w.onView, func(x Trouble) bool { return x == t }) })
+		return
+	}
 	w.say("TROUBLE: %v", t)
 	w.trouble = max(w.trouble, w.now+t.For+restart)
 	if t.Kind == "all" {
@@ -529,6 +549,12 @@
 		return
 	}
 	w.res.Acked++
+	for _, t := range w.onAck {
+		w.onAck, w.trouble = w.onAck[1:], w.now+t.For+restart
+		t.On, t.Kind = m.i, strings.TrimPrefix(t.Kind, "ack")
+		w.after(time.Duration(w.r.Int64N(int64(4*time.Millisecond))), func() { w.strike(t) })
+		break
+	}
 	if isolated := w.lonely(m); isolated {
 		w.broken("machine %d acknowledges call %d though it has been cut off for long", m.i, c.n)
 	}
--- a/hive/apiary/apiary_test.go
+++ b/hive/apiary/apiary_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -40,3 +41,61 @@
 		})
 	}
 }
+
+// TestHardCases plays what one would think of first, each under many delays.
+func TestHardCases(t *testing.T) {
+	const s = time.Second
+	at := func(kind string, on int, lasts time.Duration) Trouble {
+		return Trouble{At: 4 * s, For: lasts, Kind: kind, On: on}
+	}
+	cases := map[string][]Trouble{
+		"head loses power":                         {at("power", 0, 3*s)},
+		"middle loses power":                       {at("power", 1, 3*s)},
+		"tail loses power":                         {at("power", 2, 3*s)},
+		"head loses its disk":                      {at("wipe", 0, 2*s)},
+		"tail loses its disk":                      {at("wipe", 2, 2*s)},
+		"whoever acknowledges loses power":         {at("ackpower", 0, 2*s)},
+		"whoever acknowledges loses its disk":      {at("ackwipe", 0, 2*s)},
+		"all processes die while a view changes":   {at("power", 0, s), {At: 4100 * time.Millisecond, For: 500 * time.Millisecond, Kind: "viewall"}},
+		"head is heard by nobody":                  {at("oneway", 0, 4*s)},
+		"middle is cut off":                        {at("cut", 1, 4*s)},
+		"head's disk is full":                      {at("full", 0, 4*s)},
+		"tail's disk hangs":                        {at("stall", 2, 4*s)},
+		"head's disk hangs":                        {at("stall", 0, 4*s)},
+		"tail freezes":                             {at("freeze", 2, 4*s)},
+		"head freezes":                             {at("freeze", 0, 4*s)},
+		"a joiner dies half filled":                {at("wipe", 1, s), {At: 5900 * time.Millisecond, For: s, Kind: "kill", On: 1}},
+		"one is wiped, and another one after that": {at("wipe", 0, s), {At: 11 * s, For: s, Kind: "wipe", On: 1}, {At: 18 * s, For: s, Kind: "wipe", On: 2}},
+	}
+	for name, troubles := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range seeds(t, 12) {
+				r := Run(Schedule{Seed: seed, Machines: 3, Seeds: 3, Lasts: 20 * s, Troubles: troubles, Calls: 60, Loss: 0.002})
+				if len(r.Broken) > 0 {
+					t.Fatalf("seed %d:\n%s", seed, strings.Join(r.Trace, "\n"))
+				}
+			}
+		})
+	}
+}
+
+// TestMended measures how long a chain stays broken after a member falls silent.
+func TestMended(t *testing.T) {
+	var took []time.Duration
+	for _, kind := range []string{"power", "freeze", "cut"} {
+		for seed := range seeds(t, 34) {
+			r := Run(Schedule{Seed: seed, Machines: 3, Seeds: 3, Lasts: 8 * time.Second, Calls: 10,
+				Troubles: []Trouble{{At: 3*time.Second + time.Duration(seed)*7*time.Millisecond, For: 3 * time.Second, Kind: kind, On: int(seed) % 3}}})
+			took = append(took, r.Mended...)
+		}
+	}
+	slices.Sort(took)
+	if len(took) < 90 {
+		t.Fatalf("only %d views were seen to be mended", len(took))
+	}
+	t.Logf("mended within: median %v, nine in ten %v, all %v, of %d", took[len(took)/2], took[len(took)*9/10], took[len(took)-1], len(took))
+	if most := took[len(took)-1]; most > 1500*time.Millisecond {
+		t.Errorf("a view took %v to be mended", most)
+	}
+}
--- a/hive/view/view.go
+++ b/hive/view/view.go
@@ -357,6 +357,11 @@
 
 func (e *Engine) propose(now Time) {
 	next, ok := e.want(now)
+	if !ok && e.d.Value != nil && e.InTouch(now) && !e.sick {
+		// An agreement was begun and its proposer has gone: it may have been decided, so nobody who knows of it vouches
+		// for the present view, and no question can be answered until it is brought to an end.
+		next, ok = *e.d.Value, true
+	}
 	if !ok {
 		e.needed = 0
 		return
