Governors know each other by partial views shuffled between neighbours

Need: foragers and combs knew only the seeds of their settings and what their comb told; seeds may be down or have moved by the time of a restart. hive/neighbours shuffles (two views, so that foragers cannot crowd out combs), internal/waggle carries it in datagrams; combs greet, and foragers call, whom they came to know.

--- a/hive/core/core.go
+++ b/hive/core/core.go
@@ -170,6 +170,9 @@
 func (c *Core) Peers(now time.Duration) []view.Member   { return c.view.Peers(now) }
 func (c *Core) Heard(now time.Duration, id string) bool { return c.view.Heard(now, id) }
 
+// Meet tells of addresses where other machines may be; they are greeted.
+func (c *Core) Meet(addrs []string) { c.view.Meet(addrs) }
+
 // Tick lets time pass.
 func (c *Core) Tick(now time.Duration) Actions {
 	if c.busy && now-c.busySince > slowDisk {
--- a/hive/view/view.go
+++ b/hive/view/view.go
@@ -153,6 +153,9 @@
 	return &Engine{self: self, d: d, seeds: seeds, chance: chance, peers: map[string]*peer{}, ticked: -1}
 }
 
+// Meet replaces the addresses to greet until somebody is heard there.
+func (e *Engine) Meet(addrs []string) { e.seeds = addrs }
+
 // Vouches tells whether this machine knows of no view after number n that may have been decided.
 func (e *Engine) Vouches(n uint64) bool {
 	return e.d.View.N == n && e.d.Value == nil && e.d.View.In(e.self.ID)
--- a/internal/combd/combd.go
+++ b/internal/combd/combd.go
@@ -22,6 +22,7 @@
 
 	"zincloft.example/zincloft/hive/config"
 	"zincloft.example/zincloft/hive/core"
+	"zincloft.example/zincloft/hive/neighbours"
 	"zincloft.example/zincloft/hive/registry"
 	"zincloft.example/zincloft/hive/steer"
 	"zincloft.example/zincloft/hive/view"
@@ -29,10 +30,12 @@
 	"zincloft.example/zincloft/internal/cell"
 	"zincloft.example/zincloft/internal/link"
 	"zincloft.example/zincloft/internal/nodefile"
+	"zincloft.example/zincloft/internal/waggle"
 )
 
 const (
 	heldUp      = time.Second // between two ticks
+	meetEvery   = 2 * time.Second
 	tickEvery   = 100 * time.Millisecond
 	gossipEvery = time.Second
 	tellAgain   = 3 * time.Second        // changes are told to other combs for so long, as links lose some
@@ -77,6 +80,8 @@
 	counts   map[string]int
 	countAt  time.Duration
 	ticked   time.Duration
+	metAt    time.Duration
+	dance    *waggle.Dance
 	failed   chan error
 }
 
@@ -110,6 +115,14 @@
 	return netip.AddrPortFrom(c.set.IP, uint16(c.set.PortFirst)).String()
 }
 
+// seeds are where the combs of the settings file talk to governors.
+func (c *Comb) seeds() (all []string) {
+	for _, s := range c.set.Seeds {
+		all = append(all, netip.AddrPortFrom(s.Addr(), uint16(c.set.PortFirst)).String())
+	}
+	return all
+}
+
 // open reads the disk, or begins anew.
 func (c *Comb) open() error {
 	store, err := cell.Open(cell.Folder(c.set.DataDir))
@@ -126,10 +139,7 @@
 			return merry.Prepend(err, "reading the kept state")
 		}
 	}
-	var seeds []string
-	for _, s := range c.set.Seeds {
-		seeds = append(seeds, netip.AddrPortFrom(s.Addr(), uint16(c.set.PortFirst)).String())
-	}
+	seeds := c.seeds()
 	if k.Disk == "" {
 		k.Disk = c.addr() + "/0"
 		if !c.set.FirstStart { // this machine has lost its disk, and with it its word
@@ -201,6 +211,9 @@
 		}
 	}()
 	go c.accept(inner)
+	if c.dance, err = waggle.Start(ctx, neighbours.Node{Addr: c.addr(), Kind: neighbours.Comb, Zone: c.set.Zone}, c.seeds()); err != nil {
+		return err
+	}
 	c.do(c.core.Start(c.now()))
 	c.ticked = c.now()
 	ticks := time.NewTicker(tickEvery)
@@ -243,6 +256,14 @@
 		c.reg.Excuse(now)
 	}
 	c.ticked = now
+	if now-c.metAt > meetEvery {
+		c.metAt = now
+		var combs []string
+		for _, n := range c.dance.Known(neighbours.Comb) {
+			combs = append(combs, n.Addr)
+		}
+		c.core.Meet(append(c.seeds(), combs...))
+	}
 	c.do(c.core.Tick(now))
 	alone := !c.core.InTouch(now)
 	if alone != c.alone {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -74,7 +74,7 @@
 	at := func(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{Control: at(p[0]), done: make(chan error, 8), cancel: cancel}
-	inner := min(p[1], 65534)
+	inner := min(p[1], 65530)
 	run := func(r program.Runner, err error) error {
 		if err != nil {
 			return err
@@ -87,7 +87,7 @@
 	if err := os.MkdirAll(data, 0o700); err != nil {
 		return nil, merry.Prepend(err, "making the comb's folder")
 	}
-	set, err := nodefile.Parse([]byte(fmt.Sprintf(settings, "comb-1", data, "", "", g.Control, inner, inner+1, g.Control)))
+	set, err := nodefile.Parse([]byte(fmt.Sprintf(settings, "comb-1", data, "", "", g.Control, inner, inner+4, g.Control)))
 	if err == nil {
 		var c *combd.Comb
 		c, err = combd.New(set, program.Logger(w, "comb"))
@@ -95,7 +95,7 @@
 	}
 	for i := 0; i < 2 && err == nil; i++ {
 		front := at(p[2+2*i])
-		set, err = nodefile.Parse([]byte(fmt.Sprintf(settings, fmt.Sprintf("forager-%d", i+1), "", front, at(p[3+2*i]), "", inner, inner+1, g.Control)))
+		set, err = nodefile.Parse([]byte(fmt.Sprintf(settings, fmt.Sprintf("forager-%d", i+1), "", front, at(p[3+2*i]), "", inner, inner+4, g.Control)))
 		if err == nil {
 			var f *forager.Forager
 			f, err = forager.New(set, program.Logger(w, "forager"))
--- a/internal/forager/follow.go
+++ b/internal/forager/follow.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"zincloft.example/zincloft/hive/config"
+	"zincloft.example/zincloft/hive/neighbours"
 	"zincloft.example/zincloft/hive/registry"
 	"zincloft.example/zincloft/hive/view"
 	"zincloft.example/zincloft/hive/words"
@@ -27,6 +28,14 @@
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
+// seeds are where the combs of the settings file talk to governors.
+func (f *Forager) seeds() (all []string) {
+	for _, s := range f.set.Seeds {
+		all = append(all, netip.AddrPortFrom(s.Addr(), uint16(f.set.PortFirst)).String())
+	}
+	return all
+}
+
 // candidates are the combs to call, best first: those of the own zone, then the others by chance.
 func (f *Forager) candidates() []string {
 	f.mu.Lock()
@@ -39,8 +48,11 @@
 			far = append(far, m.Addr)
 		}
 	}
-	for _, s := range f.set.Seeds {
-		a := netip.AddrPortFrom(s.Addr(), uint16(f.set.PortFirst)).String()
+	also := f.seeds()
+	for _, n := range f.dance.Known(neighbours.Comb) {
+		also = append(also, n.Addr)
+	}
+	for _, a := range also {
 		if !slices.Contains(near, a) && !slices.Contains(far, a) {
 			far = append(far, a)
 		}
--- a/internal/forager/forager.go
+++ b/internal/forager/forager.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"runtime/debug"
 	"sync"
@@ -18,11 +19,13 @@
 	"github.com/phuslu/log"
 
 	"zincloft.example/zincloft/hive/config"
+	"zincloft.example/zincloft/hive/neighbours"
 	"zincloft.example/zincloft/hive/spread"
 	"zincloft.example/zincloft/hive/tries"
 	"zincloft.example/zincloft/hive/view"
 	"zincloft.example/zincloft/internal/nodefile"
 	"zincloft.example/zincloft/internal/replica"
+	"zincloft.example/zincloft/internal/waggle"
 )
 
 const (
@@ -46,6 +49,7 @@
 	server   *http.Server
 	frontLn  net.Listener
 	failed   chan error
+	dance    *waggle.Dance
 	gone     chan string // replicas whose address another one has
 
 	mu        sync.Mutex
@@ -140,6 +144,12 @@
 	defer readySrv.Close()
 	following, cancel := context.WithCancel(context.Background()) // also while it ends: drains still count
 	defer cancel()
+	for port := f.set.PortEnd; f.dance == nil; port-- { // another process of this machine may have some of them
+		self := neighbours.Node{Addr: netip.AddrPortFrom(f.set.IP, uint16(port)).String(), Kind: neighbours.Forager, Zone: f.set.Zone}
+		if f.dance, err = waggle.Start(following, self, f.seeds()); err != nil && port <= f.set.PortFirst {
+			return err
+		}
+	}
 	go f.follow(following)
 	f.log.Info().Str("event", "start").Str("name", f.set.Name).Str("zone", f.set.Zone).Str("front", f.set.Front).Msg("")
 	sweep, counts := time.NewTicker(sweepEvery), time.NewTicker(countsEvery)
