--- a/hive/spread/spread.go
+++ b/hive/spread/spread.go
@@ -20,7 +20,6 @@
 	badShare    = 0.5                     // of the newest tries spoilt, from which a replica gets only what others cannot take
 	beatenAfter = 300 * time.Millisecond  // a replica left before this was not slow
 	keepEnded   = time.Minute
-	tellAgain   = 250 * time.Millisecond // until there is room again, where nothing better is known
 )
 
 // Replica is one life of a replica as this governor sees it.
@@ -198,12 +197,14 @@
 	return float64(r.inflight) + r.others*fade
 }
 
-// fill is the share of a replica's slots that the next request would find taken.
+// Fill is how many requests to a slot a replica has by estimate.
+func (r *Replica) Fill(now time.Duration) float64 { return r.fill(now) }
+
 func (r *Replica) fill(now time.Duration) float64 { return r.busy(now) / float64(max(r.Slots, 1)) }
 
-// Pick chooses a replica of a service for a request that was not yet at those that tried names. If there is none
-// it tells after how long there may be one.
-func (s *Spread) Pick(now time.Duration, service string, tried func(string) bool, chance func() float64) (*Replica, time.Duration) {
+// Pick chooses a replica of a service for a request that was not yet at those that tried names, or nil. None is
+// chosen that has more requests to a slot than depth.
+func (s *Spread) Pick(now time.Duration, service string, tried func(string) bool, depth float64, chance func() float64) *Replica {
 	var near, far, cold, poor []*Replica
 	for _, r := range s.services[service] {
 		if r.Draining || s.out[r.Zone] || tried(r.ID) {
@@ -227,30 +228,29 @@
 	// Exception: bytes between zones cost, so the own zone's replicas go first while they have room. Weights still
 	// say how it is shared among them, and all share it by weight once they are full.
 	if r := best(now, near, nearRoom, chance); r != nil {
-		return r, 0
+		return r
 	}
 	if r := best(now, far, nearRoom, chance); r != nil {
-		return r, 0
+		return r
 	}
 	warm := append(near, far...)
-	if r := best(now, warm, queueShare, chance); r != nil {
-		return r, 0
+	if r := best(now, warm, min(queueShare, depth), chance); r != nil {
+		return r
 	}
 	if len(cold) > 0 {
-		r := cold[int(chance()*float64(len(cold)))%len(cold)]
-		return r, 0
+		return cold[int(chance()*float64(len(cold)))%len(cold)]
 	}
-	if r := best(now, warm, 1e9, chance); r != nil {
-		return r, 0
+	if r := best(now, warm, depth, chance); r != nil {
+		return r
 	}
-	if r := best(now, poor, 1e9, chance); r != nil { // nothing better is left: those may have come back
-		return r, 0
+	if len(warm) > 0 {
+		return nil
 	}
-	return nil, tellAgain
+	return best(now, poor, depth, chance) // nothing better is left: those may have come back
 }
 
 // Spare chooses as Pick does, but only a warm replica with free slots.
-func (s *Spread) Spare(now time.Duration, service string, tried func(string) bool, chance func() float64) (*Replica, time.Duration) {
+func (s *Spread) Spare(now time.Duration, service string, tried func(string) bool, chance func() float64) *Replica {
 	var near, far []*Replica
 	for _, r := range s.services[service] {
 		switch {
@@ -262,9 +262,9 @@
 		}
 	}
 	if r := best(now, near, nearRoom, chance); r != nil {
-		return r, 0
+		return r
 	}
-	return best(now, far, nearRoom, chance), tellAgain
+	return best(now, far, nearRoom, chance)
 }
 
 // best draws two replicas by weight and takes the less filled, among those filled less than most.
--- a/hive/spread/spread_test.go
+++ b/hive/spread/spread_test.go
@@ -24,7 +24,7 @@
 	r := rand.New(rand.NewPCG(1, 2))
 	out := map[string]int{}
 	for range n {
-		p, _ := x.Pick(now, "svc", nobody, r.Float64)
+		p := x.Pick(now, "svc", nobody, 1e9, r.Float64)
 		if p == nil {
 			out[""]++
 			continue
@@ -114,7 +114,7 @@
 				}
 			}
 			for _, x := range all {
-				if p, _ := x.Pick(now, "svc", nobody, r.Float64); p != nil {
+				if p := x.Pick(now, "svc", nobody, 1e9, r.Float64); p != nil {
 					x.Begin(now, p)
 					x.End(now, p, Good, time.Millisecond)
 					sent = append(sent, now)
--- a/internal/forager/forager.go
+++ b/internal/forager/forager.go
@@ -19,6 +19,7 @@
 	"github.com/phuslu/log"
 
 	"zincloft.example/zincloft/hive/config"
+	"zincloft.example/zincloft/hive/gate"
 	"zincloft.example/zincloft/hive/neighbours"
 	"zincloft.example/zincloft/hive/spread"
 	"zincloft.example/zincloft/hive/tries"
@@ -55,6 +56,7 @@
 	mu        sync.Mutex
 	spread    *spread.Spread
 	budgets   map[string]*tries.Budget
+	gates     map[string]*gate.Gate
 	requests  map[string]int
 	counts    map[string]int
 	seq       uint64 // of the register in force
@@ -69,7 +71,7 @@
 		return nil, merry.New("settings: network_settings.listen_addresses: a forager needs front and readiness")
 	}
 	return &Forager{set: set, log: logger, start: time.Now(), replicas: replica.NewPool(), spread: spread.New(set.Zone),
-		budgets: map[string]*tries.Budget{}, requests: map[string]int{}, counts: map[string]int{}, failed: make(chan error, 4), gone: make(chan string, 64)}, nil
+		budgets: map[string]*tries.Budget{}, gates: map[string]*gate.Gate{}, requests: map[string]int{}, counts: map[string]int{}, failed: make(chan error, 4), gone: make(chan string, 64)}, nil
 }
 
 func (f *Forager) now() time.Duration { return time.Since(f.start) }
@@ -86,22 +88,37 @@
 type picked struct {
 	r        *spread.Replica
 	ID, Addr string
+	service  string
+	fill     float64 // requests to a slot that it had
 }
 
-// pick chooses a replica and counts the request there. With spare set only one with free slots will do.
-func (f *Forager) pick(service string, had func(string) bool, spare bool) (picked, time.Duration) {
+// pick chooses a replica and counts the request there. With spare set only one with free slots will do. Where there
+// is none it tells when to come back.
+func (f *Forager) pick(service string, had func(string) bool, q gate.Request, spare bool) (picked, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	choose := f.spread.Pick
+	now := f.now()
+	g := f.gate(service)
+	var r *spread.Replica
 	if spare {
-		choose = f.spread.Spare
+		r = f.spread.Spare(now, service, had, f.chance)
+	} else {
+		r = f.spread.Pick(now, service, had, g.Depth(q), f.chance)
 	}
-	r, wait := choose(f.now(), service, had, f.chance)
 	if r == nil {
-		return picked{}, wait
+		return picked{}, g.Refused(q, f.chance())
 	}
-	f.spread.Begin(f.now(), r)
-	return picked{r, r.ID, r.Addr}, 0
+	g.Admitted()
+	fill := r.Fill(now)
+	f.spread.Begin(now, r)
+	return picked{r, r.ID, r.Addr, service, fill}, 0
+}
+
+func (f *Forager) gate(service string) *gate.Gate {
+	if f.gates[service] == nil {
+		f.gates[service] = gate.New()
+	}
+	return f.gates[service]
 }
 
 func (f *Forager) budget(service string) *tries.Budget {
--- a/internal/forager/front.go
+++ b/internal/forager/front.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"zincloft.example/zincloft/hive/config"
+	"zincloft.example/zincloft/hive/gate"
 	"zincloft.example/zincloft/hive/spread"
 	"zincloft.example/zincloft/hive/tries"
 	"zincloft.example/zincloft/internal/replica"
@@ -117,7 +118,7 @@
 	ends := make(chan attempt, route.MaxAttempts+tries.UnsentMost+1)
 	pending := 0
 	offer := func(spare bool) (bool, time.Duration) {
-		p, wait := f.pick(service, had, spare)
+		p, wait := f.pick(service, had, gate.Request{Route: route.Name, Target: route.Target, Priority: route.Priority, Left: time.Until(deadline)}, spare)
 		if p.ID == "" {
 			return false, wait
 		}
@@ -237,6 +238,9 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	f.spread.End(now, p.r, o, took)
+	if o == spread.Good {
+		f.gate(p.service).Answered(took, p.fill)
+	}
 	if res.Answer != nil && res.Answer.Status == http.StatusMisdirectedRequest && f.spread.Misdirected(now, p.ID) {
 		select {
 		case f.gone <- p.ID: // everybody is to know at once
