--- a/hive/gate/gate.go
+++ b/hive/gate/gate.go
@@ -12,7 +12,7 @@
 	targetPart  = 0.5  // of the target that work and waiting may take by estimate
 	rankPart    = 0.15 // of its depth that each lower rank gives up to the ranks above
 	rankMost    = 4
-	returnTimes = 1.15  // a client that comes back may queue so many times deeper
+	returnTimes = 1.15 // a client that comes back may queue so many times deeper
 	shallowest  = 1.0  // free slots are open to everyone
 	returnedAt  = 0.85 // of the longest deadline seen at a route: with less left, a request has been tried before
 	learn       = 0.05 // weight of a new sample
