--- a/internal/combd/combd.go
+++ b/internal/combd/combd.go
@@ -258,6 +258,9 @@
 	c.ticked = now
 	if now-c.metAt > meetEvery {
 		c.metAt = now
+		if nodefile.Changed() { // without a signal
+			c.reload()
+		}
 		var combs []string
 		for _, n := range c.dance.Known(neighbours.Comb) {
 			combs = append(combs, n.Addr)
--- a/internal/forager/forager.go
+++ b/internal/forager/forager.go
@@ -17,6 +17,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/go-chi/chi/v5"
 	"github.com/phuslu/log"
+	"golang.org/x/net/netutil"
 
 	"zincloft.example/zincloft/hive/config"
 	"zincloft.example/zincloft/hive/gate"
@@ -34,6 +35,8 @@
 	countsEvery = 10 * time.Second
 	leaveFor    = 2500 * time.Millisecond // after readiness falls, until the platform has noticed and looked elsewhere
 	leastGrace  = 300 * time.Millisecond  // of the grace period, kept for the end of the process itself
+	bodyPart    = 0.25                    // of the memory limit, for requests' bodies
+	connPart    = 0.7                     // of the descriptors, for clients
 	memoryPart  = 0.6                     // of the memory limit, the garbage collector's goal
 )
 
@@ -51,6 +54,7 @@
 	frontLn  net.Listener
 	failed   chan error
 	dance    *waggle.Dance
+	bodies   bodies
 	gone     chan string // replicas whose address another one has
 
 	mu        sync.Mutex
@@ -71,7 +75,8 @@
 		return nil, merry.New("settings: network_settings.listen_addresses: a forager needs front and readiness")
 	}
 	return &Forager{set: set, log: logger, start: time.Now(), replicas: replica.NewPool(), spread: spread.New(set.Zone),
-		budgets: map[string]*tries.Budget{}, gates: map[string]*gate.Gate{}, requests: map[string]int{}, counts: map[string]int{}, failed: make(chan error, 4), gone: make(chan string, 64)}, nil
+		budgets: map[string]*tries.Budget{}, gates: map[string]*gate.Gate{}, requests: map[string]int{}, counts: map[string]int{}, failed: make(chan error, 4), gone: make(chan string, 64),
+		bodies: bodies{most: int64(float64(set.MemoryMB<<20) * bodyPart)}}, nil
 }
 
 func (f *Forager) now() time.Duration { return time.Since(f.start) }
@@ -176,6 +181,9 @@
 			return merry.Prepend(err, "serving")
 		case <-sweep.C:
 			f.replicas.Sweep(time.Now())
+			if nodefile.Changed() { // without a signal
+				f.reload()
+			}
 		case <-counts.C:
 			f.logCounts()
 		case <-hup:
@@ -201,7 +209,7 @@
 			MaxHeaderBytes: int(c.Limits.HeaderBytes), ErrorLog: nil}
 		f.server.ErrorLog = f.log.Std("", 0)
 		go func() {
-			if err := f.server.Serve(f.frontLn); err != http.ErrServerClosed {
+			if err := f.server.Serve(netutil.LimitListener(f.frontLn, int(float64(f.set.Descriptors)*connPart))); err != http.ErrServerClosed {
 				f.failed <- err
 			}
 		}()
--- a/internal/forager/front.go
+++ b/internal/forager/front.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -22,6 +21,7 @@
 	lastMoment  = 10 * time.Millisecond  // an answer on time must still travel
 	comeBack    = 300 * time.Millisecond // until a refused client finds room, where nothing better is known
 	notYetReady = time.Second
+	writeMost   = 5 * time.Second // beyond its deadline, for a client to read its answer
 )
 
 // refuse answers that the request has not run and when to come again.
@@ -38,6 +38,8 @@
 // serve takes one request of a client through to its end.
 func (f *Forager) serve(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
+	control := http.NewResponseController(w)
+	control.SetWriteDeadline(began.Add(noDeadline + writeMost)) // the one of the request before still stands
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -60,28 +62,36 @@
 	if ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64); err == nil && ms > 0 {
 		most = min(most, time.Duration(ms*float64(time.Millisecond)))
 	}
-	body, status := readBody(w, r, c.Limits.BodyBytes)
-	if status != 0 {
-		f.count("body_" + strconv.Itoa(status))
-		finish(w, status)
+	// A client that sends or reads too slowly loses its connection; it may not hold one beyond its own deadline.
+	control.SetReadDeadline(began.Add(most))
+	control.SetWriteDeadline(began.Add(most + writeMost))
+	body, err := f.readBody(r, c.Limits.BodyBytes)
+	defer f.bodies.release(body)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		f.count("body_too_large")
+		w.Header().Set("Connection", "close")
+		finish(w, http.StatusRequestEntityTooLarge)
 		return
+	case errors.Is(err, errCrowded):
+		f.count("body_crowded")
+		w.Header().Set("Connection", "close")
+		refuse(w, http.StatusServiceUnavailable, comeBack)
+		return
+	case err != nil:
+		f.count("body_broken")
+		panic(http.ErrAbortHandler) // the rest never came: nobody waits for an answer
 	}
+	control.SetReadDeadline(time.Time{})
 	f.forward(w, r, route, body, began.Add(most-min(lastMoment, most/10)))
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, int) {
+func (f *Forager) readBody(r *http.Request, most int64) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
-		return nil, 0
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, http.StatusRequestEntityTooLarge
-	}
-	if err != nil {
-		return nil, http.StatusBadRequest
+		return nil, nil
 	}
-	return body, 0
+	return f.bodies.read(r.Body, r.ContentLength, most)
 }
 
 // attempt is a try's end.
--- a/internal/forager/front_test.go
+++ b/internal/forager/front_test.go
@@ -119,6 +119,15 @@
 			So(r.do("POST", "/x/1", strings.Repeat("x", 101)).Code, ShouldEqual, http.StatusRequestEntityTooLarge)
 			So(r.ran(), ShouldEqual, 0)
 		})
+		Convey("is refused while too many bytes of others are held, and its own are given back", func() {
+			r.f.bodies.most = 10
+			w := r.do("POST", "/x/1", "more than ten bytes")
+			So(w.Code, ShouldEqual, http.StatusServiceUnavailable)
+			So(w.Header().Get("Retry-After"), ShouldNotEqual, "")
+			So(r.ran(), ShouldEqual, 0)
+			So(r.do("POST", "/x/1", "few").Code, ShouldEqual, 200)
+			So(r.f.bodies.held.Load(), ShouldEqual, 0)
+		})
 		Convey("without a route is 404", func() {
 			So(r.do("POST", "/y/1", "").Code, ShouldEqual, http.StatusNotFound)
 		})
--- a/internal/nodefile/nodefile.go
+++ b/internal/nodefile/nodefile.go
@@ -7,6 +7,7 @@
 import (
 	"net/netip"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -121,9 +122,29 @@
 	if path == "" {
 		return nil, merry.Errorf("settings: %s is not set", Variable)
 	}
+	Changed() // from here on
 	return Read(path)
 }
 
+var seen struct {
+	sync.Mutex
+	size int64
+	at   time.Time
+}
+
+// Changed tells whether the file that Variable names is another one than when it was last asked for or loaded.
+func Changed() bool {
+	info, err := os.Stat(os.Getenv(Variable))
+	if err != nil {
+		return false
+	}
+	seen.Lock()
+	defer seen.Unlock()
+	changed := info.Size() != seen.size || !info.ModTime().Equal(seen.at)
+	seen.size, seen.at = info.Size(), info.ModTime()
+	return changed
+}
+
 // Read reads a settings file.
 func Read(path string) (*Settings, error) {
 	raw, err := os.ReadFile(path)
