--- a/cmd/beekeeper/main.go
+++ b/cmd/beekeeper/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,6 +16,8 @@
 	"github.com/integrii/flaggy"
 
 	"zincloft.example/zincloft/hive/config"
+	"zincloft.example/zincloft/hive/core"
+	"zincloft.example/zincloft/internal/cell"
 	"zincloft.example/zincloft/internal/demo"
 	"zincloft.example/zincloft/internal/program"
 )
@@ -44,6 +47,15 @@
 	put.AddPositionalValue(&file, "FILE", 2, true, "a configuration, in JSON")
 	show := verb("show", "print the newest configuration")
 	show.AddPositionalValue(&addr, "ADDRESS", 1, true, "a comb's control address")
+	inner := verb("core", "print how the core stands, as one comb knows: view, members, disks, lag")
+	inner.AddPositionalValue(&addr, "ADDRESS", 1, true, "any comb's control address")
+	store := verb("store", "read a comb's folder on disk, changing nothing: verify, or export as JSON")
+	verify, export := flaggy.NewSubcommand("verify"), flaggy.NewSubcommand("export")
+	verify.Description, export.Description = "check every copy; status 1 if none is whole", "print the newest whole copy"
+	verify.AddPositionalValue(&file, "FOLDER", 1, true, "data_directory of the comb")
+	export.AddPositionalValue(&file, "FOLDER", 1, true, "data_directory of the comb")
+	store.AttachSubcommand(verify, 1)
+	store.AttachSubcommand(export, 1)
 	evacuate := verb("evacuate", "have nothing more sent to the replicas of a zone")
 	evacuate.AddPositionalValue(&addr, "ADDRESS", 1, true, "a comb's control address")
 	evacuate.AddPositionalValue(&zone, "ZONE", 2, true, "the zone")
@@ -73,6 +85,12 @@
 		return call(out, addr, "configuration.replace", "", c.Raw)
 	case show.Used:
 		return call(out, addr, "configuration.describe", "", nil)
+	case inner.Used:
+		return call(out, addr, "core.describe", "", nil)
+	case verify.Used:
+		return inspect(out, file, false)
+	case export.Used:
+		return inspect(out, file, true)
 	case evacuate.Used:
 		return call(out, addr, "evacuations.start", zone, nil)
 	case restore.Used:
@@ -91,6 +109,58 @@
 	return config.Parse(raw)
 }
 
+// inspect reads what a comb keeps on disk.
+func inspect(out io.Writer, folder string, export bool) error {
+	copies, err := cell.Inspect(folder)
+	if err != nil {
+		return err
+	}
+	var newest *cell.Copy
+	for i, c := range copies {
+		if !export && c.Err != nil {
+			fmt.Fprintf(out, "%s: damaged: %v\n", c.Name, c.Err)
+		}
+		if c.Err != nil {
+			continue
+		}
+		if newest == nil || c.Number > newest.Number {
+			newest = &copies[i]
+		}
+		k, err := core.Decode(c.Values["state"])
+		if err != nil {
+			return merry.Prepend(err, c.Name)
+		}
+		if !export {
+			fmt.Fprintf(out, "%s: whole, write %d: disk %s, view %d, %d orders, version %08x, %d replicas\n", c.Name, c.Number, k.Disk, k.View.View.N,
+				k.Register.Seq, k.Register.Version, len(k.Lives))
+		}
+	}
+	if newest == nil {
+		return merry.Errorf("%s: no whole copy", folder)
+	}
+	if !export {
+		return nil
+	}
+	k, err := core.Decode(newest.Values["state"])
+	if err != nil {
+		return err
+	}
+	body, err := json.MarshalIndent(map[string]any{"disk": k.Disk, "view": k.View.View, "orders": k.Register.Seq, "evacuated": k.Register.Out,
+		"configuration": json.RawMessage(orNull(k.Register.Body)), "replicas": k.Lives}, "", "  ")
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s\n", body)
+	return nil
+}
+
+func orNull(body []byte) []byte {
+	if len(body) == 0 {
+		return []byte("null")
+	}
+	return body
+}
+
 func call(out io.Writer, addr, name, of string, body []byte) error {
 	client := &http.Client{Timeout: 5 * time.Second}
 	resp, err := client.Post("http://"+addr+"/api/rpc?call="+name+"&of="+of, "application/json", bytes.NewReader(body))
--- a/hive/apiary/apiary.go
+++ b/hive/apiary/apiary.go
@@ -48,9 +48,19 @@
 	Acked  int
 	Calls  int
 	Views  uint64
+	Ops    []Op
+	Took   []time.Duration // of orders, from the call that was answered to its acknowledgement
 	Mended []time.Duration // after a kill, freeze or cut of a member of the chain: until a view without it stood
 }
 
+// Op is one call of an operator, for a check of the whole history: a write raises the register to at least its version,
+// a read returns it.
+type Op struct {
+	Read      bool
+	Version   uint64
+	Call, End time.Duration // End 0: no clear answer
+}
+
 const (
 	tick     = 100 * time.Millisecond
 	catchUp  = 4 * time.Second
@@ -137,6 +147,8 @@
 	tries    int
 	done     bool
 	deadline time.Duration
+	asked    time.Duration // the try at hand
+	op       int           // of a write
 }
 
 type world struct {
@@ -476,6 +488,8 @@
 		c.version = uint64(10*int(w.now/(500*time.Millisecond)) + w.r.IntN(3))
 		c.body = fmt.Sprintf("v%d of call %d", c.version, n)
 		w.sent[c.body] = true
+		c.op = len(w.res.Ops)
+		w.res.Ops = append(w.res.Ops, Op{false, c.version, c.began, 0})
 	case k < 7:
 		c.zone, c.out = string(rune('a'+w.r.IntN(2))), w.r.IntN(2) == 0
 	default:
@@ -493,6 +507,7 @@
 		return
 	}
 	c.tries++
+	c.asked = w.now
 	m := w.ms[w.r.IntN(len(w.ms))]
 	if !m.up || m.frozen {
 		w.after(200*time.Millisecond, func() { w.again(c) })
@@ -543,12 +558,17 @@
 				fmt.Sscanf(s, "version %d", &version)
 			}
 		}
+		w.res.Ops = append(w.res.Ops, Op{true, version, c.began, w.now})
 		if version < c.floor {
 			w.broken("machine %d answers version %d, %d was acknowledged before it was asked", m.i, version, c.floor)
 		}
 		return
 	}
 	w.res.Acked++
+	w.res.Took = append(w.res.Took, w.now-c.asked)
+	if c.zone == "" {
+		w.res.Ops[c.op].End = w.now
+	}
 	for _, t := range w.onAck {
 		w.onAck, w.trouble = w.onAck[1:], w.now+t.For+restart
 		t.On, t.Kind = m.i, strings.TrimPrefix(t.Kind, "ack")
--- a/hive/apiary/apiary_test.go
+++ b/hive/apiary/apiary_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/anishathalye/porcupine"
 )
 
 // seeds is how many schedules are played; APIARY_SEEDS asks for more.
@@ -22,6 +24,30 @@
 	return uint64(usual)
 }
 
+// register is what operators should see of the core as a whole: one register that only grows.
+var register = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		op := input.(Op)
+		if op.Read {
+			return op.Version == state.(uint64), state
+		}
+		return true, max(state.(uint64), op.Version)
+	},
+}
+
+// history turns calls into what the check takes; a call without a clear answer may take effect until the end.
+func history(ops []Op) (h []porcupine.Operation) {
+	for i, op := range ops {
+		end := int64(op.End)
+		if op.End == 0 {
+			end = int64(time.Hour)
+		}
+		h = append(h, porcupine.Operation{ClientId: i, Input: op, Call: int64(op.Call), Return: end})
+	}
+	return h
+}
+
 func TestSchedules(t *testing.T) {
 	for _, machines := range []int{3, 5} {
 		t.Run(fmt.Sprint(machines), func(t *testing.T) {
@@ -30,6 +56,9 @@
 				s := Draw(seed, machines, 8, 25*time.Second)
 				r := Run(s)
 				acked, calls = acked+r.Acked, calls+r.Calls
+				if len(r.Broken) == 0 && !porcupine.CheckOperations(register, history(r.Ops)) {
+					t.Fatalf("seed %d: the calls do not add up to one register:\n%+v\n%s", seed, r.Ops, strings.Join(r.Trace, "\n"))
+				}
 				if len(r.Broken) > 0 {
 					s, r = Shrink(s)
 					t.Fatalf("seed %d, troubles %v:\n%s", seed, s.Troubles, strings.Join(r.Trace, "\n"))
@@ -99,3 +128,27 @@
 		t.Errorf("a view took %v to be mended", most)
 	}
 }
+
+// TestFigures prints what the results page quotes; -v shows it.
+func TestFigures(t *testing.T) {
+	for _, machines := range []int{3, 5, 7} {
+		for _, kind := range []string{"power", "freeze", "cut"} {
+			var took, acked []time.Duration
+			for seed := range seeds(t, 4) {
+				r := Run(Schedule{Seed: seed, Machines: machines, Seeds: 3, Lasts: 12 * time.Second, Calls: 20,
+					Troubles: []Trouble{{At: 6 * time.Second, For: 3 * time.Second, Kind: kind, On: int(seed) % machines}}})
+				if len(r.Broken) > 0 {
+					t.Fatalf("%d machines, %s, seed %d:\n%s", machines, kind, seed, strings.Join(r.Trace, "\n"))
+				}
+				took, acked = append(took, r.Mended...), append(acked, r.Took...)
+			}
+			slices.Sort(took)
+			slices.Sort(acked)
+			if len(took) == 0 {
+				t.Fatalf("%d machines, %s: nothing was mended", machines, kind)
+			}
+			t.Logf("%d machines, %s: mended p50 %v, p99 %v, most %v (%d); acknowledged p50 %v, p99 %v (%d)", machines, kind, took[len(took)/2],
+				took[len(took)*99/100], took[len(took)-1], len(took), acked[len(acked)/2], acked[len(acked)*99/100], len(acked))
+		}
+	}
+}
--- a/hive/core/core.go
+++ b/hive/core/core.go
@@ -4,6 +4,7 @@
 package core
 
 import (
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -118,6 +119,7 @@
 	orders map[uint64]*order
 	reads  map[uint64]*read
 	token  uint64
+	told   map[string]uint64 // what others said that they know to be committed
 	out    Actions
 }
 
@@ -130,7 +132,7 @@
 // New makes a core from what was on disk.
 func New(self view.Member, k Kept, seeds []string, chance func() float64, hints Hints) *Core {
 	c := &Core{view: view.New(self, k.View, seeds, chance), chain: chain.New(k.Disk, k.Register, k.SyncedIn), hints: hints,
-		orders: map[uint64]*order{}, reads: map[uint64]*read{}}
+		orders: map[uint64]*order{}, reads: map[uint64]*read{}, told: map[string]uint64{}}
 	c.hintRev = hints.Revision()
 	return c
 }
@@ -173,6 +175,67 @@
 // Meet tells of addresses where other machines may be; they are greeted.
 func (c *Core) Meet(addrs []string) { c.view.Meet(addrs) }
 
+// Standing is what an operator sees of the core from one machine.
+type Standing struct {
+	Self      string       `json:"self"`
+	InTouch   bool         `json:"in_touch"`
+	View      uint64       `json:"view"`
+	Version   string       `json:"version"`   // of the configuration that is committed here
+	Committed uint64       `json:"committed"` // orders
+	Held      uint64       `json:"held"`
+	Out       []string     `json:"evacuated"`
+	Disk      string       `json:"disk"`
+	Members   []MemberInfo `json:"members"`
+	Disks     int          `json:"disks"`  // that hold what is committed, as far as is known here
+	Enough    bool         `json:"enough"` // more than may be lost at once
+	Missing   string       `json:"missing,omitempty"`
+}
+
+// MemberInfo is one core machine.
+type MemberInfo struct {
+	ID    string `json:"id"`
+	Addr  string `json:"address"`
+	Zone  string `json:"zone,omitempty"`
+	Call  string `json:"control,omitempty"`
+	Place int    `json:"place"` // in the chain, from 0; -1: not in it
+	Fresh bool   `json:"fresh"` // may not be filled yet
+	Heard bool   `json:"heard"`
+	Lag   int64  `json:"lag"` // orders behind what is committed here, as it last told; -1: not told
+}
+
+// Describe tells how the core stands, as this machine knows.
+func (c *Core) Describe(now time.Duration) Standing {
+	v, self := c.view.View(), c.view.Self()
+	r, _ := c.chain.Committed()
+	s := Standing{Self: self.ID, InTouch: c.view.InTouch(now), View: v.N, Version: fmt.Sprintf("%08x", r.Version), Committed: r.Seq,
+		Held: c.chain.Held().Seq, Out: slices.Sorted(maps.Keys(r.Out)), Disk: "well"}
+	if c.sick {
+		s.Disk = "sick"
+	}
+	for _, m := range v.Roster {
+		if known, ok := c.view.Known(m.ID); ok {
+			m = known
+		}
+		i := MemberInfo{ID: m.ID, Addr: m.Addr, Zone: m.Zone, Call: m.Call, Place: v.Place(m.ID), Fresh: slices.Contains(v.Fresh, m.ID) && c.chain.CommittedIn() != v.N,
+			Heard: c.view.Heard(now, m.ID), Lag: -1}
+		if m.ID == self.ID {
+			i.Zone, i.Call, i.Heard, i.Lag = self.Zone, self.Call, true, 0
+		} else if seq, ok := c.told[m.ID]; ok {
+			i.Lag = max(int64(r.Seq)-int64(seq), 0)
+		}
+		if i.Place >= 0 && i.Heard && !i.Fresh && i.Lag == 0 {
+			s.Disks++
+		}
+		s.Members = append(s.Members, i)
+	}
+	if most := len(v.Roster) - v.Majority(); s.Disks > most {
+		s.Enough = true
+	} else {
+		s.Missing = fmt.Sprintf("%d of %d disks are known to hold what is committed; %d may be lost at once", s.Disks, len(v.Roster), most)
+	}
+	return s
+}
+
 // Tick lets time pass.
 func (c *Core) Tick(now time.Duration) Actions {
 	if c.busy && now-c.busySince > slowDisk {
@@ -197,6 +260,7 @@
 	case m.View != nil:
 		c.viewed(now, c.view.Receive(now, *m.View))
 		if k := m.Committed; k != nil {
+			c.told[from.ID] = k.Seq
 			c.chained(c.chain.Lacks(from.ID, k.Seq, k.Known))
 		}
 	case m.Chain != nil:
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -144,6 +144,45 @@
 	return h.Sum64()
 }
 
+// Copy is what one file of a store holds.
+type Copy struct {
+	Name   string
+	Number uint64            // of the write; the highest is the newest
+	Values map[string][]byte // nil where the file is damaged
+	Err    error
+}
+
+// Inspect reads a store's files without changing anything, also files that were set aside. It works beside a running
+// process: a copy that is being written shows as damaged.
+func Inspect(folder string) ([]Copy, error) {
+	names, err := filepath.Glob(filepath.Join(folder, "cell.*"))
+	if err != nil {
+		return nil, err
+	}
+	var all []Copy
+	for _, name := range names {
+		c := Copy{Name: filepath.Base(name)}
+		raw, err := os.ReadFile(name)
+		if err != nil {
+			c.Err = err
+			all = append(all, c)
+			continue
+		}
+		gen, db, err := decode(raw)
+		if c.Number, c.Err = gen, err; err == nil {
+			c.Values = map[string][]byte{}
+			db.View(func(tx *buntdb.Tx) error {
+				return tx.Ascend("", func(k, v string) bool {
+					c.Values[k] = []byte(v)
+					return true
+				})
+			})
+		}
+		all = append(all, c)
+	}
+	return all, nil
+}
+
 // Get returns a value, or none.
 func (c *Cell) Get(key string) (value []byte, ok bool) {
 	c.db.View(func(tx *buntdb.Tx) error {
--- a/internal/combd/calls.go
+++ b/internal/combd/calls.go
@@ -28,6 +28,7 @@
 		"instances.deregister":   c.deregister,
 		"configuration.replace":  c.replace,
 		"configuration.describe": c.describe,
+		"core.describe":          c.standing, // of this project, beside the protocol's
 		"evacuations.start":      func(w http.ResponseWriter, r *http.Request) { c.evacuate(w, r, true) },
 		"evacuations.finish":     func(w http.ResponseWriter, r *http.Request) { c.evacuate(w, r, false) },
 	}
@@ -176,6 +177,17 @@
 	return <-done
 }
 
+// standing tells an operator how the core stands, as this comb knows; also while it is out of touch.
+func (c *Comb) standing(w http.ResponseWriter, _ *http.Request) {
+	body, err := json.MarshalIndent(ask(c, func() core.Standing { return c.core.Describe(c.now()) }), "", "  ")
+	if err != nil {
+		say(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(body)
+}
+
 func (c *Comb) describe(w http.ResponseWriter, _ *http.Request) {
 	a := c.await(func() (uint64, core.Actions) { return c.core.Read(c.now()) })
 	switch a.Status {
