--- a/hive/spread/spread.go
+++ b/hive/spread/spread.go
@@ -19,6 +19,8 @@
 	queueShare  = 1.5                     // a replica with so many requests to each slot counts as full
 	badShare    = 0.5                     // of the newest tries spoilt, from which a replica gets only what others cannot take
 	beatenAfter = 300 * time.Millisecond  // a replica left before this was not slow
+	partOfAll   = 0.8                     // of a replica's connections, for those of its zone
+	partLeast   = 2
 	keepEnded   = time.Minute
 )
 
@@ -56,6 +58,7 @@
 	services map[string][]*Replica
 	out      map[string]bool
 	granted  map[string]float64
+	caps     map[string]int           // requests at once at one replica of a service, so that connections suffice for all
 	ended    map[string]time.Duration // ids that are not to come back: stale words of them may still arrive
 }
 
@@ -180,6 +183,21 @@
 	return true
 }
 
+// Caps sets how many requests this governor may have at one replica at once, by service: its part of the connections
+// that a replica accepts from all.
+func (s *Spread) Caps(caps map[string]int) { s.caps = caps }
+
+func (s *Spread) capped(r *Replica) bool {
+	most, ok := s.caps[r.Service]
+	return ok && r.inflight >= most
+}
+
+// Part is a governor's part of the connections that a replica accepts, among so many governors over so many zones:
+// most of a replica's requests come from its own zone.
+func Part(connections, governors, zones int) int {
+	return max(int(partOfAll*float64(connections))/max((governors+zones-1)/max(zones, 1), 1), partLeast)
+}
+
 // Cold tells whether a replica must be spared.
 func (r *Replica) Cold(now time.Duration) bool { return r.doubt || now < r.coldUntil }
 
@@ -207,7 +225,7 @@
 func (s *Spread) Pick(now time.Duration, service string, tried func(string) bool, depth float64, chance func() float64) *Replica {
 	var near, far, cold, poor []*Replica
 	for _, r := range s.services[service] {
-		if r.Draining || s.out[r.Zone] || tried(r.ID) {
+		if r.Draining || s.out[r.Zone] || tried(r.ID) || s.capped(r) {
 			continue
 		}
 		if r.Cold(now) {
@@ -254,7 +272,7 @@
 	var near, far []*Replica
 	for _, r := range s.services[service] {
 		switch {
-		case r.Draining || r.Silent || s.out[r.Zone] || tried(r.ID) || r.Cold(now) || now < r.outUntil || r.Weight <= 0 || r.spoilt > badShare:
+		case r.Draining || r.Silent || s.out[r.Zone] || tried(r.ID) || s.capped(r) || r.Cold(now) || now < r.outUntil || r.Weight <= 0 || r.spoilt > badShare:
 		case r.Zone == s.zone:
 			near = append(near, r)
 		default:
--- a/hive/spread/spread_test.go
+++ b/hive/spread/spread_test.go
@@ -75,6 +75,16 @@
 			So(picks(x, s, 100)["a1"], ShouldEqual, 0)
 			So(picks(x, 10*s, 100)["a1"], ShouldBeGreaterThan, 0)
 		})
+		Convey("no more requests are at one replica than its part of the connections allows", func() {
+			x.Caps(map[string]int{"svc": 2})
+			for range 6 {
+				x.Begin(s, x.Pick(s, "svc", nobody, 1e9, func() float64 { return 0.5 }))
+			}
+			So(x.Pick(s, "svc", nobody, 1e9, func() float64 { return 0.5 }), ShouldBeNil)
+			So(Part(93, 90, 3), ShouldEqual, 2)
+			So(Part(120, 10, 3), ShouldEqual, 24)
+			So(Part(0, 0, 0), ShouldEqual, partLeast)
+		})
 		Convey("a silent one is the last choice", func() {
 			l := life("a1", "a")
 			l.Silent = true
--- a/internal/forager/follow.go
+++ b/internal/forager/follow.go
@@ -12,6 +12,7 @@
 	"zincloft.example/zincloft/hive/config"
 	"zincloft.example/zincloft/hive/neighbours"
 	"zincloft.example/zincloft/hive/registry"
+	"zincloft.example/zincloft/hive/spread"
 	"zincloft.example/zincloft/hive/view"
 	"zincloft.example/zincloft/hive/words"
 	"zincloft.example/zincloft/internal/link"
@@ -191,6 +192,7 @@
 // take puts in force what a comb tells. Within a life nothing goes back: an older register is passed over.
 func (f *Forager) take(s *words.State) {
 	var c *config.Config
+	fresh := false
 	if len(s.Body) > 0 {
 		if held := f.config.Load(); held == nil || held.Version < s.Version {
 			var err error
@@ -223,11 +225,25 @@
 	if s.Foragers > 0 {
 		f.foragers = s.Foragers
 	}
+	if c == nil {
+		c = f.config.Load()
+	} else {
+		fresh = true
+	}
+	if c != nil && (fresh || s.Foragers > 0) {
+		caps := map[string]int{}
+		for name, svc := range c.Services {
+			if svc.MaxConnections > 0 {
+				caps[name] = spread.Part(svc.MaxConnections, f.foragers, len(f.set.Zones))
+			}
+		}
+		f.spread.Caps(caps)
+	}
 	f.mu.Unlock()
 	for _, id := range ended {
 		f.replicas.Drop(id)
 	}
-	if c != nil {
+	if fresh {
 		f.config.Store(c)
 		f.log.Info().Str("event", "config").Uint64("version", c.Version).Int("routes", c.Routes).Msg("")
 		f.open(c)
--- a/internal/forager/front.go
+++ b/internal/forager/front.go
@@ -109,7 +109,7 @@
 func (f *Forager) forward(w http.ResponseWriter, r *http.Request, route config.Route, body []byte, deadline time.Time) {
 	service := route.Pick(f.chance())
 	q := replica.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: replica.EndToEnd(r.Header), Body: body,
-		Attempt: r.Header.Get("X-Attempt-Id"), Deadline: deadline}
+		Attempt: r.Header.Get("X-Attempt-Id"), Deadline: deadline, Service: service}
 	var hedge <-chan time.Time
 	if route.Safe { // a safe request whose client left is dropped; an unsafe one is left to end
 		ctx, cancel := context.WithCancel(r.Context())
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -34,6 +34,10 @@
 	skipMost    = 3                      // surplus answers passed over on one connection
 	skipBytes   = 256 << 10
 	headBuffer  = 4 << 10
+	idleMost    = 30 * time.Second
+	atOnce      = 50 * time.Millisecond // a connection that was forgotten answers with a reset by then; later, work broke off
+	restLeast   = 20 * time.Millisecond
+	restDoubles = 5 * time.Second
 )
 
 // Request is what goes to a replica. The path, method and body are the client's.
@@ -42,7 +46,7 @@
 	Header            http.Header // without those that concern one connection
 	Body              []byte
 	Attempt           string // X-Attempt-Id
-	Instance          string
+	Instance, Service string
 	Deadline          time.Time
 	Stop              context.Context // ends the try, where the client has left and nothing is lost by that; may be nil
 }
@@ -67,6 +71,12 @@
 	Full    bool // NotRun: by the replica's own word
 }
 
+// rest is how long connections to a service's replicas may lie idle, where they were found forgotten sooner than told.
+type rest struct {
+	most time.Duration
+	at   time.Time
+}
+
 type conn struct {
 	net.Conn
 	raw       syscall.RawConn
@@ -75,17 +85,45 @@
 	idleMost  time.Duration
 	used      int
 	taint     bool
+	age       time.Duration // idle before this request; 0: it is new
 }
 
 // Pool keeps idle connections to replicas, by the replica's id: an address may pass to another.
 type Pool struct {
 	mu     sync.Mutex
 	idle   map[string][]*conn
-	Opened int64 // connections opened so far
+	rests  map[string]rest // by service
+	Opened int64           // connections opened so far
 }
 
 // NewPool makes an empty pool.
-func NewPool() *Pool { return &Pool{idle: map[string][]*conn{}} }
+func NewPool() *Pool { return &Pool{idle: map[string][]*conn{}, rests: map[string]rest{}} }
+
+// restMost is how idle a connection to a service may be. What was learnt is doubted more and more: twice as long is
+// tried after each restDoubles.
+func (p *Pool) restMost(service string, now time.Time) time.Duration {
+	r, ok := p.rests[service]
+	if !ok {
+		return idleMost
+	}
+	most := r.most << min(int(now.Sub(r.at)/restDoubles), 20)
+	if most >= idleMost || most <= 0 {
+		delete(p.rests, service)
+		return idleMost
+	}
+	return most
+}
+
+// forgotten learns that a replica of a service had forgotten a connection idle for so long, without a word. The next
+// unsafe request on such a one would be a doubt that can be told to nobody but the client.
+func (p *Pool) forgotten(service string, age time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if most := max(age/2, restLeast); most < p.restMost(service, now) {
+		p.rests[service] = rest{most, now}
+	}
+}
 
 // Drop closes the idle connections to a replica.
 func (p *Pool) Drop(id string) {
@@ -123,10 +161,11 @@
 	}
 }
 
-func (p *Pool) take(id string) *conn {
+func (p *Pool) take(id, service string) *conn {
 	now := time.Now()
 	for {
 		p.mu.Lock()
+		most := p.restMost(service, now)
 		list := p.idle[id]
 		if len(list) == 0 {
 			p.mu.Unlock()
@@ -135,7 +174,7 @@
 		c := list[len(list)-1]
 		p.idle[id] = list[:len(list)-1]
 		p.mu.Unlock()
-		if now.Sub(c.idleSince) <= c.idleMost && c.quiet() {
+		if c.age = now.Sub(c.idleSince); c.age <= min(c.idleMost, most) && c.quiet() {
 			return c
 		}
 		c.Close()
@@ -185,7 +224,7 @@
 
 // Do sends a request to the replica at addr and waits for its answer.
 func (p *Pool) Do(id, addr string, q *Request) Result {
-	c := p.take(id)
+	c := p.take(id, q.Service)
 	if c == nil {
 		var err error
 		if c, err = p.dial(addr, q.Deadline); err != nil {
@@ -197,7 +236,11 @@
 	if q.Stop != nil {
 		stop = context.AfterFunc(q.Stop, func() { c.SetDeadline(time.Unix(1, 0)) })
 	}
+	sent := time.Now()
 	res, keep := c.exchange(q)
+	if c.age > 0 && time.Since(sent) < atOnce && (res.Cause == "broken" || res.Cause == "closed" || res.Cause == "write") && q.Service != "" {
+		p.forgotten(q.Service, c.age)
+	}
 	if !stop() && q.Stop.Err() != nil {
 		keep = false
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -70,6 +70,21 @@
 			So(do("2").Verdict, ShouldEqual, tries.Answered)
 			So(r.Opens(), ShouldEqual, 2)
 		})
+		// Guards replicas that forget idle connections sooner than they tell: what is sent next is a doubt.
+		Convey("a connection found forgotten teaches how idle is too idle, for a while", func() {
+			q := func(id string) *Request {
+				q := request(id, time.Second)
+				q.Service = "svc"
+				return q
+			}
+			So(p.Do("i1", r.Addr(), q("1")).Verdict, ShouldEqual, tries.Answered)
+			p.idle["i1"][0].idleSince = time.Now().Add(-time.Second)
+			r.Then(upstream.Lost)
+			So(p.Do("i1", r.Addr(), q("2")).Verdict, ShouldEqual, tries.MayHaveRun)
+			So(p.restMost("svc", time.Now()), ShouldBeBetween, 400*time.Millisecond, 600*time.Millisecond)
+			So(p.restMost("other", time.Now()), ShouldEqual, idleMost)
+			So(p.restMost("svc", time.Now().Add(time.Minute)), ShouldEqual, idleMost)
+		})
 		Convey("silence ends at the deadline, as a doubt", func() {
 			r.Then(upstream.Silent)
 			res := p.Do("i1", r.Addr(), request("1", 50*time.Millisecond))
