A replica that breaks under one forager is told to all, and earns its way back slower each time

Ruled out: silence of beats (5.4 s) and the module's reviews (a second): both slower than the flapping.

--- a/hive/spread/spread.go
+++ b/hive/spread/spread.go
@@ -41,6 +41,7 @@
 	others   float64 // requests that others had there when it last told
 	toldAt   time.Duration
 	outUntil time.Duration
+	hearsay  time.Duration // the part of it that others told of
 	fails    int
 	spoilt   float64 // moving share of tries that brought nothing
 
@@ -343,13 +344,21 @@
 	Left                    // the client left
 )
 
+// Fell takes the word that a replica broke under somebody: it is the last choice for a while.
+func (s *Spread) Fell(now time.Duration, id string, span time.Duration) {
+	if r := s.all[id]; r != nil {
+		r.outUntil = max(r.outUntil, now+span)
+		r.hearsay = max(r.hearsay, now+span)
+	}
+}
+
 // End counts a try's outcome.
 func (s *Spread) End(now time.Duration, r *Replica, o Outcome, took time.Duration) {
 	r.inflight--
 	bad := 0.0
 	switch o {
 	case Good:
-		r.fails, r.outUntil = 0, 0
+		r.fails, r.outUntil = 0, r.hearsay // an answer of before the fall does not undo it
 		r.Good++
 		r.Took += took
 	case Left: // or beaten by another; a second time without a good answer between tells something
--- a/hive/words/words.go
+++ b/hive/words/words.go
@@ -3,6 +3,7 @@
 
 import (
 	"zincloft.example/zincloft/hive/chain"
+	"zincloft.example/zincloft/hive/falls"
 	"zincloft.example/zincloft/hive/registry"
 	"zincloft.example/zincloft/hive/view"
 )
@@ -53,6 +54,7 @@
 	Foragers int             `cbor:"9,keyasint,omitempty"` // known over all combs
 	Grants   []Line          `cbor:"10,keyasint,omitempty"`
 	Granted  bool            `cbor:"11,keyasint,omitempty"` // Grants are all that hold
+	Fell     []falls.Out     `cbor:"13,keyasint,omitempty"`
 	Young    bool            `cbor:"12,keyasint,omitempty"` // the comb has just started and may not know all lives
 }
 
@@ -75,6 +77,7 @@
 	Failed   map[string]int  `cbor:"4,keyasint,omitempty"`
 	Lives    []registry.Life `cbor:"5,keyasint,omitempty"` // what it was told, to a comb that may not know
 	Seq      uint64          `cbor:"6,keyasint,omitempty"`
+	Falls    []falls.Word    `cbor:"8,keyasint,omitempty"`
 	Gone     []string        `cbor:"7,keyasint,omitempty"` // another replica answered at their addresses
 }
 
--- a/internal/combd/combd.go
+++ b/internal/combd/combd.go
@@ -22,6 +22,7 @@
 
 	"zincloft.example/zincloft/hive/config"
 	"zincloft.example/zincloft/hive/core"
+	"zincloft.example/zincloft/hive/falls"
 	"zincloft.example/zincloft/hive/neighbours"
 	"zincloft.example/zincloft/hive/registry"
 	"zincloft.example/zincloft/hive/steer"
@@ -82,6 +83,7 @@
 	ticked   time.Duration
 	metAt    time.Duration
 	dance    *waggle.Dance
+	falls    *falls.Falls
 	failed   chan error
 }
 
@@ -100,7 +102,7 @@
 	}
 	site := steer.Site{Seed: mrand.Uint64(), Zone: set.Zone, Zones: sortedKeys(set.Zones), Combs: max(len(set.Seeds), 1),
 		LinkMbps: set.LinkMbps, DrainGrace: set.Bounds.DrainDeadline}
-	return &Comb{set: set, steer: steer.New(site), log: logger, start: time.Now(), loop: make(chan func(), 1024), peers: map[string]*link.Peer{},
+	return &Comb{set: set, steer: steer.New(site), falls: falls.New(), log: logger, start: time.Now(), loop: make(chan func(), 1024), peers: map[string]*link.Peer{},
 		waiting: map[uint64]chan core.Answer{}, streams: map[*link.Conn]*stream{}, fleets: map[string]int{},
 		touched: map[string]bool{}, counts: map[string]int{}, failed: make(chan error, 4),
 		alone: true, reg: registry.New(time.Duration(silentBeats * float64(set.Heartbeat)))}, nil
@@ -258,6 +260,7 @@
 	c.ticked = now
 	if now-c.metAt > meetEvery {
 		c.metAt = now
+		c.falls.Forget(now)
 		if nodefile.Changed() { // without a signal
 			c.reload()
 		}
@@ -418,6 +421,10 @@
 	if m.Fleet != nil {
 		c.fleets[from.ID] = m.Fleet.Foragers
 	}
+	for _, o := range m.Fell {
+		c.falls.Heard(now, o)
+		c.fell(o)
+	}
 	if len(m.Lives) > 0 {
 		if news, urgent := c.reg.Merge(now, m.Lives); news {
 			c.tell(now, urgent)
--- a/internal/combd/streams.go
+++ b/internal/combd/streams.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"zincloft.example/zincloft/hive/chain"
+	"zincloft.example/zincloft/hive/falls"
 	"zincloft.example/zincloft/hive/registry"
 	"zincloft.example/zincloft/hive/view"
 	"zincloft.example/zincloft/hive/words"
@@ -85,6 +86,15 @@
 func (c *Comb) reported(s *stream, r *words.Report) {
 	now := c.now()
 	c.steer.Report(now, s.name, r)
+	for _, w := range r.Falls {
+		if o, ok := c.falls.Told(now, s.name, w, c.peersOf(now, w.Replica)); ok {
+			c.log.Info().Str("event", "fell").Str("id", o.Replica).Int64("out_ms", o.Millis).Str("by", s.name).Msg("")
+			c.fell(o)
+			for _, m := range c.core.Peers(now) {
+				c.to(m.Addr, &link.Msg{Fell: []falls.Out{o}})
+			}
+		}
+	}
 	for _, id := range r.Gone {
 		if c.reg.Leave(now, id) {
 			c.log.Info().Str("event", "gone").Str("id", id).Str("by", s.name).Msg("")
@@ -99,6 +109,35 @@
 	}
 }
 
+// peersOf lists the replicas in use of the service that one is of.
+func (c *Comb) peersOf(now time.Duration, id string) (peers []string) {
+	service := ""
+	c.reg.Each(now, func(l registry.Life) {
+		if l.ID == id {
+			service = l.Service
+		}
+	})
+	c.reg.Each(now, func(l registry.Life) {
+		if l.Service == service && !l.Draining && !l.Silent {
+			peers = append(peers, l.ID)
+		}
+	})
+	return peers
+}
+
+// fell tells the foragers of a replica that broke.
+func (c *Comb) fell(o falls.Out) {
+	b, err := link.Frame(&link.Msg{State: &words.State{Fell: []falls.Out{o}}})
+	if err != nil {
+		return
+	}
+	for _, s := range c.streams {
+		if s.whole {
+			s.conn.Send(b)
+		}
+	}
+}
+
 func (c *Comb) young(now time.Duration) bool {
 	return now < time.Duration(youngFor*float64(c.set.Heartbeat))
 }
--- a/internal/forager/follow.go
+++ b/internal/forager/follow.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"zincloft.example/zincloft/hive/config"
+	"zincloft.example/zincloft/hive/falls"
 	"zincloft.example/zincloft/hive/neighbours"
 	"zincloft.example/zincloft/hive/registry"
 	"zincloft.example/zincloft/hive/spread"
@@ -157,6 +158,8 @@
 		select {
 		case <-done:
 			return
+		case w := <-f.fell:
+			send(&link.Msg{Report: &words.Report{Falls: []falls.Word{w}}})
 		case id := <-f.gone:
 			f.replicas.Drop(id)
 			send(&link.Msg{Report: &words.Report{Gone: []string{id}}})
@@ -219,6 +222,9 @@
 		}
 		f.spread.Grants(now, grants)
 	}
+	for _, o := range s.Fell {
+		f.spread.Fell(now, o.Replica, time.Duration(o.Millis)*time.Millisecond)
+	}
 	if len(s.Combs) > 0 {
 		f.combs = s.Combs
 	}
--- a/internal/forager/forager.go
+++ b/internal/forager/forager.go
@@ -20,6 +20,7 @@
 	"golang.org/x/net/netutil"
 
 	"zincloft.example/zincloft/hive/config"
+	"zincloft.example/zincloft/hive/falls"
 	"zincloft.example/zincloft/hive/gate"
 	"zincloft.example/zincloft/hive/neighbours"
 	"zincloft.example/zincloft/hive/spread"
@@ -55,7 +56,9 @@
 	failed   chan error
 	dance    *waggle.Dance
 	bodies   bodies
-	gone     chan string // replicas whose address another one has
+	fell     chan falls.Word
+	told     map[string]time.Duration // when the comb was told of a replica that broke; under mu
+	gone     chan string              // replicas whose address another one has
 
 	mu        sync.Mutex
 	spread    *spread.Spread
@@ -76,6 +79,7 @@
 	}
 	return &Forager{set: set, log: logger, start: time.Now(), replicas: replica.NewPool(), spread: spread.New(set.Zone),
 		budgets: map[string]*tries.Budget{}, gates: map[string]*gate.Gate{}, requests: map[string]int{}, counts: map[string]int{}, failed: make(chan error, 4), gone: make(chan string, 64),
+		fell: make(chan falls.Word, 64), told: map[string]time.Duration{},
 		bodies: bodies{most: int64(float64(set.MemoryMB<<20) * bodyPart)}}, nil
 }
 
--- a/internal/forager/front.go
+++ b/internal/forager/front.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"zincloft.example/zincloft/hive/config"
+	"zincloft.example/zincloft/hive/falls"
 	"zincloft.example/zincloft/hive/gate"
 	"zincloft.example/zincloft/hive/spread"
 	"zincloft.example/zincloft/hive/tries"
@@ -21,7 +22,8 @@
 	lastMoment  = 10 * time.Millisecond  // an answer on time must still travel
 	comeBack    = 300 * time.Millisecond // until a refused client finds room, where nothing better is known
 	notYetReady = time.Second
-	writeMost   = 5 * time.Second // beyond its deadline, for a client to read its answer
+	tellFalls   = 400 * time.Millisecond // between two words of the same replica
+	writeMost   = 5 * time.Second        // beyond its deadline, for a client to read its answer
 )
 
 // refuse answers that the request has not run and when to come again.
@@ -251,6 +253,9 @@
 	if o == spread.Good {
 		f.gate(p.service).Answered(took, p.fill)
 	}
+	if o == spread.Silent || o == spread.Uncalled {
+		f.broke(now, falls.Word{Replica: p.ID, Refused: res.Refused})
+	}
 	if res.Answer != nil && res.Answer.Status == http.StatusMisdirectedRequest && f.spread.Misdirected(now, p.ID) {
 		select {
 		case f.gone <- p.ID: // everybody is to know at once
@@ -262,6 +267,21 @@
 	}
 }
 
+// broke tells the comb of a replica that broke, once in a while.
+func (f *Forager) broke(now time.Duration, w falls.Word) {
+	if at, ok := f.told[w.Replica]; ok && now-at < tellFalls {
+		return
+	}
+	if len(f.told) > 1024 {
+		clear(f.told)
+	}
+	f.told[w.Replica] = now
+	select {
+	case f.fell <- w:
+	default:
+	}
+}
+
 func loadOf(now time.Duration, r *spread.Replica, h http.Header) {
 	v := h.Get("X-Instance-Load")
 	if v == "" {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"zincloft.example/zincloft/hive/core"
+	"zincloft.example/zincloft/hive/falls"
 	"zincloft.example/zincloft/hive/registry"
 	"zincloft.example/zincloft/hive/words"
 )
@@ -36,6 +37,7 @@
 	State  *words.State    `cbor:"4,keyasint,omitempty"`
 	Report *words.Report   `cbor:"5,keyasint,omitempty"`
 	Fleet  *words.Fleet    `cbor:"6,keyasint,omitempty"`
+	Fell   []falls.Out     `cbor:"7,keyasint,omitempty"`
 }
 
 var decMode = func() cbor.DecMode {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -68,6 +68,7 @@
 	Cause   string // for counts; empty: answered
 	Unsent  bool   // nothing was sent
 	Expired bool
+	Refused bool // nobody listens at the address
 	Full    bool // NotRun: by the replica's own word
 }
 
@@ -228,7 +229,7 @@
 	if c == nil {
 		var err error
 		if c, err = p.dial(addr, q.Deadline); err != nil {
-			return Result{Verdict: tries.NotRun, Cause: "dial", Unsent: true, Expired: !time.Now().Before(q.Deadline)}
+			return Result{Verdict: tries.NotRun, Cause: "dial", Unsent: true, Refused: errors.Is(err, syscall.ECONNREFUSED), Expired: !time.Now().Before(q.Deadline)}
 		}
 	}
 	c.SetDeadline(q.Deadline)
