--- a/hive/spread/spread.go
+++ b/hive/spread/spread.go
@@ -221,10 +221,9 @@
 
 func (r *Replica) fill(now time.Duration) float64 { return r.busy(now) / float64(max(r.Slots, 1)) }
 
-// Pick chooses a replica of a service for a request that was not yet at those that tried names, or nil. None is
-// chosen that has more requests to a slot than depth.
-func (s *Spread) Pick(now time.Duration, service string, tried func(string) bool, depth float64, chance func() float64) *Replica {
-	var near, far, cold, poor []*Replica
+// sorted lists the replicas that a request may go to: warm ones of the own zone and of others, cold ones for which there
+// is a token, and those that are doubted.
+func (s *Spread) sorted(now time.Duration, service string, tried func(string) bool) (near, far, cold, poor []*Replica) {
 	for _, r := range s.services[service] {
 		if r.Draining || s.out[r.Zone] || tried(r.ID) || s.capped(r) {
 			continue
@@ -244,6 +243,13 @@
 			far = append(far, r)
 		}
 	}
+	return near, far, cold, poor
+}
+
+// Pick chooses a replica of a service for a request that was not yet at those that tried names, or nil. None is
+// chosen that has more requests to a slot than depth.
+func (s *Spread) Pick(now time.Duration, service string, tried func(string) bool, depth float64, chance func() float64) *Replica {
+	near, far, cold, poor := s.sorted(now, service, tried)
 	// Exception: bytes between zones cost, so the own zone's replicas go first while they have room. Weights still
 	// say how it is shared among them, and all share it by weight once they are full.
 	if r := best(now, near, nearRoom, chance); r != nil {
@@ -270,16 +276,7 @@
 
 // Spare chooses as Pick does, but only a warm replica with free slots.
 func (s *Spread) Spare(now time.Duration, service string, tried func(string) bool, chance func() float64) *Replica {
-	var near, far []*Replica
-	for _, r := range s.services[service] {
-		switch {
-		case r.Draining || r.Silent || s.out[r.Zone] || tried(r.ID) || s.capped(r) || r.Cold(now) || now < r.outUntil || r.Weight <= 0 || r.spoilt > badShare:
-		case r.Zone == s.zone:
-			near = append(near, r)
-		default:
-			far = append(far, r)
-		}
-	}
+	near, far, _, _ := s.sorted(now, service, tried)
 	if r := best(now, near, nearRoom, chance); r != nil {
 		return r
 	}
--- a/internal/combd/combd.go
+++ b/internal/combd/combd.go
@@ -77,7 +77,6 @@
 	revs     []revAt
 	touched  map[string]bool // peers in touch at the last gossip
 	alone    bool
-	inTouch  time.Duration // last time that this comb was
 	counts   map[string]int
 	countAt  time.Duration
 	ticked   time.Duration
@@ -284,7 +283,6 @@
 		}
 	}
 	if !alone {
-		c.inTouch = now
 		for _, id := range c.reg.Expire(now) {
 			c.log.Info().Str("event", "replica_silent").Str("id", id).Msg("")
 		}
--- a/internal/forager/forager.go
+++ b/internal/forager/forager.go
@@ -60,16 +60,15 @@
 	told     map[string]time.Duration // when the comb was told of a replica that broke; under mu
 	gone     chan string              // replicas whose address another one has
 
-	mu        sync.Mutex
-	spread    *spread.Spread
-	budgets   map[string]*tries.Budget
-	gates     map[string]*gate.Gate
-	requests  map[string]int
-	counts    map[string]int
-	seq       uint64 // of the register in force
-	combs     []view.Member
-	foragers  int
-	reportSeq uint64
+	mu       sync.Mutex
+	spread   *spread.Spread
+	budgets  map[string]*tries.Budget
+	gates    map[string]*gate.Gate
+	requests map[string]int
+	counts   map[string]int
+	seq      uint64 // of the register in force
+	combs    []view.Member
+	foragers int
 }
 
 // New makes a forager from its settings.
