After a last read: one way for ends and seeds, dead code out, whole states always whole

A whole state could in principle go out without its replicas where a stream waits and the next round is not due; none was seen.

--- a/hive/spread/spread.go
+++ b/hive/spread/spread.go
@@ -202,9 +202,6 @@
 // Cold tells whether a replica must be spared.
 func (r *Replica) Cold(now time.Duration) bool { return r.doubt || now < r.coldUntil }
 
-// Warms turns a replica cold for a time that it told itself.
-func (r *Replica) Chill(now, left time.Duration) { r.coldUntil = max(r.coldUntil, now+left) }
-
 func (r *Replica) refill(now time.Duration) {
 	r.tokens = min(r.tokens+r.grant*(now-r.tokensAt).Seconds(), 1)
 	r.tokensAt = now
--- a/internal/combd/calls.go
+++ b/internal/combd/calls.go
@@ -124,11 +124,7 @@
 		if !c.core.InTouch(now) {
 			return false
 		}
-		if c.reg.Leave(now, id) {
-			c.log.Info().Str("event", "gone").Str("id", id).Msg("")
-			c.gossipNow(now, []registry.Life{{ID: id, Gone: true}})
-			c.tell(now, true)
-		}
+		c.gone(now, id, "itself")
 		return true
 	})
 	if !ok {
--- a/internal/combd/combd.go
+++ b/internal/combd/combd.go
@@ -77,8 +77,6 @@
 	revs     []revAt
 	touched  map[string]bool // peers in touch at the last gossip
 	alone    bool
-	counts   map[string]int
-	countAt  time.Duration
 	ticked   time.Duration
 	metAt    time.Duration
 	dance    *waggle.Dance
@@ -103,7 +101,7 @@
 		LinkMbps: set.LinkMbps, DrainGrace: set.Bounds.DrainDeadline}
 	return &Comb{set: set, steer: steer.New(site), falls: falls.New(), log: logger, start: time.Now(), loop: make(chan func(), 1024), peers: map[string]*link.Peer{},
 		waiting: map[uint64]chan core.Answer{}, streams: map[*link.Conn]*stream{}, fleets: map[string]int{},
-		touched: map[string]bool{}, counts: map[string]int{}, failed: make(chan error, 4),
+		touched: map[string]bool{}, failed: make(chan error, 4),
 		alone: true, reg: registry.New(time.Duration(silentBeats * float64(set.Heartbeat)))}, nil
 }
 
@@ -116,14 +114,6 @@
 	return netip.AddrPortFrom(c.set.IP, uint16(c.set.PortFirst)).String()
 }
 
-// seeds are where the combs of the settings file talk to governors.
-func (c *Comb) seeds() (all []string) {
-	for _, s := range c.set.Seeds {
-		all = append(all, netip.AddrPortFrom(s.Addr(), uint16(c.set.PortFirst)).String())
-	}
-	return all
-}
-
 // open reads the disk, or begins anew.
 func (c *Comb) open() error {
 	store, err := cell.Open(cell.Folder(c.set.DataDir))
@@ -140,7 +130,7 @@
 			return merry.Prepend(err, "reading the kept state")
 		}
 	}
-	seeds := c.seeds()
+	seeds := c.set.Governors()
 	if k.Disk == "" {
 		k.Disk = c.addr() + "/0"
 		if !c.set.FirstStart { // this machine has lost its disk, and with it its word
@@ -212,7 +202,7 @@
 		}
 	}()
 	go c.accept(inner)
-	if c.dance, err = waggle.Start(ctx, neighbours.Node{Addr: c.addr(), Kind: neighbours.Comb, Zone: c.set.Zone}, c.seeds()); err != nil {
+	if c.dance, err = waggle.Start(ctx, neighbours.Node{Addr: c.addr(), Kind: neighbours.Comb, Zone: c.set.Zone}, c.set.Governors()); err != nil {
 		return err
 	}
 	c.do(c.core.Start(c.now()))
@@ -267,7 +257,7 @@
 		for _, n := range c.dance.Known(neighbours.Comb) {
 			combs = append(combs, n.Addr)
 		}
-		c.core.Meet(append(c.seeds(), combs...))
+		c.core.Meet(append(c.set.Governors(), combs...))
 	}
 	c.do(c.core.Tick(now))
 	alone := !c.core.InTouch(now)
@@ -290,15 +280,6 @@
 	c.gossip(now)
 	c.steer.Tick(now)
 	c.tell(now, false)
-	if now-c.countAt > 10*time.Second && len(c.counts) > 0 {
-		c.countAt = now
-		e := c.log.Info().Str("event", "counts")
-		for _, k := range sortedKeys(c.counts) {
-			e = e.Int(k, c.counts[k])
-		}
-		e.Msg("")
-		clear(c.counts)
-	}
 }
 
 // do carries out what the core has decided.
--- a/internal/combd/streams.go
+++ b/internal/combd/streams.go
@@ -19,8 +19,6 @@
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
-func sortedUnique(s []string) []string { return slices.Compact(slices.Sorted(slices.Values(s))) }
-
 // coldPart is the part of what a cold replica bears that is dealt out.
 const coldPart = 0.9
 
@@ -96,11 +94,7 @@
 		}
 	}
 	for _, id := range r.Gone {
-		if c.reg.Leave(now, id) {
-			c.log.Info().Str("event", "gone").Str("id", id).Str("by", s.name).Msg("")
-			c.gossipNow(now, []registry.Life{{ID: id, Gone: true}})
-			c.tell(now, true)
-		}
+		c.gone(now, id, s.name)
 	}
 	if len(r.Lives) > 0 {
 		if news, urgent := c.reg.Merge(now, r.Lives); news {
@@ -109,6 +103,15 @@
 	}
 }
 
+// gone takes a replica's end, by its own word or a forager's proof, and tells everybody at once.
+func (c *Comb) gone(now time.Duration, id, by string) {
+	if c.reg.Leave(now, id) {
+		c.log.Info().Str("event", "gone").Str("id", id).Str("by", by).Msg("")
+		c.gossipNow(now, []registry.Life{{ID: id, Gone: true}})
+		c.tell(now, true)
+	}
+}
+
 // peersOf lists the replicas in use of the service that one is of.
 func (c *Comb) peersOf(now time.Duration, id string) (peers []string) {
 	service := ""
@@ -149,6 +152,9 @@
 		return
 	}
 	news := urgent || now-c.newsAt >= newsEvery
+	for _, s := range c.streams {
+		news = news || !s.whole // a whole state without the replicas would say that there are none
+	}
 	if news {
 		c.newsAt = now
 	}
--- a/internal/forager/follow.go
+++ b/internal/forager/follow.go
@@ -5,7 +5,6 @@
 	"maps"
 	"math/rand/v2"
 	"net"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -30,14 +29,6 @@
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
-// seeds are where the combs of the settings file talk to governors.
-func (f *Forager) seeds() (all []string) {
-	for _, s := range f.set.Seeds {
-		all = append(all, netip.AddrPortFrom(s.Addr(), uint16(f.set.PortFirst)).String())
-	}
-	return all
-}
-
 // candidates are the combs to call, best first: those of the own zone, then the others by chance.
 func (f *Forager) candidates() []string {
 	f.mu.Lock()
@@ -50,7 +41,7 @@
 			far = append(far, m.Addr)
 		}
 	}
-	also := f.seeds()
+	also := f.set.Governors()
 	for _, n := range f.dance.Known(neighbours.Comb) {
 		also = append(also, n.Addr)
 	}
--- a/internal/forager/forager.go
+++ b/internal/forager/forager.go
@@ -171,7 +171,7 @@
 	defer cancel()
 	for port := f.set.PortEnd; f.dance == nil; port-- { // another process of this machine may have some of them
 		self := neighbours.Node{Addr: netip.AddrPortFrom(f.set.IP, uint16(port)).String(), Kind: neighbours.Forager, Zone: f.set.Zone}
-		if f.dance, err = waggle.Start(following, self, f.seeds()); err != nil && port <= f.set.PortFirst {
+		if f.dance, err = waggle.Start(following, self, f.set.Governors()); err != nil && port <= f.set.PortFirst {
 			return err
 		}
 	}
--- a/internal/nodefile/nodefile.go
+++ b/internal/nodefile/nodefile.go
@@ -56,6 +56,14 @@
 	Bounds             Bounds
 }
 
+// Governors lists where the seeds talk to other governors: at their addresses, on the first internal port.
+func (s *Settings) Governors() (all []string) {
+	for _, seed := range s.Seeds {
+		all = append(all, netip.AddrPortFrom(seed.Addr(), uint16(s.PortFirst)).String())
+	}
+	return all
+}
+
 type reader struct {
 	doc gjson.Result
 	err error
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -20,8 +20,6 @@
 	"syscall"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"zincloft.example/zincloft/hive/tries"
 	"zincloft.example/zincloft/internal/link"
 )
@@ -400,23 +398,3 @@
 	b.Write(q.Body)
 	return b.Bytes()
 }
-
-// Health asks a replica how it is. It returns the id that answers.
-func (p *Pool) Health(addr, path string, most time.Duration) (id string, ok bool, err error) {
-	deadline := time.Now().Add(most)
-	c, err := p.dial(addr, deadline)
-	if err != nil {
-		return "", false, merry.Prepend(err, "health")
-	}
-	defer c.Close()
-	c.SetDeadline(deadline)
-	if _, err := c.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + addr + "\r\nConnection: close\r\n\r\n")); err != nil {
-		return "", false, merry.Prepend(err, "health")
-	}
-	resp, err := http.ReadResponse(c.br, nil)
-	if err != nil {
-		return "", false, merry.Prepend(err, "health")
-	}
-	defer resp.Body.Close()
-	return resp.Header.Get("X-Instance-Id"), resp.StatusCode == http.StatusOK, nil
-}
