--- a/hive/chain/chain.go
+++ b/hive/chain/chain.go
@@ -14,6 +14,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"zincloft.example/zincloft/hive/view"
 )
 
@@ -29,8 +31,25 @@
 
 	// Notes are small states that the gateway keeps for itself (grants of maintenance windows, roll-outs), by name.
 	Notes map[string]Note `cbor:"5,keyasint,omitempty"`
+
+	// Taken names the orders lately taken, newest last: one that is entered again, after a view change or late, changes
+	// nothing. Claims are the numbers that operators were lately confirmed under, with what they sent, newest last. Both
+	// are bounded, and part of what is passed and kept.
+	Taken  []uint64 `cbor:"6,keyasint,omitempty"`
+	Claims []Claim  `cbor:"7,keyasint,omitempty"`
+}
+
+// Claim is a configuration's number and the checksum of its bytes.
+type Claim struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Sum     uint64 `cbor:"2,keyasint"`
 }
 
+const (
+	takenMost  = 64 // orders are entered again for half a second; eight at once may be under way
+	claimsMost = 64 // configurations; an older number that comes again cannot be told from a new one
+)
+
 // Note is one of them. Whoever changes it names the revision that it saw: of two at once one is taken.
 type Note struct {
 	Rev   uint64   `cbor:"1,keyasint"`
@@ -46,6 +65,8 @@
 
 // Order is one change. Each may be given again without harm.
 type Order struct {
+	ID uint64 `cbor:"9,keyasint,omitempty"` // given where it came in: entered twice, it is taken once; 0: not known again
+
 	Body    []byte `cbor:"1,keyasint,omitempty"`
 	Version uint64 `cbor:"2,keyasint,omitempty"`
 	Zone    string `cbor:"3,keyasint,omitempty"` // with Out: an evacuation begins or ends
@@ -57,8 +78,28 @@
 	Value []byte `cbor:"8,keyasint,omitempty"`
 }
 
+// Conflicts tells whether an order claims a number that others were confirmed under with other content: the two cannot
+// both be confirmed.
+func (r Register) Conflicts(o Order) bool {
+	c, ok := r.claimed(o)
+	return ok && c.Sum != xxhash.Sum64(o.Body)
+}
+
+func (r Register) claimed(o Order) (Claim, bool) {
+	if o.Version == 0 || o.Note != "" || o.Zone != "" {
+		return Claim{}, false
+	}
+	if i := slices.IndexFunc(r.Claims, func(c Claim) bool { return c.Version == o.Version }); i >= 0 {
+		return r.Claims[i], true
+	}
+	return Claim{r.Version, xxhash.Sum64(r.Body)}, o.Version == r.Version // kept by a build that knew no claims
+}
+
 // Apply returns the register after an order; an order that changes nothing leaves Seq as it is.
 func (r Register) Apply(o Order) Register {
+	if o.ID != 0 && slices.Contains(r.Taken, o.ID) {
+		return r
+	}
 	switch {
 	case o.Note != "":
 		n := r.Notes[o.Note]
@@ -86,10 +127,17 @@
 			delete(out, o.Zone)
 		}
 		r.Out = out
-	case o.Version > r.Version:
-		r.Version, r.Body = o.Version, o.Body
 	default:
-		return r
+		if _, ok := r.claimed(o); ok || o.Version == 0 {
+			return r
+		}
+		if o.Version > r.Version {
+			r.Version, r.Body = o.Version, o.Body
+		} // else it was overtaken: its number is claimed all the same, so that nobody else is confirmed under it
+		r.Claims = append(slices.Clone(r.Claims[max(len(r.Claims)-claimsMost+1, 0):]), Claim{o.Version, xxhash.Sum64(o.Body)})
+	}
+	if o.ID != 0 {
+		r.Taken = append(slices.Clone(r.Taken[max(len(r.Taken)-takenMost+1, 0):]), o.ID)
 	}
 	r.Seq++
 	return r
@@ -199,7 +247,7 @@
 		e.out = append(e.out, Send{e.view.Chain[i+1], Message{Kind: Pass, From: e.id, N: e.view.N, Seq: reg.Seq, Reg: &reg}, true})
 		return
 	}
-	for _, m := range e.view.Roster {
+	for _, m := range e.view.Members() {
 		msg := Message{Kind: Done, From: e.id, N: e.view.N, Seq: reg.Seq}
 		if e.view.Place(m.ID) < 0 {
 			msg.Reg = &reg
@@ -208,14 +256,22 @@
 	}
 }
 
-// Enter takes an order at the head. It returns the number that must be committed in the view for the order to hold.
-func (e *Engine) Enter(now time.Duration, o Order) (uint64, uint64, Output) {
+// Entered is what became of an order at the head: the number that must be committed in view N for it to hold, or, where
+// it conflicts, for its refusal to hold.
+type Entered struct {
+	N, Seq    uint64
+	Conflicts bool
+}
+
+// Enter takes an order at the head.
+func (e *Engine) Enter(now time.Duration, o Order) (Entered, Output) {
+	conflicts := e.held.Conflicts(o)
 	if next := e.held.Apply(o); next.Seq != e.held.Seq {
 		e.held, e.changed = next, true
 		e.pending = append(e.pending, next)
 		e.pass(now)
 	}
-	return e.view.N, e.held.Seq, e.flush()
+	return Entered{e.view.N, e.held.Seq, conflicts}, e.flush()
 }
 
 // Receive takes in a message.
@@ -286,7 +342,6 @@
 	return e.flush()
 }
 
-// Settled tells whether all that is held here is committed in the present view.
-func (e *Engine) Settled() bool {
-	return e.syncedIn == e.view.N && e.known && e.at == e.view.N && len(e.pending) == 0 && e.committed.Seq == e.held.Seq
-}
+// Settled tells whether a commit was seen in the present view by one who was filled in it: by then every member of the
+// chain has been, as a commit is what all of them have on stable storage.
+func (e *Engine) Settled() bool { return e.syncedIn == e.view.N && e.known && e.at == e.view.N }
--- a/hive/comb/comb.go
+++ b/hive/comb/comb.go
@@ -24,7 +24,9 @@
 )
 
 const (
-	heldUp      = time.Second // between two ticks
+	heldUp      = time.Second            // between two ticks
+	lateBy      = 500 * time.Millisecond // between two ticks: what comes now may have lain in a socket
+	lateFor     = 300 * time.Millisecond // after that, calls are refused for so long
 	forgetEvery = 2 * time.Second
 	gossipEvery = time.Second
 	tellAgain   = 3 * time.Second        // changes are told to other combs for so long, as links lose some
@@ -77,6 +79,9 @@
 	From    *view.Member   `cbor:"14,keyasint,omitempty"` // with Message
 
 	Windows *windows.Command `cbor:"15,keyasint,omitempty"` // with Token
+
+	Leaving bool          `cbor:"16,keyasint,omitempty"` // it has been told to end
+	Wall    time.Duration `cbor:"17,keyasint,omitempty"` // the time of day, beside any event; 0: not told
 }
 
 // Joined tells of a forager's new stream.
@@ -132,6 +137,7 @@
 	Answers []Answer `cbor:"4,keyasint,omitempty"`
 	End     []uint64 `cbor:"5,keyasint,omitempty"` // streams
 	Notes   []Note   `cbor:"6,keyasint,omitempty"`
+	Ended   bool     `cbor:"7,keyasint,omitempty"` // after Leaving: nothing rests on this comb any more
 }
 
 // Comb is one control-plane governor. Its calls are not made side by side.
@@ -156,7 +162,14 @@
 	revs     []revAt
 	touched  map[string]bool // peers in touch at the last gossip
 	alone    bool
+	leaving  bool
 	ticked   time.Duration
+	woke     time.Duration // when it last came round after it was held up
+	wall     time.Duration // the time of day, and when it was told
+	walledAt time.Duration
+	joining  []Joined // foragers that wait for a question to the others to begin, and those that wait for the one at hand
+	asking   []Joined
+	question uint64 // the core's token; 0: none
 	falls    *falls.Falls
 	hived    hived
 	out      Actions
@@ -176,7 +189,7 @@
 		k.Lives[i].Age = 0 // heard now, as far as anyone knows; those that do not beat go as any silent one
 	}
 	c.reg.Merge(now, k.Lives)
-	c.ticked = now
+	c.ticked, c.woke = now, now-lateFor
 	c.hived = hived{open: map[uint64]change{}, elsewhat: map[string]elsewhere{}, drained: map[string]time.Duration{}}
 	c.core = core.New(self, k, set.Seeds, rand.New(&c.chance).Float64, hints{c})
 	return c
@@ -213,6 +226,14 @@
 
 // Step takes what happened at now and returns what is to be done.
 func (c *Comb) Step(now time.Duration, e Event) Actions {
+	c.late(now, e.Wall)
+	if c.woke+lateFor > now && (e.Beat != nil || e.Order != nil || e.Windows != nil) {
+		// It may have been sent long ago; its caller has gone on since, and what it asks may have been undone.
+		c.answer(Answer{Token: e.Token, Status: http.StatusServiceUnavailable})
+		out := c.out
+		c.out = Actions{}
+		return out
+	}
 	switch {
 	case e.Start:
 		c.ticked = now
@@ -252,6 +273,10 @@
 		c.do(now, c.core.Written(now, e.Written.Problem))
 	case e.Met != nil:
 		c.core.Meet(e.Met)
+	case e.Leaving:
+		c.leaving = true
+		c.core.Leave()
+		c.note("leaving")
 	default:
 		c.tick(now)
 	}
@@ -260,6 +285,23 @@
 	return out
 }
 
+// late notices that this comb was held up: that it stood still, or, by the time of day, that its clock stood still with it.
+// The time of day may also have been set; then contact is made anew without need, which takes a beat.
+func (c *Comb) late(now, wall time.Duration) {
+	if now-c.ticked > lateBy {
+		c.woke = now
+	}
+	if wall == 0 {
+		return
+	}
+	if jump := (wall - c.wall) - (now - c.walledAt); c.wall != 0 && jump > lateBy {
+		c.warn("clock_stood", "for", jump)
+		c.woke = now
+		c.core.Lost(now)
+	}
+	c.wall, c.walledAt = wall, now
+}
+
 func (c *Comb) answer(a Answer) { c.out.Answers = append(c.out.Answers, a) }
 
 func (c *Comb) send(to string, m Message) {
@@ -279,19 +321,13 @@
 		c.falls.Forget(now)
 	}
 	c.do(now, c.core.Tick(now))
-	alone := !c.core.InTouch(now)
-	if alone != c.alone {
-		c.alone = alone
-		c.note("in_touch", "now", !alone, "view", c.core.View().N)
-		if alone {
-			for _, s := range c.streams {
-				c.out.End = append(c.out.End, s.n)
-			}
-		} else {
-			c.reg.Excuse(now)
+	c.touch(now)
+	if c.alone && now-c.woke > lateFor {
+		for _, s := range c.streams {
+			c.out.End = append(c.out.End, s.n)
 		}
 	}
-	if !alone {
+	if !c.alone {
 		for _, id := range c.reg.Expire(now) {
 			c.note("replica_silent", "id", id)
 		}
@@ -300,6 +336,20 @@
 	c.drive(now)
 	c.steer.Tick(now)
 	c.tell(now, false)
+	c.out.Ended = c.leaving && c.core.Left(now)
+}
+
+// touch notes that this comb has lost a majority of the others, or has it back.
+func (c *Comb) touch(now time.Duration) {
+	alone := !c.core.InTouch(now)
+	if alone == c.alone {
+		return
+	}
+	c.alone = alone
+	c.note("in_touch", "now", !alone, "view", c.core.View().N)
+	if !alone {
+		c.reg.Excuse(now)
+	}
 }
 
 // do carries on what the core has decided.
@@ -324,7 +374,9 @@
 		c.committed(now)
 	}
 	for _, x := range a.Answers {
-		if token, ok := c.calls[x.Token]; ok {
+		if x.Token == c.question {
+			c.admit(now, x.Status)
+		} else if token, ok := c.calls[x.Token]; ok {
 			delete(c.calls, x.Token)
 			c.answer(Answer{token, x.Status, x.Body, x.Where})
 		} else if x2, ok := c.hived.open[x.Token]; ok {
--- a/hive/comb/streams.go
+++ b/hive/comb/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/http"
 	"slices"
 	"time"
 
@@ -43,18 +44,48 @@
 	return nil
 }
 
-// joined takes a forager in, where this comb is in touch.
+// joined has a forager wait until a majority has said, after it came, that what is committed here is the newest: else one
+// that begins a new life could be handed what this comb knew before it was cut off or stood still. Those that come while
+// the others are being asked wait for the next question.
 func (c *Comb) joined(now time.Duration, j Joined) {
-	if c.alone = c.alone && !c.core.InTouch(now); c.alone {
+	if c.leaving {
 		c.out.End = append(c.out.End, j.Stream)
 		return
 	}
-	c.streams = append(c.streams, &stream{n: j.Stream, name: j.Forager, zone: j.Zone})
-	c.steer.Join(now, j.Forager, j.Zone)
+	c.joining = append(c.joining, j)
+	c.ask(now)
+}
+
+func (c *Comb) ask(now time.Duration) {
+	if c.question != 0 || len(c.joining) == 0 {
+		return
+	}
+	c.asking, c.joining = c.joining, nil
+	token, a := c.core.Read(now)
+	c.question = token
+	c.do(now, a)
+}
+
+// admit takes in the foragers for which the others were asked, or has them go elsewhere.
+func (c *Comb) admit(now time.Duration, status int) {
+	all := c.asking
+	c.asking, c.question = nil, 0
+	for _, j := range all {
+		if status != http.StatusOK && status != http.StatusNotFound {
+			c.out.End = append(c.out.End, j.Stream)
+			continue
+		}
+		c.streams = append(c.streams, &stream{n: j.Stream, name: j.Forager, zone: j.Zone})
+		c.steer.Join(now, j.Forager, j.Zone)
+	}
+	c.touch(now)
 	c.tell(now, true)
+	c.ask(now)
 }
 
 func (c *Comb) left(now time.Duration, n uint64) {
+	its := func(j Joined) bool { return j.Stream == n }
+	c.joining, c.asking = slices.DeleteFunc(c.joining, its), slices.DeleteFunc(c.asking, its)
 	s := c.stream(n)
 	if s == nil {
 		return
@@ -126,7 +157,7 @@
 // tell brings the foragers up to date: at once where it must not wait, else now and then.
 func (c *Comb) tell(now time.Duration, urgent bool) {
 	r, known := c.core.Register()
-	if !known || c.alone || c.config == nil {
+	if !known || c.alone || !c.core.InTouch(now) || c.config == nil {
 		return
 	}
 	news := urgent || now-c.newsAt >= newsEvery
--- a/hive/core/core.go
+++ b/hive/core/core.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"zincloft.example/zincloft/hive/chain"
@@ -22,12 +23,13 @@
 	// AnswerWithin is when a caller is refused that could not be answered: callers go elsewhere after a second.
 	AnswerWithin = 900 * time.Millisecond
 
-	enterAgain = 250 * time.Millisecond
-	slowDisk   = 400 * time.Millisecond // a write that takes longer makes the disk count as sick
-	diskAgain  = 300 * time.Millisecond // until a write that failed is tried again
-	hintsEvery = time.Second            // hints alone are written this often at the most
-	enterStale = 3 * view.BeatEvery     // an order whose sender last heard the head so long ago was held up on its way
-	never      = -time.Hour
+	enterWithin = 500 * time.Millisecond // an order is sent to the head for so long after it came
+	enterAgain  = 150 * time.Millisecond
+	slowDisk    = 400 * time.Millisecond // a write that takes longer makes the disk count as sick
+	diskAgain   = 300 * time.Millisecond // until a write that failed is tried again
+	hintsEvery  = time.Second            // hints alone are written this often at the most
+	enterStale  = 350 * time.Millisecond // an order whose sender last heard the head so long ago was held up on its way
+	never       = -time.Hour
 )
 
 // Kept is what lies on disk.
@@ -97,8 +99,11 @@
 type order struct {
 	o        chain.Order
 	entered  bool
-	n, seq   uint64
-	sentAt   time.Duration
+	at       chain.Entered
+	came     time.Duration
+	sentAt   time.Duration // to another machine; never: nothing of it is under way
+	again    time.Duration // when it may be sent once more
+	prompt   bool          // it was sent once more before that
 	deadline time.Duration
 }
 
@@ -134,8 +139,8 @@
 	orders map[uint64]*order
 	reads  map[uint64]*read
 	token  uint64
-	told   map[string]uint64        // what others said that they know to be committed
-	clocks map[string]time.Duration // others' own, as last heard
+	life   uint64            // of this process: names its orders
+	told   map[string]uint64 // what others said that they know to be committed
 	out    Actions
 }
 
@@ -148,8 +153,9 @@
 // New makes a core from what was on disk.
 func New(self view.Member, k Kept, seeds []string, chance func() float64, hints Hints) *Core {
 	c := &Core{view: view.New(self, k.View, seeds, chance), chain: chain.New(k.Disk, k.Register, k.SyncedIn), hints: hints,
-		orders: map[uint64]*order{}, reads: map[uint64]*read{}, told: map[string]uint64{}, clocks: map[string]time.Duration{}}
+		orders: map[uint64]*order{}, reads: map[uint64]*read{}, told: map[string]uint64{}}
 	c.hintRev = hints.Revision()
+	c.life = uint64(chance() * (1 << 53))
 	return c
 }
 
@@ -181,6 +187,20 @@
 func (c *Core) View() view.View                  { return c.view.View() }
 func (c *Core) Register() (chain.Register, bool) { return c.chain.Committed() }
 
+// Leave has the others do without this machine. Left tells whether they can: a view without it in the chain has settled, so
+// that a majority holds on disk what this one holds, and no caller waits here any more.
+func (c *Core) Leave() { c.view.Leave() }
+
+// Left tells whether nothing rests on this machine any more, or nobody is there to take it over.
+func (c *Core) Left(now time.Duration) bool {
+	v, id := c.view.View(), c.view.Self().ID
+	free := v.Place(id) < 0 && (!v.In(id) || c.chain.CommittedIn() == v.N)
+	return c.view.Leaving() && len(c.orders)+len(c.reads) == 0 && (free || c.view.Forsaken(now))
+}
+
+// Lost has all contact with the others made anew, where this machine's clock may have stood still with it.
+func (c *Core) Lost(now time.Duration) { c.view.Lost(now) }
+
 // InTouch tells whether this machine's word counts and reaches a majority.
 func (c *Core) InTouch(now time.Duration) bool { return c.view.InTouch(now) }
 
@@ -209,14 +229,15 @@
 
 // MemberInfo is one core machine.
 type MemberInfo struct {
-	ID    string `json:"id"`
-	Addr  string `json:"address"`
-	Zone  string `json:"zone,omitempty"`
-	Call  string `json:"control,omitempty"`
-	Place int    `json:"place"` // in the chain, from 0; -1: not in it
-	Fresh bool   `json:"fresh"` // may not be filled yet
-	Heard bool   `json:"heard"`
-	Lag   int64  `json:"lag"` // orders behind what is committed here, as it last told; -1: not told
+	ID     string `json:"id"`
+	Addr   string `json:"address"`
+	Zone   string `json:"zone,omitempty"`
+	Call   string `json:"control,omitempty"`
+	Place  int    `json:"place"`  // in the chain, from 0; -1: not in it
+	Fresh  bool   `json:"fresh"`  // may not be filled yet
+	Learns bool   `json:"learns"` // is being filled, and does not vote yet
+	Heard  bool   `json:"heard"`
+	Lag    int64  `json:"lag"` // orders behind what is committed here, as it last told; -1: not told
 }
 
 // Describe tells how the core stands, as this machine knows.
@@ -228,18 +249,18 @@
 	if c.sick {
 		s.Disk = "sick"
 	}
-	for _, m := range v.Roster {
+	for _, m := range v.Members() {
 		if known, ok := c.view.Known(m.ID); ok {
 			m = known
 		}
-		i := MemberInfo{ID: m.ID, Addr: m.Addr, Zone: m.Zone, Call: m.Call, Place: v.Place(m.ID), Fresh: slices.Contains(v.Fresh, m.ID) && c.chain.CommittedIn() != v.N,
+		i := MemberInfo{ID: m.ID, Addr: m.Addr, Zone: m.Zone, Call: m.Call, Place: v.Place(m.ID), Learns: v.Learns(m.ID), Fresh: slices.Contains(v.Fresh, m.ID) && c.chain.CommittedIn() != v.N,
 			Heard: c.view.Heard(now, m.ID), Lag: -1}
 		if m.ID == self.ID {
 			i.Zone, i.Call, i.Heard, i.Lag = self.Zone, self.Call, true, 0
 		} else if seq, ok := c.told[m.ID]; ok {
 			i.Lag = max(int64(r.Seq)-int64(seq), 0)
 		}
-		if i.Place >= 0 && i.Heard && !i.Fresh && i.Lag == 0 {
+		if i.Place >= 0 && i.Heard && !i.Fresh && !i.Learns && i.Lag == 0 {
 			s.Disks++
 		}
 		s.Members = append(s.Members, i)
@@ -276,25 +297,28 @@
 	case m.View != nil:
 		c.viewed(now, c.view.Receive(now, *m.View))
 		if k := m.Committed; k != nil {
-			c.told[from.ID], c.clocks[from.ID] = k.Seq, max(c.clocks[from.ID], k.Clock)
+			c.told[from.ID] = k.Seq
 			c.chained(c.chain.Lacks(from.ID, k.Seq, k.Known))
 		}
 	case m.Chain != nil:
 		c.chained(c.chain.Receive(now, *m.Chain))
 	case m.Enter != nil:
-		// An order that was held up may have been given again by another way, answered, and undone since: as orders have no
-		// number, it must not take effect any more.
-		ans, age := &words.Entered{Token: m.Enter.Token, Clock: now}, now-m.Enter.Echo
-		if fresh := age >= 0 && age <= enterStale; fresh && c.chain.Head() && c.view.InTouch(now) && !c.sick {
-			n, seq, out := c.chain.Enter(now, m.Enter.Order)
-			ans.N, ans.Seq, ans.OK = n, seq, true
+		// An order that was held up may have been given again by another way, answered, and undone since: operators' calls
+		// have no number, so it must not take effect any more. Its age is told by this machine's own clock, since its sender
+		// last heard it; the sender answers nobody before what it sent is too old to count.
+		ans := &words.Entered{Token: m.Enter.Token, Clock: c.view.Clock(now)}
+		if c.view.Younger(now, m.Enter.Echo, enterStale) && c.chain.Head() && c.view.InTouch(now) && !c.sick {
+			at, out := c.chain.Enter(now, m.Enter.Order)
+			ans.N, ans.Seq, ans.Conflicts, ans.OK = at.N, at.Seq, at.Conflicts, true
 			c.chained(out)
 		}
 		c.send(from, Message{Entered: ans}, false)
 	case m.Entered != nil:
-		c.clocks[from.ID] = m.Entered.Clock
+		c.view.Heed(from.ID, m.Entered.Clock)
 		if o := c.orders[m.Entered.Token]; o != nil && m.Entered.OK {
-			o.entered, o.n, o.seq = true, m.Entered.N, m.Entered.Seq
+			o.entered, o.at = true, chain.Entered{N: m.Entered.N, Seq: m.Entered.Seq, Conflicts: m.Entered.Conflicts}
+		} else if o != nil && !o.prompt { // now that its clock is known, at once
+			o.prompt, o.again = true, now
 		}
 	case m.Confirm != nil:
 		c.send(from, Message{Confirmed: &words.Confirm{Token: m.Confirm.Token, N: m.Confirm.N, OK: c.view.Vouches(m.Confirm.N)}}, true)
@@ -305,10 +329,12 @@
 	}
 }
 
-// Order takes a caller's order. Its Answer comes now or later: 200 once it is committed, else 503.
+// Order takes a caller's order. Its Answer comes now or later: 200 once it is committed, or, where others were confirmed
+// under its number with other content, 409 once that is; else 503.
 func (c *Core) Order(now time.Duration, o chain.Order) (uint64, Actions) {
 	c.token++
-	c.orders[c.token] = &order{o: o, deadline: now + AnswerWithin, sentAt: never}
+	o.ID = xxhash.Sum64String(fmt.Sprint(c.view.Self().ID, " ", c.life, " ", c.token))
+	c.orders[c.token] = &order{o: o, came: now, deadline: now + AnswerWithin, sentAt: never, again: now}
 	return c.token, c.flush(now)
 }
 
@@ -388,7 +414,7 @@
 		m := Message{View: &s.Message}
 		if s.Message.Kind == view.Beat {
 			r, known := c.chain.Committed()
-			m.Committed = &words.Committed{Seq: r.Seq, Known: known, Clock: now}
+			m.Committed = &words.Committed{Seq: r.Seq, Known: known}
 		}
 		c.send(s.To, m, s.Durable)
 	}
@@ -418,7 +444,7 @@
 	if id == c.view.Self().ID {
 		return c.view.Self(), true
 	}
-	for _, m := range c.view.View().Roster {
+	for _, m := range c.view.View().Members() {
 		if m.ID == id {
 			return m, true
 		}
@@ -458,24 +484,28 @@
 	var outs []chain.Output
 	for _, token := range slices.Sorted(maps.Keys(c.orders)) {
 		x := c.orders[token]
-		if x.entered && v.N != x.n {
-			x.entered = false // that head's word counts no more; each order may be entered again
+		if x.entered && v.N != x.at.N {
+			x.entered = false // that head's word counts no more; each order may be entered again, and is taken once
 		}
 		status := 0
 		switch {
-		case x.entered && known && c.chain.CommittedIn() == x.n && r.Seq >= x.seq:
-			status = http.StatusOK
-		case !touch || now > x.deadline:
+		case x.entered && known && c.chain.CommittedIn() == x.at.N && r.Seq >= x.at.Seq:
+			if status = http.StatusOK; x.at.Conflicts {
+				status = http.StatusConflict
+			}
+		case (!touch || now > x.deadline || !x.entered && now > x.came+enterWithin) && now > x.sentAt+enterStale:
+			// The caller is let go only now: what is under way is too old to take effect, over something newer, any more.
 			status = http.StatusServiceUnavailable
-		case !x.entered && len(v.Chain) > 0 && now-x.sentAt >= enterAgain:
-			x.sentAt = now
+		case touch && !x.entered && len(v.Chain) > 0 && now >= x.again && now <= x.came+enterWithin:
+			x.again = now + enterAgain
 			if v.Chain[0] != c.view.Self().ID {
 				if m, ok := c.member(v.Chain[0]); ok {
-					c.send(m, Message{Enter: &words.Enter{Token: token, Order: x.o, Echo: c.clocks[m.ID]}}, false)
+					x.sentAt = now
+					c.send(m, Message{Enter: &words.Enter{Token: token, Order: x.o, Echo: c.view.ClockOf(m.ID)}}, false)
 				}
 			} else if !c.sick {
-				n, seq, out := c.chain.Enter(now, x.o)
-				x.entered, x.n, x.seq = true, n, seq
+				at, out := c.chain.Enter(now, x.o)
+				x.entered, x.at = true, at
 				outs = append(outs, out)
 			}
 		}
--- /dev/null
+++ b/hive/core/core_test.go
@@ -0,0 +1,535 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"zincloft.example/zincloft/hive/chain"
+	"zincloft.example/zincloft/hive/registry"
+	"zincloft.example/zincloft/hive/view"
+)
+
+type noHints struct{}
+
+func (noHints) Revision() uint64       { return 0 }
+func (noHints) Lives() []registry.Life { return nil }
+
+// box is a core machine: its engine, its disk, its clock, and what came while it stood still.
+type box struct {
+	addr  string
+	core  *Core
+	disk  []byte
+	began time.Duration
+	up    bool
+	still bool
+	lag   time.Duration // its clock stood still for so long
+	held  []func()
+	life  int
+}
+
+// net joins engines over links that carry everything in a millisecond, in order; a write takes one too.
+type net struct {
+	t       *testing.T
+	now     time.Duration
+	boxes   map[string]*box
+	seeds   []string
+	cut     map[[2]string]bool
+	queue   []at
+	seq     int
+	answers map[string]Answer // by what was asked
+	tokens  map[string]map[uint64]string
+	delay   func(from, to string, m Message) time.Duration
+}
+
+type at struct {
+	when time.Duration
+	seq  int
+	do   func()
+}
+
+func newNet(t *testing.T, seeds ...string) *net {
+	n := &net{t: t, boxes: map[string]*box{}, seeds: seeds, cut: map[[2]string]bool{}, answers: map[string]Answer{}, tokens: map[string]map[uint64]string{},
+		delay: func(string, string, Message) time.Duration { return time.Millisecond }}
+	for _, addr := range seeds {
+		n.start(addr, true)
+	}
+	return n
+}
+
+func (n *net) after(d time.Duration, f func()) {
+	n.seq++
+	n.queue = append(n.queue, at{n.now + d, n.seq, f})
+}
+
+// start begins a life on the disk that is there.
+func (n *net) start(addr string, first bool) *box {
+	b := n.boxes[addr]
+	if b == nil {
+		b = &box{addr: addr}
+		n.boxes[addr] = b
+	}
+	b.life++
+	b.up, b.still, b.began, b.lag, b.held = true, false, n.now, 0, nil
+	n.tokens[addr] = map[uint64]string{}
+	var k Kept
+	if b.disk != nil {
+		var err error
+		if k, err = Decode(b.disk); err != nil {
+			n.t.Fatal(err)
+		}
+	}
+	k.Begin(addr, n.seeds, first, fmt.Sprint("w", b.life))
+	r := rand.New(rand.NewPCG(uint64(len(addr)), uint64(n.seq)))
+	b.core = New(view.Member{ID: k.Disk, Addr: addr, Zone: "z", Call: addr}, k, n.seeds, r.Float64, noHints{})
+	b.disk, _ = b.core.Kept()
+	n.do(b, b.core.Start(n.local(b)))
+	n.tick(b, b.life)
+	return b
+}
+
+func (n *net) local(b *box) time.Duration { return n.now - b.began - b.lag + time.Millisecond }
+
+func (n *net) run(b *box, life int, f func()) {
+	switch {
+	case !b.up || b.life != life:
+	case b.still:
+		b.held = append(b.held, f)
+	default:
+		f()
+	}
+}
+
+func (n *net) tick(b *box, life int) {
+	n.run(b, life, func() { n.do(b, b.core.Tick(n.local(b))) })
+	if b.up && b.life == life {
+		n.after(100*time.Millisecond, func() { n.tick(b, life) })
+	}
+}
+
+func (n *net) do(b *box, a Actions) {
+	for _, s := range a.Send {
+		to := n.boxes[s.To]
+		if to == nil {
+			continue
+		}
+		from, m, life := b.core.Self(), s.Message, to.life
+		n.after(n.delay(b.addr, s.To, m), func() {
+			if !n.cut[[2]string{b.addr, to.addr}] {
+				n.run(to, life, func() { n.do(to, to.core.Receive(n.local(to), from, m)) })
+			}
+		})
+	}
+	if a.Write != nil {
+		life := b.life
+		n.after(time.Millisecond, func() {
+			n.run(b, life, func() {
+				b.disk = a.Write
+				n.do(b, b.core.Written(n.local(b), ""))
+			})
+		})
+	}
+	for _, x := range a.Answers {
+		if what, ok := n.tokens[b.addr][x.Token]; ok {
+			n.answers[what] = x
+		}
+	}
+}
+
+func (n *net) pass(d time.Duration) {
+	for end := n.now + d; ; {
+		i := -1
+		for j, e := range n.queue {
+			if e.when <= end && (i < 0 || e.when < n.queue[i].when || e.when == n.queue[i].when && e.seq < n.queue[i].seq) {
+				i = j
+			}
+		}
+		if i < 0 {
+			n.now = end
+			return
+		}
+		e := n.queue[i]
+		n.queue = slices.Delete(n.queue, i, i+1)
+		n.now = e.when
+		e.do()
+	}
+}
+
+func (n *net) order(addr, what string, o chain.Order) {
+	b := n.boxes[addr]
+	n.run(b, b.life, func() {
+		token, a := b.core.Order(n.local(b), o)
+		n.tokens[addr][token] = what
+		n.do(b, a)
+	})
+}
+
+func (n *net) read(addr, what string) {
+	b := n.boxes[addr]
+	n.run(b, b.life, func() {
+		token, a := b.core.Read(n.local(b))
+		n.tokens[addr][token] = what
+		n.do(b, a)
+	})
+}
+
+func (n *net) wants(what string, status int) {
+	n.t.Helper()
+	if a, ok := n.answers[what]; !ok || a.Status != status {
+		n.t.Errorf("%s: answered %v with %d, want %d", what, ok, a.Status, status)
+	}
+}
+
+// cutOff cuts a machine off from all others, both ways, or joins it to them again.
+func (n *net) cutOff(addr string, off bool) {
+	for o := range n.boxes {
+		n.cut[[2]string{addr, o}], n.cut[[2]string{o, addr}] = off, off
+	}
+}
+
+func (n *net) thaw(addr string) {
+	b := n.boxes[addr]
+	held := b.held
+	b.still, b.held = false, nil
+	for _, f := range held {
+		f()
+	}
+}
+
+func config(version uint64, body string) chain.Order {
+	return chain.Order{Version: version, Body: []byte(body)}
+}
+
+func (n *net) voters(addr string) (ids []string) {
+	for _, m := range n.boxes[addr].core.View().Roster {
+		ids = append(ids, m.Addr)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// TestReplacedThenLost guards against a roster that only grows: a machine that ended for good stayed in it, so that after
+// its successor had come the next loss left no majority, for ever.
+func TestReplacedThenLost(t *testing.T) {
+	for _, lost := range []string{"a", "b", "d"} {
+		n := newNet(t, "a", "b", "c")
+		n.pass(3 * time.Second)
+		n.order("a", "first", config(1, "one"))
+		n.pass(time.Second)
+		n.wants("first", http.StatusOK)
+		n.boxes["c"].up = false
+		n.start("d", false)
+		n.pass(4 * time.Second) // what a successor is given
+		if v := n.voters("a"); !slices.Equal(v, []string{"a", "b", "d"}) {
+			t.Fatalf("the voters are %v", v)
+		}
+		n.boxes[lost].up = false
+		n.pass(3 * time.Second)
+		for _, addr := range []string{"a", "b", "d"} {
+			if addr != lost {
+				n.order(addr, "second "+addr, config(2, "two"))
+				n.pass(time.Second)
+				n.wants("second "+addr, http.StatusOK)
+				n.read(addr, "read "+addr)
+				n.pass(time.Second)
+				if a := n.answers["read "+addr]; string(a.Body) != "two" {
+					t.Errorf("%s lost: %s answers %d %q", lost, addr, a.Status, a.Body)
+				}
+			}
+		}
+	}
+}
+
+// TestManyReplacements has each machine replaced at a new address, one after the other, and one that was voted out come back
+// much later with its disk: it is fenced, then taken in as any stranger.
+func TestManyReplacements(t *testing.T) {
+	n := newNet(t, "a", "b", "c")
+	n.pass(3 * time.Second)
+	here := []string{"a", "b", "c"}
+	for i, next := range []string{"d", "e", "f", "g", "h", "i"} {
+		n.boxes[here[0]].up = false
+		here = append(here[1:], next)
+		n.seeds = here // the platform's list moves with them
+		n.start(next, false)
+		n.pass(4 * time.Second)
+		what := "order " + next
+		n.order(next, what, config(uint64(i+1), what))
+		n.pass(time.Second)
+		n.wants(what, http.StatusOK)
+		if v := n.voters(next); !slices.Equal(v, here) {
+			t.Fatalf("the voters are %v, want %v", v, here)
+		}
+	}
+	old := n.start("c", false) // six replacements later
+	if old.core.InTouch(n.local(old)) {
+		t.Error("a machine that was voted out counts itself in touch")
+	}
+	n.pass(4 * time.Second)
+	if v := n.voters("i"); !slices.Equal(v, []string{"c", "g", "h", "i"}) {
+		t.Errorf("the voters are %v", v)
+	}
+	n.read("c", "read")
+	n.pass(time.Second)
+	if a := n.answers["read"]; string(a.Body) != "order i" {
+		t.Errorf("the one that came back answers %d %q", a.Status, a.Body)
+	}
+}
+
+// TestLostWhileReplaced loses the successor, or the machine that stayed and is not the head, in each moment of a replacement,
+// with its disk kept; what was acknowledged holds and orders go on once it is back.
+func TestLostWhileReplaced(t *testing.T) {
+	for _, lost := range []string{"b", "d"} {
+		for at := time.Duration(0); at < 2500*time.Millisecond; at += 47 * time.Millisecond {
+			n := newNet(t, "a", "b", "c")
+			n.pass(3 * time.Second)
+			n.order("b", "first", config(1, "one"))
+			n.pass(time.Second)
+			n.boxes["c"].up = false
+			n.start("d", false)
+			n.pass(at)
+			n.boxes[lost].up = false
+			n.pass(3 * time.Second)
+			n.start(lost, false)
+			n.pass(5 * time.Second)
+			n.order(lost, "second", config(2, "two"))
+			n.pass(time.Second)
+			n.wants("second", http.StatusOK)
+			if v := n.voters("a"); !slices.Equal(v, []string{"a", "b", "d"}) {
+				t.Fatalf("%s lost after %v: the voters are %v", lost, at, v)
+			}
+		}
+	}
+}
+
+// TestPairLeftBehind guards against seats that are empty for good: of five, two are gone without successors, and one more loss
+// would end the core.
+func TestPairLeftBehind(t *testing.T) {
+	n := newNet(t, "a", "b", "c")
+	n.start("d", false)
+	n.start("e", false)
+	n.pass(6 * time.Second)
+	if v := n.voters("a"); len(v) != 5 {
+		t.Fatalf("the voters are %v", v)
+	}
+	n.boxes["d"].up, n.boxes["e"].up = false, false
+	n.pass(16 * time.Second)
+	n.boxes["a"].up = false
+	n.pass(3 * time.Second)
+	n.order("b", "order", config(1, "one"))
+	n.pass(time.Second)
+	n.wants("order", http.StatusOK)
+	for _, addr := range []string{"a", "d", "e"} {
+		n.start(addr, false)
+	}
+	n.pass(6 * time.Second)
+	if v := n.voters("b"); len(v) != 5 {
+		t.Errorf("all are back; the voters are %v", v)
+	}
+}
+
+// TestThawed guards against contact by words that lay in a socket: frozen for 20 s while the others went on, a machine counted
+// itself in touch for 0.4 s and could hand out what it knew before, or take orders that were undone since.
+func TestThawed(t *testing.T) {
+	for i := range 4 {
+		clockStands, alone := i%2 == 1, i/2 == 1 // alone: nothing reaches it while it stands still, either
+		n := newNet(t, "a", "b", "c")
+		n.pass(3 * time.Second)
+		n.order("a", "first", config(1, "one"))
+		n.pass(time.Second)
+		c := n.boxes["c"]
+		c.still = true
+		n.cutOff("c", alone)
+		n.pass(5 * time.Second)
+		n.order("a", "second", config(2, "two"))
+		n.pass(15 * time.Second)
+		n.wants("second", http.StatusOK)
+		n.cutOff("c", true) // nobody answers any more
+		if clockStands {
+			c.lag = 20 * time.Second
+		}
+		n.thaw("c") // and all that it was sent meanwhile is there
+		if clockStands {
+			c.core.Lost(n.local(c)) // as the daemon finds by the time of day
+		}
+		for at := range 20 {
+			if c.core.InTouch(n.local(c)) {
+				t.Fatalf("clock stands %v, alone %v: in touch %d ms after it woke, with nobody to answer", clockStands, alone, at*50)
+			}
+			n.pass(50 * time.Millisecond)
+		}
+		n.cutOff("c", false)
+		n.pass(time.Second)
+		if !c.core.InTouch(n.local(c)) {
+			t.Error("not in touch a second after its links are back")
+		}
+	}
+}
+
+// TestCutOff bounds for how long a machine that nobody hears, or that hears nobody, can still think itself in touch.
+func TestCutOff(t *testing.T) {
+	for _, way := range []string{"both", "in", "out"} {
+		n := newNet(t, "a", "b", "c")
+		n.pass(3 * time.Second)
+		for _, o := range []string{"a", "b"} {
+			n.cut[[2]string{"c", o}] = way != "in"
+			n.cut[[2]string{o, "c"}] = way != "out"
+		}
+		n.pass(contactBound)
+		c := n.boxes["c"]
+		if c.core.InTouch(n.local(c)) {
+			t.Errorf("cut %s: still in touch after %v", way, contactBound)
+		}
+		n.read("c", "read")
+		n.order("c", "order", config(9, "nine"))
+		n.pass(time.Second)
+		n.wants("read", http.StatusServiceUnavailable)
+		n.wants("order", http.StatusServiceUnavailable)
+	}
+}
+
+const contactBound = time.Second
+
+// TestOneNumber guards against two operators who are both told that theirs holds: of two contents under one number, given to
+// two machines in the same moment or later, one is confirmed; the other is refused, once the first is sure to last. The same
+// content again is confirmed always, from every machine, also when newer ones have passed.
+func TestOneNumber(t *testing.T) {
+	n := newNet(t, "a", "b", "c")
+	n.pass(3 * time.Second)
+	n.order("a", "one", config(7, "one"))
+	n.order("b", "two", config(7, "two"))
+	n.pass(time.Second)
+	got := []int{n.answers["one"].Status, n.answers["two"].Status}
+	slices.Sort(got)
+	if !slices.Equal(got, []int{http.StatusOK, http.StatusConflict}) {
+		t.Fatalf("the two are answered %v", got)
+	}
+	won, lost := "one", "two"
+	if n.answers["two"].Status == http.StatusOK {
+		won, lost = lost, won
+	}
+	n.order("b", "nine", config(9, "nine"))
+	n.pass(time.Second)
+	for _, addr := range []string{"a", "b", "c"} {
+		n.order(addr, "again "+addr, config(7, won))
+		n.order(addr, "other "+addr, config(7, lost))
+		n.order(addr, "eight "+addr, config(8, "eight of "+addr))
+		n.read(addr, "read "+addr)
+		n.pass(time.Second)
+		n.wants("again "+addr, http.StatusOK)
+		n.wants("other "+addr, http.StatusConflict)
+		if a := n.answers["read "+addr]; string(a.Body) != "nine" {
+			t.Errorf("%s answers %q", addr, a.Body)
+		}
+	}
+	n.wants("eight a", http.StatusOK) // overtaken, and its number is taken all the same
+	n.wants("eight b", http.StatusConflict)
+	n.wants("eight c", http.StatusConflict)
+}
+
+// TestTakenOnce guards against an order that is entered at a second head after its first had taken it: an evacuation was begun
+// again although it had been taken back, and acknowledged, in between.
+func TestTakenOnce(t *testing.T) {
+	out, in := chain.Order{ID: 1, Zone: "z", Out: true}, chain.Order{ID: 2, Zone: "z"}
+	r := chain.Register{}.Apply(out).Apply(in)
+	if again := r.Apply(out); again.Out["z"] || again.Seq != r.Seq {
+		t.Error("an order that was taken takes effect again")
+	}
+	for i := range uint64(500) {
+		r = r.Apply(chain.Order{ID: 10 + i, Version: 1 + i, Body: []byte(fmt.Sprint(i))})
+	}
+	if len(r.Taken) > 64 || len(r.Claims) > 64 {
+		t.Errorf("%d orders and %d numbers are remembered after 500 changes", len(r.Taken), len(r.Claims))
+	}
+}
+
+// TestLateOrder guards against an order that takes effect after its caller was let go: held up on its way to the head, it undid
+// what was acknowledged meanwhile.
+func TestLateOrder(t *testing.T) {
+	for late := 50 * time.Millisecond; late < 1500*time.Millisecond; late += 50 * time.Millisecond {
+		n := newNet(t, "a", "b", "c")
+		n.pass(3 * time.Second)
+		n.delay = func(from, to string, m Message) time.Duration {
+			if m.Enter != nil && from == "c" {
+				return late
+			}
+			return time.Millisecond
+		}
+		n.order("c", "start", chain.Order{Zone: "z", Out: true})
+		for range 20 { // as soon as the caller is let go it goes to another machine, and then takes it back
+			if n.pass(50 * time.Millisecond); n.answers["start"].Status != 0 {
+				break
+			}
+		}
+		n.order("b", "start again", chain.Order{Zone: "z", Out: true})
+		n.pass(20 * time.Millisecond)
+		n.wants("start again", http.StatusOK)
+		n.order("b", "finish", chain.Order{Zone: "z"})
+		n.pass(20 * time.Millisecond)
+		n.wants("finish", http.StatusOK)
+		n.pass(2 * time.Second)
+		if r, _ := n.boxes["a"].core.Register(); r.Out["z"] {
+			t.Errorf("an order that was %v on its way undid a newer one", late)
+		}
+	}
+}
+
+// TestLeaver guards against a member that ends while it alone holds something: b's disk is lost, c is being filled, and a is told
+// to end. It waits until the others hold on disk what it holds.
+func TestLeaver(t *testing.T) {
+	for at := time.Duration(0); at < 2*time.Second; at += 61 * time.Millisecond {
+		n := newNet(t, "a", "b", "c")
+		n.pass(3 * time.Second)
+		n.boxes["c"].up = false
+		n.pass(2 * time.Second)
+		n.order("b", "order", config(1, "one"))
+		n.pass(time.Second)
+		n.wants("order", http.StatusOK)
+		n.boxes["c"].disk = nil
+		n.start("c", false)
+		n.pass(at)
+		a := n.boxes["a"]
+		a.core.Leave()
+		for range 60 {
+			if n.pass(100 * time.Millisecond); a.core.Left(n.local(a)) {
+				break
+			}
+		}
+		if !a.core.Left(n.local(a)) {
+			t.Fatalf("after %v: the others do not come to do without it", at)
+		}
+		holders := 0
+		for _, addr := range []string{"b", "c"} {
+			if k, err := Decode(n.boxes[addr].disk); err == nil && string(k.Register.Body) == "one" {
+				holders++
+			}
+		}
+		if holders < 2 {
+			t.Errorf("after %v: it ends, and %d others hold what it holds", at, holders)
+		}
+		a.up, a.disk = false, nil
+		n.pass(2 * time.Second)
+		n.read("b", "read")
+		n.pass(time.Second)
+		if x := n.answers["read"]; string(x.Body) != "one" {
+			t.Errorf("after %v: answered %d %q", at, x.Status, x.Body)
+		}
+	}
+}
+
+// TestAllLeave has all machines told to end at once: none waits for another.
+func TestAllLeave(t *testing.T) {
+	n := newNet(t, "a", "b", "c")
+	n.pass(3 * time.Second)
+	for _, b := range n.boxes {
+		b.core.Leave()
+	}
+	n.pass(time.Second)
+	for addr, b := range n.boxes {
+		if !b.core.Left(n.local(b)) {
+			t.Errorf("%s waits for others that end too", addr)
+		}
+	}
+}
--- a/hive/view/view.go
+++ b/hive/view/view.go
@@ -1,10 +1,15 @@
 // Package view agrees on who forms the chain of core machines, and mends it. It is free of I/O: events in, actions
 // out, clock and chance handed in.
 //
-// A view is a number, a roster (every core machine whose word counts) and the chain, an ordered part of the roster.
-// View n+1 is decided by one round of single-decree agreement among the roster of view n, so any two decisions meet
-// in a machine that knows of both. A machine is known by the identity of its disk: one that lost its disk has lost
-// its word, comes back under another identity, and counts nowhere until a view has taken it in.
+// A view is a number, a roster (the voters: every core machine whose word counts), the chain, an ordered part of the
+// roster, and at most one learner, which stands in the chain but does not vote yet. View n+1 is decided by one round of
+// single-decree agreement among the roster of view n, so any two decisions meet in a machine that knows of both. A machine
+// is known by the identity of its disk: one that lost its disk has lost its word, comes back under another identity, and
+// counts nowhere until it was filled as a learner and a view has made it a voter.
+//
+// Two things are told apart. Suspicion rests on arrivals: who is heard, and hears, stays in the chain; a mistake there
+// costs a view, no more. Contact rests on echoes: a machine counts itself in touch only while a majority of the voters has
+// answered words of its own that it sent within a second. What lay in a socket while a machine stood still proves nothing.
 package view
 
 import (
@@ -25,6 +30,10 @@
 	proposalMost = 500 * time.Millisecond // a proposal without an outcome is given up
 	forgetAfter  = 20 * time.Second       // a stranger that is not in the roster is forgotten
 	heldUp       = 400 * time.Millisecond // between two ticks: then it was we who were held up
+	contactFor   = time.Second            // contact by a word of ours that was answered lasts so long from its sending
+	goneAfter    = 2 * time.Second        // a voter out of the chain for so long may give its seat to a successor
+	emptyAfter   = 12 * time.Second       // two voters gone for so long are dropped without successors
+	fewest       = 3                      // voters below which none is dropped without a successor
 )
 
 // Member is a core machine.
@@ -44,6 +53,9 @@
 	// Fresh names those of the chain that may not hold yet what their predecessors hold. None of them may become the
 	// head before a commit in this view has shown that it was filled.
 	Fresh []string `cbor:"4,keyasint,omitempty"`
+
+	// Learners stand in the chain and are filled there; their word does not count. One at a time.
+	Learners []Member `cbor:"5,keyasint,omitempty"`
 }
 
 // In tells whether an identity's word counts in the view.
@@ -51,6 +63,14 @@
 	return slices.ContainsFunc(v.Roster, func(m Member) bool { return m.ID == id })
 }
 
+// Learns tells whether an identity is a learner's.
+func (v View) Learns(id string) bool {
+	return slices.ContainsFunc(v.Learners, func(m Member) bool { return m.ID == id })
+}
+
+// Members lists voters and learners.
+func (v View) Members() []Member { return append(slices.Clone(v.Roster), v.Learners...) }
+
 // Place is an identity's place in the chain, or -1.
 func (v View) Place(id string) int { return slices.Index(v.Chain, id) }
 
@@ -91,14 +111,24 @@
 
 // Message is what core machines say to one another about views.
 type Message struct {
-	Kind   Kind     `cbor:"1,keyasint"`
-	From   Member   `cbor:"2,keyasint"`
-	N      uint64   `cbor:"3,keyasint,omitempty"` // beats: the view held; else the number agreed on
-	Ballot Ballot   `cbor:"4,keyasint,omitempty"`
-	Held   Ballot   `cbor:"5,keyasint,omitempty"` // Promise: accepted before; Refuse: promised
-	View   *View    `cbor:"6,keyasint,omitempty"` // Prepare: the view before; Accept, Decided: the view itself
-	Sick   bool     `cbor:"7,keyasint,omitempty"` // beats: its disk does not take writes
-	Hears  []string `cbor:"8,keyasint,omitempty"`
+	Kind   Kind   `cbor:"1,keyasint"`
+	From   Member `cbor:"2,keyasint"`
+	N      uint64 `cbor:"3,keyasint,omitempty"` // beats: the view held; else the number agreed on
+	Ballot Ballot `cbor:"4,keyasint,omitempty"`
+	Held   Ballot `cbor:"5,keyasint,omitempty"` // Promise: accepted before; Refuse: promised
+	View   *View  `cbor:"6,keyasint,omitempty"` // Prepare: the view before; Accept, Decided: the view itself
+	Sick   bool   `cbor:"7,keyasint,omitempty"` // beats: its disk does not take writes
+
+	Clock   Stamp            `cbor:"8,keyasint,omitempty"`  // beats: the sender's, at sending
+	Heard   map[string]Stamp `cbor:"9,keyasint,omitempty"`  // beats: whom the sender hears, and their clocks as it last heard
+	Leaving bool             `cbor:"10,keyasint,omitempty"` // beats: it has been told to end
+}
+
+// Stamp is a reading of one life's steady clock. A machine that hears its own one back knows that whoever sent it has
+// heard a word that left after that time.
+type Stamp struct {
+	Life uint64 `cbor:"1,keyasint"` // drawn at each start: clocks begin at nothing
+	At   Time   `cbor:"2,keyasint"`
 }
 
 // Send is an action: a message to a peer's address. With Durable set it must wait until what is held now is on
@@ -115,17 +145,22 @@
 	since   Time // in touch without a gap since
 	hearsMe bool
 	sick    bool
+	leaving bool
+	clock   Stamp // its own, as last heard
+	asked   Time  // when the newest word of ours was sent that it is known to have heard; contact counts from there
 }
 
 // Engine is one core machine's part. Make it with New.
 type Engine struct {
 	self    Member
+	life    uint64
 	d       Durable
 	chance  func() float64
 	peers   map[string]*peer // by identity
 	sick    bool
+	leaving bool
 	ticked  Time
-	began   Time // the first tick: before that, nobody could be heard
+	began   Time // the first tick, or the one after a standstill: before that, nobody could be heard
 	beatAt  Time
 	needed  Time // a change has been wanted since; 0: none is
 	round   uint64
@@ -150,7 +185,7 @@
 
 // New makes an engine from what was on disk. Seeds are addresses to greet until somebody is heard there.
 func New(self Member, d Durable, seeds []string, chance func() float64) *Engine {
-	return &Engine{self: self, d: d, seeds: seeds, chance: chance, peers: map[string]*peer{}, ticked: -1}
+	return &Engine{self: self, life: uint64(chance() * (1 << 53)), d: d, seeds: seeds, chance: chance, peers: map[string]*peer{}, ticked: -1}
 }
 
 // Meet replaces the addresses to greet until somebody is heard there.
@@ -194,6 +229,24 @@
 // SetSick tells whether the disk takes writes.
 func (e *Engine) SetSick(sick bool) { e.sick = sick }
 
+// Leave has the others do without this machine; Leaving tells whether it was called.
+func (e *Engine) Leave()        { e.leaving = true }
+func (e *Engine) Leaving() bool { return e.leaving }
+
+// Forsaken tells whether there is nobody to hand over to: every other voter that is heard has been told to end too, or
+// there is no other one.
+func (e *Engine) Forsaken(now Time) bool {
+	heard := 0
+	for _, m := range e.d.View.Roster {
+		if p := e.peers[m.ID]; p != nil && e.touch(now, m.ID) {
+			if heard++; !p.leaving {
+				return false
+			}
+		}
+	}
+	return heard > 0 || len(e.d.View.Roster) <= 1
+}
+
 // SetSettled tells the last view in which a commit was seen: by then all its chain was filled.
 func (e *Engine) SetSettled(n uint64) { e.settledIn = n }
 
@@ -212,20 +265,55 @@
 	return e.touch(now, id) && !e.peers[id].sick
 }
 
-// InTouch tells whether this machine's word counts and reaches a majority. One that does not must refuse at once.
+// InTouch tells whether this machine's word counts and a majority is known to have heard words of its own that are less
+// than a second old. One that is not must refuse at once.
+//
+// The second is measured on this machine's own clock, from the sending: whatever lay in a socket while the machine stood
+// still or was cut off cannot prolong it. Should its clock have stood still with it, Lost is to be called.
 func (e *Engine) InTouch(now Time) bool {
 	if !e.d.View.In(e.self.ID) {
 		return false
 	}
 	n := 0
 	for _, m := range e.d.View.Roster {
-		if m.ID == e.self.ID || e.touch(now, m.ID) {
+		if p := e.peers[m.ID]; m.ID == e.self.ID || p != nil && p.asked > 0 && now-p.asked < contactFor {
 			n++
 		}
 	}
 	return n >= e.d.View.Majority()
 }
 
+// Clock is this machine's own clock, ClockOf another's as it was last heard. Heed takes a newer reading of another's clock
+// that came otherwise than with a beat.
+func (e *Engine) Clock(now Time) Stamp { return Stamp{e.life, now} }
+
+func (e *Engine) ClockOf(id string) Stamp {
+	if p := e.peers[id]; p != nil {
+		return p.clock
+	}
+	return Stamp{}
+}
+
+func (e *Engine) Heed(id string, s Stamp) {
+	if p := e.peers[id]; p != nil {
+		p.clock = s
+	}
+}
+
+// Younger tells whether a reading of this machine's own clock, which others send back, is of this life and not older than most.
+func (e *Engine) Younger(now Time, s Stamp, most Time) bool {
+	return s.Life == e.life && s.At <= now && now-s.At <= most
+}
+
+// Lost has all contact made anew, by a new life's clock: answers to what was said before count no more.
+func (e *Engine) Lost(now Time) {
+	e.life++
+	e.began, e.needed = now, 0
+	for _, p := range e.peers {
+		p.asked = 0
+	}
+}
+
 // Peers lists the machines heard of lately, this one excepted.
 func (e *Engine) Peers(now Time) []Member {
 	var all []Member
@@ -234,7 +322,7 @@
 			all = append(all, p.Member)
 		}
 	}
-	for _, m := range e.d.View.Roster {
+	for _, m := range e.d.View.Members() {
 		if e.peers[m.ID] == nil && m.ID != e.self.ID {
 			all = append(all, m)
 		}
@@ -255,14 +343,8 @@
 
 // Tick lets time pass: beats, suspicion, proposals.
 func (e *Engine) Tick(now Time) Output {
-	if e.ticked >= 0 && now-e.ticked > heldUp { // frozen or starved: silence meanwhile tells nothing of the others
-		for _, p := range e.peers {
-			p.heard = max(p.heard, now-suspectAfter/2)
-		}
-		e.needed = 0
-	}
-	if e.ticked < 0 {
-		e.began = now
+	if e.ticked < 0 || now-e.ticked > heldUp { // frozen or starved: silence meanwhile tells nothing of the others
+		e.began, e.needed = now, 0
 	}
 	e.ticked = now
 	if now >= e.beatAt {
@@ -287,70 +369,139 @@
 
 // word is a beat: that this machine lives, and whom it hears.
 func (e *Engine) word(now Time) Message {
-	b := Message{Kind: Beat, N: e.d.View.N, Sick: e.sick}
+	b := Message{Kind: Beat, N: e.d.View.N, Sick: e.sick, Leaving: e.leaving, Clock: e.Clock(now), Heard: map[string]Stamp{}}
 	for id, p := range e.peers {
 		if now-p.heard < suspectAfter {
-			b.Hears = append(b.Hears, id)
+			b.Heard[id] = p.clock
 		}
 	}
-	slices.Sort(b.Hears)
 	return b
 }
 
+// absent is how long a machine has not been heard, as far as this one can tell.
+func (e *Engine) absent(now Time, id string) Time {
+	if p := e.peers[id]; p != nil {
+		return now - max(p.heard, e.began)
+	}
+	return now - e.began
+}
+
+func (e *Engine) leaves(id string) bool {
+	if id == e.self.ID {
+		return e.leaving
+	}
+	p := e.peers[id]
+	return p != nil && p.leaving
+}
+
 // want is the view that should follow, if one should.
+//
+// Membership changes by agreement only, one voter at a time (two where a pair is dropped). A stranger is first filled as a
+// learner; once a commit has shown that it was, it takes the seat of a voter that is gone, in the same step, so that the
+// number of voters that may be lost does not shrink in between. A leaver stays in the chain until the others can do
+// without it. An even number of voters bears no more losses than one less, so a voter that is gone is dropped from it.
 func (e *Engine) want(now Time) (View, bool) {
 	v := e.d.View
 	if v.Place(e.self.ID) < 0 || e.sick || !e.InTouch(now) || now-e.began < suspectAfter {
 		return View{}, false
 	}
+	settled := e.settledIn == v.N
 	next := View{N: v.N + 1, Roster: slices.Clone(v.Roster)}
 	for _, id := range v.Chain {
 		if e.sound(now, id) {
 			next.Chain = append(next.Chain, id)
 		}
 	}
-	joins := func(id string) bool {
-		return e.sound(now, id) && now-e.peers[id].since >= settleFor
+	if stay := slices.DeleteFunc(slices.Clone(next.Chain), e.leaves); next.voting(stay) >= next.Majority() {
+		next.Chain = stay
 	}
-	if e.settledIn != v.N {
+	if !settled {
 		for _, id := range next.Chain {
 			if slices.Contains(v.Fresh, id) {
 				next.Fresh = append(next.Fresh, id)
 			}
 		}
-		if len(next.Chain) == 0 || slices.Contains(next.Fresh, next.Chain[0]) {
-			return View{}, false // nobody is left who surely holds what was promised: wait for one
+	}
+	if len(next.Chain) == 0 || slices.Contains(next.Fresh, next.Chain[0]) {
+		return View{}, false // nobody is left who surely holds what was promised: wait for one
+	}
+	for _, m := range v.Learners {
+		if slices.Contains(next.Chain, m.ID) {
+			next.Learners = append(next.Learners, m)
 		}
 	}
+	joins := func(id string) bool {
+		return e.sound(now, id) && !e.leaves(id) && now-e.peers[id].since >= settleFor
+	}
 	for _, m := range v.Roster { // known, but out of the chain
 		if v.Place(m.ID) < 0 && joins(m.ID) {
 			next.Chain, next.Fresh = append(next.Chain, m.ID), append(next.Fresh, m.ID)
 		}
 	}
-	for _, p := range e.strangers() {
-		if !joins(p.ID) {
-			continue
+	gone := func(after Time) func(Member) bool { // a seat of nobody
+		return func(m Member) bool {
+			return !slices.Contains(next.Chain, m.ID) && !e.touch(now, m.ID) && e.absent(now, m.ID) >= after
 		}
-		i := slices.IndexFunc(next.Roster, func(m Member) bool { return m.Addr == p.Addr })
-		if i >= 0 && e.touch(now, next.Roster[i].ID) {
-			continue
+	}
+	left := func(m Member) bool { return !slices.Contains(next.Chain, m.ID) && e.leaves(m.ID) }
+	switch {
+	case settled && len(next.Learners) > 0:
+		m := next.Learners[0]
+		seat := slices.IndexFunc(next.Roster, func(o Member) bool { return o.Addr == m.Addr })
+		for _, free := range []func(Member) bool{left, gone(goneAfter)} {
+			if seat < 0 {
+				seat = slices.IndexFunc(next.Roster, free)
+			}
+		}
+		switch {
+		case seat >= 0:
+			next.Roster[seat], next.Learners = m, nil
+		case next.voting(next.Chain) == len(next.Roster): // nobody is missing: the core grows
+			next.Roster, next.Learners = append(next.Roster, m), nil
+		} // else it is waited until who is missing is back, or gone for good
+	case len(v.Learners) == 0:
+		for _, p := range e.strangers() {
+			i := slices.IndexFunc(next.Roster, func(m Member) bool { return m.Addr == p.Addr })
+			if joins(p.ID) && (i < 0 || !e.touch(now, next.Roster[i].ID)) {
+				next.Learners = []Member{p.Member}
+				next.Chain, next.Fresh = append(next.Chain, p.ID), append(next.Fresh, p.ID)
+				break
+			}
+		}
+	}
+	if settled && len(next.Learners) == 0 && slices.EqualFunc(next.Roster, v.Roster, same) && len(next.Roster) > fewest {
+		if len(next.Roster)%2 == 0 {
+			seat := slices.IndexFunc(next.Roster, left)
+			if seat < 0 {
+				seat = slices.IndexFunc(next.Roster, gone(goneAfter))
+			}
+			if seat >= 0 {
+				next.Roster = slices.Delete(next.Roster, seat, seat+1)
+			}
+		} else if rest := slices.DeleteFunc(slices.Clone(next.Roster), gone(emptyAfter)); len(rest) <= len(next.Roster)-2 && len(rest) >= fewest {
+			next.Roster = rest
 		}
-		if i >= 0 { // the machine came back with another disk
-			next.Chain = slices.DeleteFunc(next.Chain, func(id string) bool { return id == next.Roster[i].ID })
-			next.Roster[i] = p.Member
-		} else {
-			next.Roster = append(next.Roster, p.Member)
+	}
+	changed := !slices.Equal(next.Chain, v.Chain) || !slices.EqualFunc(next.Roster, v.Roster, same) || !slices.EqualFunc(next.Learners, v.Learners, same)
+	return next, changed && next.voting(next.Chain) >= next.Majority()
+}
+
+func same(a, b Member) bool { return a.ID == b.ID }
+
+// voting counts the voters among some.
+func (v View) voting(ids []string) (n int) {
+	for _, id := range ids {
+		if v.In(id) {
+			n++
 		}
-		next.Chain, next.Fresh = append(next.Chain, p.ID), append(next.Fresh, p.ID)
-		break // one at a time: majorities of two views that follow each other must meet
 	}
-	return next, !slices.Equal(next.Chain, v.Chain) && len(next.Chain) >= next.Majority()
+	return n
 }
 
 func (e *Engine) strangers() []*peer {
 	var all []*peer
 	for id, p := range e.peers {
-		if !e.d.View.In(id) {
+		if !e.d.View.In(id) && !e.d.View.Learns(id) {
 			all = append(all, p)
 		}
 	}
@@ -372,7 +523,10 @@
 	if e.needed == 0 {
 		e.needed = now
 	}
-	rank := max(slices.Index(next.Chain, e.self.ID), 0)
+	rank := slices.Index(next.Chain, e.self.ID)
+	if rank < 0 {
+		rank = len(next.Chain)
+	}
 	if e.proposing.on || now < e.waitUntil || now-e.needed < sureAfter+Time(rank)*rankWait {
 		return
 	}
@@ -460,7 +614,7 @@
 		if len(p.accepted) >= e.d.View.Majority() {
 			value := p.value
 			tell := map[string]Member{}
-			for _, to := range append(slices.Clone(e.d.View.Roster), value.Roster...) {
+			for _, to := range append(e.d.View.Members(), value.Members()...) {
 				tell[to.ID] = to
 			}
 			for _, id := range sorted(tell) {
@@ -494,11 +648,14 @@
 	} else if now-p.heard >= suspectAfter {
 		p.since = now
 	}
-	p.Member, p.heard, p.sick = m.From, now, m.Sick
-	if hears := slices.Contains(m.Hears, e.self.ID); hears && !p.hearsMe {
-		p.hearsMe, p.since = true, now
-	} else if !hears {
-		p.hearsMe = false
+	p.Member, p.heard, p.sick, p.leaving, p.clock = m.From, now, m.Sick, m.Leaving, m.Clock
+	echo, hears := m.Heard[e.self.ID]
+	if hears && !p.hearsMe {
+		p.since = now
+	}
+	p.hearsMe = hears
+	if hears && e.Younger(now, echo, contactFor) {
+		p.asked = max(p.asked, echo.At)
 	}
 	if fresh { // it is told at once that it is heard: after a restart of all, nothing can begin before
 		e.send(m.From, e.word(now), false)
--- a/hive/words/words.go
+++ b/hive/words/words.go
@@ -2,8 +2,6 @@
 package words
 
 import (
-	"time"
-
 	"zincloft.example/zincloft/hive/chain"
 	"zincloft.example/zincloft/hive/falls"
 	"zincloft.example/zincloft/hive/registry"
@@ -20,9 +18,9 @@
 // Enter asks the head to take an order; Entered tells what must be committed for it to hold. Echo is the head's own clock
 // as the sender last heard it, so that one that was long on its way is known for it.
 type Enter struct {
-	Token uint64        `cbor:"1,keyasint"`
-	Order chain.Order   `cbor:"2,keyasint"`
-	Echo  time.Duration `cbor:"3,keyasint,omitempty"`
+	Token uint64      `cbor:"1,keyasint"`
+	Order chain.Order `cbor:"2,keyasint"`
+	Echo  view.Stamp  `cbor:"3,keyasint,omitempty"`
 }
 
 type Entered struct {
@@ -31,7 +29,9 @@
 	Seq   uint64 `cbor:"3,keyasint"`
 	OK    bool   `cbor:"4,keyasint,omitempty"`
 
-	Clock time.Duration `cbor:"5,keyasint,omitempty"` // the head's
+	Conflicts bool `cbor:"6,keyasint,omitempty"` // its number is others' already
+
+	Clock view.Stamp `cbor:"5,keyasint,omitempty"` // the head's
 }
 
 // Confirm asks whether view N is still the newest; Confirmed answers.
@@ -132,6 +132,4 @@
 type Committed struct {
 	Seq   uint64 `cbor:"1,keyasint,omitempty"`
 	Known bool   `cbor:"2,keyasint,omitempty"`
-
-	Clock time.Duration `cbor:"3,keyasint,omitempty"` // the sender's
 }
--- a/internal/apiary/schedule.go
+++ b/internal/apiary/schedule.go
@@ -56,6 +56,10 @@
 	Reorder  float64 // share that come late, behind later ones
 	Late     time.Duration
 	Fault    Fault `json:",omitempty"`
+
+	// Unasked has a comb tell each forager that joins what it holds to be committed, before it has asked the others: what the
+	// forager itself keeps up when a comb is wrong shows only then.
+	Unasked bool `json:",omitempty"`
 }
 
 // Fault is a bug put in on purpose, to see that the invariants find it.
--- a/internal/combd/combd.go
+++ b/internal/combd/combd.go
@@ -35,9 +35,12 @@
 )
 
 const (
-	meetEvery  = 2 * time.Second
-	diskAgain  = 300 * time.Millisecond
-	memoryPart = 0.6
+	meetEvery   = 2 * time.Second
+	dropAfter   = 30 * time.Second // a peer to whom nothing was sent for so long
+	endWithin   = time.Second      // of the grace period, for what remains once others do without this comb
+	lastAnswers = 200 * time.Millisecond
+	diskAgain   = 300 * time.Millisecond
+	memoryPart  = 0.6
 )
 
 const keptKey = "state"
@@ -58,6 +61,8 @@
 	waiting map[uint64]chan comb.Answer
 	streams map[uint64]*link.Conn
 	metAt   time.Duration
+	sentAt  map[string]time.Duration // to peers, by address
+	ended   bool
 	dance   *waggle.Dance
 	failed  chan error
 }
@@ -70,7 +75,7 @@
 	if set.DataDir == "" {
 		return nil, merry.New("settings: self_settings.data_directory: a comb needs a disk")
 	}
-	return &Comb{set: set, log: logger, start: time.Now(), loop: make(chan func(), 1024), peers: map[string]*link.Peer{},
+	return &Comb{set: set, log: logger, start: time.Now(), loop: make(chan func(), 1024), peers: map[string]*link.Peer{}, sentAt: map[string]time.Duration{},
 		waiting: map[uint64]chan comb.Answer{}, streams: map[uint64]*link.Conn{}, failed: make(chan error, 4)}, nil
 }
 
@@ -157,7 +162,9 @@
 	}
 	c.step(comb.Event{Start: true})
 	ticks := time.NewTicker(comb.TickEvery)
-	for {
+	leave := ctx.Done()
+	var enough <-chan time.Time
+	for !c.ended {
 		select {
 		case f := <-c.loop:
 			f()
@@ -167,16 +174,41 @@
 			return merry.Prepend(err, "serving")
 		case <-hup:
 			c.reload()
-		case <-ctx.Done():
-			c.log.Info().Str("event", "stopped").Msg("")
-			srv.Close()
-			inner.Close()
-			for _, x := range c.streams {
-				x.End()
-			}
-			return nil
+		case <-leave: // what it alone holds must be with others before it ends
+			leave, enough = nil, time.After(max(c.set.Bounds.GracePeriod-endWithin, 0))
+			c.step(comb.Event{Leaving: true})
+		case <-enough:
+			c.log.Warn().Str("event", "left_early").Msg("")
+			c.ended = true
 		}
 	}
+	c.end(srv, inner)
+	return nil
+}
+
+// end has the calls at hand answered, for a moment, and closes what is open.
+func (c *Comb) end(srv *http.Server, inner net.Listener) {
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		srv.Shutdown(ctx)
+		close(done)
+	}()
+	for open := true; open; {
+		select {
+		case f := <-c.loop:
+			f()
+		case <-done:
+			open = false
+		}
+	}
+	srv.Close()
+	inner.Close()
+	for _, x := range c.streams {
+		x.End()
+	}
+	c.log.Info().Str("event", "stopped").Msg("")
 }
 
 func (c *Comb) reload() {
@@ -200,12 +232,20 @@
 			met = append(met, n.Addr)
 		}
 		c.step(comb.Event{Met: met})
+		for addr, at := range c.sentAt { // machines come and go
+			if now-at > dropAfter {
+				c.peers[addr].Stop()
+				delete(c.peers, addr)
+				delete(c.sentAt, addr)
+			}
+		}
 	}
 	c.step(comb.Event{})
 }
 
 // step has the brain decide, and carries out what it says. It runs on the deciding goroutine only.
 func (c *Comb) step(e comb.Event) {
+	e.Wall = time.Duration(time.Now().UnixNano())
 	a := c.brain.Step(c.now(), e)
 	for _, n := range a.Notes {
 		program.Note(c.log, n.Warn, n.Event, func(yield func(string, any) bool) {
@@ -247,6 +287,7 @@
 			done <- x
 		}
 	}
+	c.ended = c.ended || a.Ended
 	for _, n := range a.End {
 		if x := c.streams[n]; x != nil {
 			x.End()
@@ -277,6 +318,7 @@
 		p = link.To(addr, c.hello)
 		c.peers[addr] = p
 	}
+	c.sentAt[addr] = c.now()
 	p.Send(b)
 }
 
