Core: a full disk gives its seat up, the voted out learn it first, asked beats, larger frames

Cause, from review: a voter whose disk takes nothing but that is heard kept its seat beside a successor, so that the next loss left nobody who can agree. A machine that was voted out and comes back has contact, by its old view, before it hears of the newer one. Contact after a standstill waited for the others' next beats. A member that lags was told the whole register with each beat, and a frame was bounded at 8 MB where a configuration may have 16: such a one was never committed.

Change: absence counts a sick disk too; the newer view is sent before the word that one is heard; a beat of a machine out of touch asks for one at once; who lacks the register is told once a second, and a large one is not passed again while it may still be on its way; frames may have 24 MB. Tests: TestFullGivesWay, TestVotedOut, TestNotBeforeAMajority (what is not promised).

--- a/hive/chain/chain.go
+++ b/hive/chain/chain.go
@@ -22,6 +22,11 @@
 // passAgain is how long a pass may stay without its commit before it is repeated: links lose what was under way.
 const passAgain = 300 * time.Millisecond
 
+const (
+	tellAgain = time.Second          // a register that was told to one that lacks it
+	byteTakes = 30 * time.Nanosecond // of a register on its way and on disk, at the slowest: a large one is not passed again sooner
+)
+
 // Register is the lasting state. It is not changed once made.
 type Register struct {
 	Seq     uint64          `cbor:"1,keyasint"` // orders so far
@@ -182,15 +187,21 @@
 	out       []Send
 	changed   bool
 	news      bool
+	told      map[string]told
 	pending   []Register // passed in this view, not committed yet, oldest first
 }
 
+type told struct {
+	seq uint64
+	at  time.Duration
+}
+
 // New makes an engine from what was on disk.
 //
 // SyncedIn is kept beside the register: without it a member that was killed and came back would take a late pass of
 // the same view for the first one, and fall behind what it had already vouched for.
 func New(id string, held Register, syncedIn uint64) *Engine {
-	return &Engine{id: id, held: held, syncedIn: syncedIn}
+	return &Engine{id: id, held: held, syncedIn: syncedIn, told: map[string]told{}}
 }
 
 // Output is what a step brings.
@@ -325,9 +336,11 @@
 	e.committed, e.known, e.at = r, true, n
 }
 
-// Lacks answers a machine that has committed less than this one.
-func (e *Engine) Lacks(id string, seq uint64, known bool) Output {
-	if e.known && (!known || seq < e.committed.Seq) && id != e.id {
+// Lacks answers a machine that has committed less than this one: once in a while, as the register may be large.
+func (e *Engine) Lacks(now time.Duration, id string, seq uint64, known bool) Output {
+	t, ok := e.told[id]
+	if e.known && (!known || seq < e.committed.Seq) && id != e.id && (!ok || t.seq < e.committed.Seq || now-t.at >= tellAgain) {
+		e.told[id] = told{e.committed.Seq, now}
 		reg := e.committed
 		e.out = append(e.out, Send{id, Message{Kind: Told, From: e.id, Reg: &reg}, false})
 	}
@@ -336,7 +349,7 @@
 
 // Tick repeats what was passed and is not committed.
 func (e *Engine) Tick(now time.Duration) Output {
-	if e.syncedIn == e.view.N && len(e.pending) > 0 && now-e.passedAt >= passAgain {
+	if e.syncedIn == e.view.N && len(e.pending) > 0 && now-e.passedAt >= passAgain+time.Duration(len(e.held.Body))*byteTakes {
 		e.pass(now)
 	}
 	return e.flush()
--- a/hive/core/core.go
+++ b/hive/core/core.go
@@ -298,7 +298,7 @@
 		c.viewed(now, c.view.Receive(now, *m.View))
 		if k := m.Committed; k != nil {
 			c.told[from.ID] = k.Seq
-			c.chained(c.chain.Lacks(from.ID, k.Seq, k.Known))
+			c.chained(c.chain.Lacks(now, from.ID, k.Seq, k.Known))
 		}
 	case m.Chain != nil:
 		c.chained(c.chain.Receive(now, *m.Chain))
@@ -349,10 +349,10 @@
 	case !c.view.InTouch(now):
 		c.out.Answers = append(c.out.Answers, Answer{Token: c.token, Status: http.StatusServiceUnavailable})
 	case v.Place(c.view.Self().ID) < 0:
-		a := Answer{Token: c.token, Status: http.StatusServiceUnavailable}
-		for _, p := range c.view.Peers(now) {
-			if p.ID == v.Chain[len(v.Chain)-1] && p.Call != "" {
-				a.Status, a.Where = http.StatusTemporaryRedirect, p.Call
+		a, tail := Answer{Token: c.token, Status: http.StatusServiceUnavailable}, ""
+		for _, p := range c.view.Peers(now) { // the last that votes: it holds all that is committed
+			if p.Call != "" && v.In(p.ID) && v.Place(p.ID) >= 0 && (a.Where == "" || v.Place(p.ID) > v.Place(tail)) {
+				a.Status, a.Where, tail = http.StatusTemporaryRedirect, p.Call, p.ID
 			}
 		}
 		c.out.Answers = append(c.out.Answers, a)
--- a/hive/core/core_test.go
+++ b/hive/core/core_test.go
@@ -26,6 +26,7 @@
 	began time.Duration
 	up    bool
 	still bool
+	full  bool          // its disk takes nothing
 	lag   time.Duration // its clock stood still for so long
 	held  []func()
 	life  int
@@ -127,6 +128,10 @@
 		life := b.life
 		n.after(time.Millisecond, func() {
 			n.run(b, life, func() {
+				if b.full {
+					n.do(b, b.core.Written(n.local(b), "no space"))
+					return
+				}
 				b.disk = a.Write
 				n.do(b, b.core.Written(n.local(b), ""))
 			})
@@ -533,3 +538,78 @@
 		}
 	}
 }
+
+// TestFullGivesWay guards against a member whose disk takes nothing, but that is heard: it kept its seat beside a successor, and
+// the next loss left nobody to agree.
+func TestFullGivesWay(t *testing.T) {
+	n := newNet(t, "a", "b", "c")
+	n.pass(3 * time.Second)
+	n.boxes["c"].full = true
+	n.order("a", "first", config(1, "one"))
+	n.pass(2 * time.Second)
+	n.start("d", false)
+	n.pass(4 * time.Second)
+	n.boxes["b"].up = false
+	n.pass(3 * time.Second)
+	n.order("a", "second", config(2, "two"))
+	n.pass(time.Second)
+	n.wants("second", http.StatusOK)
+	n.boxes["c"].full = false
+	n.start("b", false)
+	n.pass(6 * time.Second)
+	if v := n.voters("a"); !slices.Equal(v, []string{"a", "b", "c", "d"}) {
+		t.Errorf("all are well; the voters are %v", v)
+	}
+}
+
+// TestVotedOut has a machine that was voted out while it was off come back: by its old view it is a voter and reaches a majority,
+// but it must learn better before it takes anything.
+func TestVotedOut(t *testing.T) {
+	n := newNet(t, "a", "b", "c")
+	n.start("d", false)
+	n.pass(5 * time.Second)
+	if v := n.voters("a"); len(v) != 4 {
+		t.Fatalf("the voters are %v", v)
+	}
+	n.boxes["d"].up = false
+	n.pass(4 * time.Second)
+	if v := n.voters("a"); len(v) != 3 {
+		t.Fatalf("the voters are %v", v)
+	}
+	d := n.start("d", false)
+	for range 3000 {
+		n.pass(time.Millisecond)
+		if d.core.InTouch(n.local(d)) && !n.boxes["a"].core.View().In(d.core.Self().ID) {
+			t.Fatalf("in touch %v after its start, by view %d; the others are in %d", n.now-d.began, d.core.View().N, n.boxes["a"].core.View().N)
+		}
+	}
+	if !d.core.InTouch(n.local(d)) {
+		t.Error("not taken in again within 3 s")
+	}
+}
+
+// TestNotBeforeAMajority pins what is not promised: where a majority's disks were lost, by the first second's loss of power too,
+// nothing forms by itself; the rest answers that it cannot.
+func TestNotBeforeAMajority(t *testing.T) {
+	for lost := 1; lost <= 3; lost++ {
+		n := newNet(t, "a", "b", "c")
+		n.pass(40 * time.Millisecond)
+		for i, addr := range n.seeds {
+			n.boxes[addr].up = false
+			if i < lost {
+				n.boxes[addr].disk = nil
+			}
+		}
+		for _, addr := range n.seeds {
+			n.start(addr, false)
+		}
+		n.pass(5 * time.Second)
+		n.order("b", "order", config(1, "one"))
+		n.pass(time.Second)
+		want := http.StatusServiceUnavailable
+		if lost == 1 {
+			want = http.StatusOK
+		}
+		n.wants("order", want)
+	}
+}
--- a/hive/view/view.go
+++ b/hive/view/view.go
@@ -122,6 +122,7 @@
 	Clock   Stamp            `cbor:"8,keyasint,omitempty"`  // beats: the sender's, at sending
 	Heard   map[string]Stamp `cbor:"9,keyasint,omitempty"`  // beats: whom the sender hears, and their clocks as it last heard
 	Leaving bool             `cbor:"10,keyasint,omitempty"` // beats: it has been told to end
+	Ask     bool             `cbor:"11,keyasint,omitempty"` // beats: it is not in touch, and wants a beat at once
 }
 
 // Stamp is a reading of one life's steady clock. A machine that hears its own one back knows that whoever sent it has
@@ -145,6 +146,7 @@
 	since   Time // in touch without a gap since
 	hearsMe bool
 	sick    bool
+	sickAt  Time // since
 	leaving bool
 	clock   Stamp // its own, as last heard
 	asked   Time  // when the newest word of ours was sent that it is known to have heard; contact counts from there
@@ -350,6 +352,7 @@
 	if now >= e.beatAt {
 		e.beatAt = now + BeatEvery
 		b := e.word(now)
+		b.Ask = !e.InTouch(now)
 		for _, m := range e.Peers(now) {
 			e.send(m, b, false)
 		}
@@ -378,12 +381,17 @@
 	return b
 }
 
-// absent is how long a machine has not been heard, as far as this one can tell.
+// absent is how long a machine has not been heard, or has been heard with a disk that takes no writes, as far as this one
+// can tell.
 func (e *Engine) absent(now Time, id string) Time {
-	if p := e.peers[id]; p != nil {
-		return now - max(p.heard, e.began)
+	p := e.peers[id]
+	switch {
+	case p == nil:
+		return now - e.began
+	case p.sick && e.touch(now, id):
+		return now - max(p.sickAt, e.began)
 	}
-	return now - e.began
+	return now - max(p.heard, e.began)
 }
 
 func (e *Engine) leaves(id string) bool {
@@ -440,7 +448,7 @@
 	}
 	gone := func(after Time) func(Member) bool { // a seat of nobody
 		return func(m Member) bool {
-			return !slices.Contains(next.Chain, m.ID) && !e.touch(now, m.ID) && e.absent(now, m.ID) >= after
+			return !slices.Contains(next.Chain, m.ID) && !e.sound(now, m.ID) && e.absent(now, m.ID) >= after
 		}
 	}
 	left := func(m Member) bool { return !slices.Contains(next.Chain, m.ID) && e.leaves(m.ID) }
@@ -648,6 +656,9 @@
 	} else if now-p.heard >= suspectAfter {
 		p.since = now
 	}
+	if m.Sick && !p.sick {
+		p.sickAt = now
+	}
 	p.Member, p.heard, p.sick, p.leaving, p.clock = m.From, now, m.Sick, m.Leaving, m.Clock
 	echo, hears := m.Heard[e.self.ID]
 	if hears && !p.hearsMe {
@@ -657,11 +668,11 @@
 	if hears && e.Younger(now, echo, contactFor) {
 		p.asked = max(p.asked, echo.At)
 	}
-	if fresh { // it is told at once that it is heard: after a restart of all, nothing can begin before
-		e.send(m.From, e.word(now), false)
-	}
-	if m.N < e.d.View.N {
+	if m.N < e.d.View.N { // before all else: an older view may have given it a vote that it has no more
 		v := e.d.View
 		e.send(m.From, Message{Kind: Decided, N: v.N, View: &v}, true)
 	}
+	if fresh || m.Ask { // it is told at once that it is heard: after a restart of all, nothing can begin before
+		e.send(m.From, e.word(now), false)
+	}
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	mostFrame   = 8 << 20
+	mostFrame   = 24 << 20 // a configuration of 16 MB, the most that is taken, and what goes with it
 	dialMost    = 500 * time.Millisecond
 	writeMost   = time.Second
 	userTimeout = time.Second
