Views: joins out of settled views, leavers by what others hold, one cut link in a chain

Cause, found by hive/model's exploration of replacements, removals and losses: a leaver ended while it still made the voters an even number, or when the tail alone was left; a leaver was dropped from the chain while only fresh ones stayed beside one; and a proposer that had seen no commit in its view took somebody in, by which all that had come before were marked as fresh once more: with the head lost nobody could lead, though each held everything. And from review: with only the link between two neighbours of the chain cut, every member was heard by who mends it, so nothing was committed until the link was back.

Change: nobody is taken in out of a view in which no commit was seen, save where the chain would be too short; beats tell in which view a member was filled on its disk, which clears its mark; a leaver is dropped where a majority of filled voters stays, and ends when such a majority is in contact and has told that it holds what is committed; neighbours in a chain must hear each other.

--- a/hive/core/core.go
+++ b/hive/core/core.go
@@ -191,11 +191,28 @@
 // that a majority holds on disk what this one holds, and no caller waits here any more.
 func (c *Core) Leave() { c.view.Leave() }
 
-// Left tells whether nothing rests on this machine any more, or nobody is there to take it over.
+// Left tells whether nothing rests on this machine any more, or nobody is there to take it over. The others must be able to go
+// on without it: a majority of the voters in the chain, each in contact now, have said that they hold what is committed
+// here. Where its seat makes the number of voters even, it waits until that has been dropped.
 func (c *Core) Left(now time.Duration) bool {
 	v, id := c.view.View(), c.view.Self().ID
-	free := v.Place(id) < 0 && (!v.In(id) || c.chain.CommittedIn() == v.N)
-	return c.view.Leaving() && len(c.orders)+len(c.reads) == 0 && (free || c.view.Forsaken(now))
+	if !c.view.Leaving() || len(c.orders)+len(c.reads) > 0 {
+		return false
+	}
+	if c.view.Forsaken(now) {
+		return true
+	}
+	if v.Place(id) >= 0 || v.In(id) && (c.chain.CommittedIn() != v.N || len(v.Roster)%2 == 0) {
+		return false
+	}
+	r, _ := c.chain.Committed()
+	hold := 0
+	for _, m := range v.Roster {
+		if v.Place(m.ID) >= 0 && c.view.Contact(now, m.ID) && c.told[m.ID] >= r.Seq {
+			hold++
+		}
+	}
+	return hold >= v.Majority()
 }
 
 // Lost has all contact with the others made anew, where this machine's clock may have stood still with it.
@@ -281,6 +298,9 @@
 	if c.chain.Settled() {
 		c.view.SetSettled(c.chain.CommittedIn())
 	}
+	if c.gen == c.saved {
+		c.view.SetFilled(c.chain.SyncedIn())
+	}
 	c.viewed(now, c.view.Tick(now))
 	c.chained(c.chain.Tick(now))
 	return c.flush(now)
--- a/hive/core/core_test.go
+++ b/hive/core/core_test.go
@@ -613,3 +613,72 @@
 		n.wants("order", want)
 	}
 }
+
+// TestOneLinkCut guards against a chain that is broken in its middle while every member is heard by the one who mends it: only
+// the link between two neighbours is cut, and nothing was committed until it was back.
+func TestOneLinkCut(t *testing.T) {
+	for _, two := range [][2]string{{"a", "b"}, {"b", "c"}, {"a", "c"}} {
+		n := newNet(t, "a", "b", "c")
+		n.pass(3 * time.Second)
+		n.cut[two], n.cut[[2]string{two[1], two[0]}] = true, true
+		n.pass(3 * time.Second)
+		for _, addr := range n.seeds {
+			n.order(addr, "order "+addr, config(uint64(addr[0]), addr))
+		}
+		n.pass(time.Second)
+		answered := 0
+		for _, addr := range n.seeds {
+			if n.answers["order "+addr].Status == http.StatusOK {
+				answered++
+			}
+		}
+		if answered < 2 {
+			t.Errorf("the link %v is cut: %d of three machines take orders", two, answered)
+		}
+	}
+}
+
+// TestLeaverOfFour guards against a leaver that ends while it still makes the voters an even number: the next loss left two of
+// four. Found by hive/model.
+func TestLeaverOfFour(t *testing.T) {
+	n := newNet(t, "a", "b", "c")
+	n.start("d", false)
+	n.pass(5 * time.Second)
+	a := n.boxes["a"]
+	a.core.Leave()
+	for range 600 {
+		if n.pass(10 * time.Millisecond); a.core.Left(n.local(a)) {
+			break
+		}
+	}
+	a.up, n.boxes["b"].up = false, false
+	n.pass(3 * time.Second)
+	n.order("c", "order", config(1, "one"))
+	n.pass(time.Second)
+	n.wants("order", http.StatusOK)
+}
+
+// TestOutOfUnsettled guards against views that follow each other before the head has passed: those who came in the last one were
+// marked as fresh again, and where the head was lost nobody could lead, though all held everything. Found by hive/model.
+func TestOutOfUnsettled(t *testing.T) {
+	for at := time.Duration(0); at < 1200*time.Millisecond; at += 7 * time.Millisecond {
+		n := newNet(t, "a", "b", "c")
+		n.pass(3 * time.Second)
+		n.order("a", "first", config(1, "one"))
+		n.pass(time.Second)
+		n.boxes["b"].up, n.boxes["c"].up = false, false
+		n.pass(time.Second)
+		n.start("b", false)
+		n.start("c", false)
+		n.start("d", false)
+		n.pass(at)
+		n.boxes["a"].up = false
+		n.pass(6 * time.Second)
+		n.order("b", "second", config(2, "two"))
+		n.pass(time.Second)
+		n.wants("second", http.StatusOK)
+		if t.Failed() {
+			t.Fatalf("a lost after %v", at)
+		}
+	}
+}
--- a/hive/view/view.go
+++ b/hive/view/view.go
@@ -123,6 +123,7 @@
 	Heard   map[string]Stamp `cbor:"9,keyasint,omitempty"`  // beats: whom the sender hears, and their clocks as it last heard
 	Leaving bool             `cbor:"10,keyasint,omitempty"` // beats: it has been told to end
 	Ask     bool             `cbor:"11,keyasint,omitempty"` // beats: it is not in touch, and wants a beat at once
+	Filled  uint64           `cbor:"12,keyasint,omitempty"` // beats: the last view in which it was filled, on its disk
 }
 
 // Stamp is a reading of one life's steady clock. A machine that hears its own one back knows that whoever sent it has
@@ -145,9 +146,11 @@
 	heard   Time // last beat
 	since   Time // in touch without a gap since
 	hearsMe bool
+	hears   map[string]Stamp // whom it hears
 	sick    bool
 	sickAt  Time // since
 	leaving bool
+	filled  uint64
 	clock   Stamp // its own, as last heard
 	asked   Time  // when the newest word of ours was sent that it is known to have heard; contact counts from there
 }
@@ -182,6 +185,7 @@
 	}
 	waitUntil Time
 	settledIn uint64
+	filledIn  uint64
 	seeds     []string
 }
 
@@ -252,6 +256,9 @@
 // SetSettled tells the last view in which a commit was seen: by then all its chain was filled.
 func (e *Engine) SetSettled(n uint64) { e.settledIn = n }
 
+// SetFilled tells the last view in which this machine's predecessor filled it, or whose head it was, once that is on its disk.
+func (e *Engine) SetFilled(n uint64) { e.filledIn = n }
+
 // Self is this machine.
 func (e *Engine) Self() Member { return e.self }
 
@@ -278,7 +285,7 @@
 	}
 	n := 0
 	for _, m := range e.d.View.Roster {
-		if p := e.peers[m.ID]; m.ID == e.self.ID || p != nil && p.asked > 0 && now-p.asked < contactFor {
+		if m.ID == e.self.ID || e.Contact(now, m.ID) {
 			n++
 		}
 	}
@@ -307,6 +314,12 @@
 	return s.Life == e.life && s.At <= now && now-s.At <= most
 }
 
+// Contact tells whether one other machine is known to have heard a word of this one that is less than a second old.
+func (e *Engine) Contact(now Time, id string) bool {
+	p := e.peers[id]
+	return p != nil && p.asked > 0 && now-p.asked < contactFor
+}
+
 // Lost has all contact made anew, by a new life's clock: answers to what was said before count no more.
 func (e *Engine) Lost(now Time) {
 	e.life++
@@ -372,7 +385,7 @@
 
 // word is a beat: that this machine lives, and whom it hears.
 func (e *Engine) word(now Time) Message {
-	b := Message{Kind: Beat, N: e.d.View.N, Sick: e.sick, Leaving: e.leaving, Clock: e.Clock(now), Heard: map[string]Stamp{}}
+	b := Message{Kind: Beat, N: e.d.View.N, Sick: e.sick, Leaving: e.leaving, Filled: e.filledIn, Clock: e.Clock(now), Heard: map[string]Stamp{}}
 	for id, p := range e.peers {
 		if now-p.heard < suspectAfter {
 			b.Heard[id] = p.clock
@@ -381,6 +394,33 @@
 	return b
 }
 
+// linked tells whether a machine and the last of a chain hear each other, as far as both told: where only the link between
+// two is cut, one of them must go, though all others hear both.
+func (e *Engine) linked(chain []string, id string) bool {
+	if len(chain) == 0 {
+		return true
+	}
+	hears := func(a, b string) bool {
+		if a == e.self.ID {
+			return true // sound by this machine's own ears
+		}
+		_, ok := e.peers[a].hears[b]
+		return ok
+	}
+	last := chain[len(chain)-1]
+	return hears(last, id) && hears(id, last)
+}
+
+func (e *Engine) filled(id string) uint64 {
+	if p := e.peers[id]; p != nil {
+		return p.filled
+	}
+	if id == e.self.ID {
+		return e.filledIn
+	}
+	return 0
+}
+
 // absent is how long a machine has not been heard, or has been heard with a disk that takes no writes, as far as this one
 // can tell.
 func (e *Engine) absent(now Time, id string) Time {
@@ -416,18 +456,20 @@
 	settled := e.settledIn == v.N
 	next := View{N: v.N + 1, Roster: slices.Clone(v.Roster)}
 	for _, id := range v.Chain {
-		if e.sound(now, id) {
+		if e.sound(now, id) && e.linked(next.Chain, id) {
 			next.Chain = append(next.Chain, id)
 		}
 	}
-	if stay := slices.DeleteFunc(slices.Clone(next.Chain), e.leaves); next.voting(stay) >= next.Majority() {
+	fresh := func(id string) bool { // by the view; one that was filled in it holds all that was acknowledged
+		return !settled && slices.Contains(v.Fresh, id) && e.filled(id) != v.N
+	}
+	stay := slices.DeleteFunc(slices.Clone(next.Chain), e.leaves)
+	if next.voting(slices.DeleteFunc(slices.Clone(stay), fresh)) >= next.Majority() {
 		next.Chain = stay
 	}
-	if !settled {
-		for _, id := range next.Chain {
-			if slices.Contains(v.Fresh, id) {
-				next.Fresh = append(next.Fresh, id)
-			}
+	for _, id := range next.Chain {
+		if fresh(id) {
+			next.Fresh = append(next.Fresh, id)
 		}
 	}
 	if len(next.Chain) == 0 || slices.Contains(next.Fresh, next.Chain[0]) {
@@ -438,8 +480,11 @@
 			next.Learners = append(next.Learners, m)
 		}
 	}
+	// Out of a view in which no commit was seen nobody is taken in, but where the chain would else be too short: should its
+	// head be lost before it passes in the next one, those who came in the last would be marked as fresh once more.
+	short := func() bool { return next.voting(next.Chain) < next.Majority() }
 	joins := func(id string) bool {
-		return e.sound(now, id) && !e.leaves(id) && now-e.peers[id].since >= settleFor
+		return e.sound(now, id) && now-e.peers[id].since >= settleFor && e.linked(next.Chain, id) && (settled && !e.leaves(id) || short())
 	}
 	for _, m := range v.Roster { // known, but out of the chain
 		if v.Place(m.ID) < 0 && joins(m.ID) {
@@ -659,12 +704,12 @@
 	if m.Sick && !p.sick {
 		p.sickAt = now
 	}
-	p.Member, p.heard, p.sick, p.leaving, p.clock = m.From, now, m.Sick, m.Leaving, m.Clock
+	p.Member, p.heard, p.sick, p.leaving, p.filled, p.clock = m.From, now, m.Sick, m.Leaving, m.Filled, m.Clock
 	echo, hears := m.Heard[e.self.ID]
 	if hears && !p.hearsMe {
 		p.since = now
 	}
-	p.hearsMe = hears
+	p.hearsMe, p.hears = hears, m.Heard
 	if hears && e.Younger(now, echo, contactFor) {
 		p.asked = max(p.asked, echo.At)
 	}
