Views: a member is greeted however long it was silent; a leaver waits for its seat

Cause, found by the apiary: a member of the view that was not heard for 20 s was in no list of those greeted, so that two machines that are no seeds stayed mute to each other for ever after a cut of 20 s, and one of them stayed out of the chain for good (TestLongCut fails without the change at 21 s and 60 s). Found by hive/model: a leaver that had itself accepted a value for the next view, or whose successor stood in the chain as a learner, could end by a view that was being overtaken.

Change: members are greeted always; a leaver with a seat ends only when it vouches for its view, no learner waits and the voters are an odd number, also for the seat of a disk that it had before.

--- a/hive/core/core.go
+++ b/hive/core/core.go
@@ -202,7 +202,10 @@
 	if c.view.Forsaken(now) {
 		return true
 	}
-	if v.Place(id) >= 0 || v.In(id) && (c.chain.CommittedIn() != v.N || len(v.Roster)%2 == 0) {
+	// Its seat must be somebody's, or one that nobody is there to take: a learner is about to, and an even roster drops it. That goes
+	// for the seat of a disk that this machine had before, too.
+	seat := slices.ContainsFunc(v.Roster, func(m view.Member) bool { return m.Addr == c.view.Self().Addr })
+	if v.Place(id) >= 0 || v.In(id) && !c.view.Vouches(v.N) || seat && (c.chain.CommittedIn() != v.N || len(v.Roster)%2 == 0 || len(v.Learners) > 0) {
 		return false
 	}
 	r, _ := c.chain.Committed()
--- a/hive/core/core_test.go
+++ b/hive/core/core_test.go
@@ -680,3 +680,24 @@
 		}
 	}
 }
+
+// TestLongCut guards against machines that forget each other: two that are no seeds and did not hear each other for as long as a
+// stranger is remembered never greeted each other again, and one stayed out for good. Found by the apiary.
+func TestLongCut(t *testing.T) {
+	for _, span := range []time.Duration{10 * time.Second, 21 * time.Second, 60 * time.Second} {
+		n := newNet(t, "a", "b", "c")
+		n.start("d", false)
+		n.start("e", false)
+		n.pass(6 * time.Second)
+		n.cutOff("e", true)
+		n.pass(span)
+		n.cutOff("e", false)
+		n.pass(3 * time.Second)
+		n.order("e", "order", config(1, "one"))
+		n.pass(time.Second)
+		n.wants("order", http.StatusOK)
+		if e := n.boxes["e"].core; e.View().Place(e.Self().ID) < 0 {
+			t.Errorf("cut off for %v: not in the chain 4 s after", span)
+		}
+	}
+}
--- a/hive/view/view.go
+++ b/hive/view/view.go
@@ -329,11 +329,14 @@
 	}
 }
 
-// Peers lists the machines heard of lately, this one excepted.
+func (e *Engine) member(id string) bool { return e.d.View.In(id) || e.d.View.Learns(id) }
+
+// Peers lists the machines heard of lately and all members of the view, this one excepted. A member is greeted however long it
+// has been silent: two that both forgot each other would stay mute for ever once their link is back.
 func (e *Engine) Peers(now Time) []Member {
 	var all []Member
 	for _, p := range e.peers {
-		if now-p.heard < forgetAfter {
+		if now-p.heard < forgetAfter || e.member(p.ID) {
 			all = append(all, p.Member)
 		}
 	}
@@ -371,7 +374,7 @@
 		}
 	}
 	for id, p := range e.peers {
-		if now-p.heard > forgetAfter && !e.d.View.In(id) {
+		if now-p.heard > forgetAfter && !e.member(id) {
 			delete(e.peers, id)
 		}
 	}
@@ -551,7 +554,7 @@
 func (e *Engine) strangers() []*peer {
 	var all []*peer
 	for id, p := range e.peers {
-		if !e.d.View.In(id) && !e.d.View.Learns(id) {
+		if !e.member(id) {
 			all = append(all, p)
 		}
 	}
