A cold end that comes later counts at once

Ruled out: rights dealt twice. Of the picks in the broken second none used a right, and all said that the replica is warm; no comb life, view or stream had a part in it.

Change: a later end counts from 20 ms on, only a sooner one waits for 0.4 s. A beat that tells of cold goes to the other combs at once instead of with the next gossip.

--- a/hive/comb/comb.go
+++ b/hive/comb/comb.go
@@ -374,6 +374,8 @@
 	if news, urgent := c.reg.Beat(now, l); news {
 		if urgent {
 			c.note("draining", "id", l.ID)
+		}
+		if urgent || l.Cold > 0 { // it may have been warm, or cold until sooner, for the others
 			c.gossipNow(now, []registry.Life{l})
 		}
 		c.tell(now, urgent)
--- a/hive/registry/registry.go
+++ b/hive/registry/registry.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	coldMoved  = 400 * time.Millisecond // a cold end that moved by less is no news
+	coldEarly  = 400 * time.Millisecond // a cold end that comes so much sooner is news
+	coldLate   = 20 * time.Millisecond  // one that comes so much later: as it turned cold anew; less is the beat's way
 	silentMost = 30 * time.Second       // after so long a silent one is taken for gone
 	keepGone   = 60 * time.Second       // ended ids are remembered for so long, against late words of them
 	doubtGrace = 50 * time.Millisecond  // a beat may have been under way when its zone was given back
@@ -119,7 +120,7 @@
 		if settled && e.Doubt {
 			e.Doubt, news = false, true
 		}
-		if moved := until - e.coldUntil; l.Cold > 0 && moved.Abs() > coldMoved || l.Cold == 0 && e.coldUntil > now+coldMoved {
+		if l.Cold > 0 && until > e.coldUntil+coldLate || until < e.coldUntil-coldEarly {
 			e.coldUntil, news = until, true
 		}
 		if l.Addr != "" && (e.Addr != l.Addr || e.Slots != l.Slots || e.Service != l.Service) {
--- a/hive/registry/registry_test.go
+++ b/hive/registry/registry_test.go
@@ -105,6 +105,17 @@
 			news, _ := r.Beat(3*s, l)
 			So(news, ShouldBeFalse)
 		})
+		// Guards a replica that turns cold anew before its first cold span has ended: a later end of less than 400 ms was passed over.
+		Convey("a cold end that moves later counts at once", func() {
+			l := beat("i1", 2)
+			l.Cold = 2954
+			r.Beat(2*s, l)
+			l.Seq, l.Cold = 3, 3000
+			news, _ := r.Beat(2*s+254*time.Millisecond, l)
+			So(news, ShouldBeTrue)
+			got, _ := find(r, 5*s, "i1")
+			So(got.Cold, ShouldEqual, 254)
+		})
 		// Guards a crash and a new start at the same address, and an address handed to another service.
 		Convey("a new life at its address ends it at once", func() {
 			_, urgent := r.Beat(2*s, beat("i9", 1))
