Rights, words of replicas and tables are fenced by stream, beat and life

An older beat, or an old disk, made a cold replica warm, and doubt was lost with a comb that restarted. A comb back from a cut whose first event was a forager's joining did not excuse the replicas: all were silent, after 30 s ended for good. It also passed for one that knows all, so foragers refused for a minute whatever began meanwhile. A whole table did not tell what is out of it.

Ruled out: one register number with two states; a lower number with a higher version.

Change: rights end with the stream, with a second of silence and with a whole state; a comb newly in touch deals nothing for 1.1 s, one outside the roster never. Words of coldness count by the replica's beat; what a comb knows from its disk or from before a cut is told as old. A forager leaves a stream whose words come after a second of silence. Removal because a comb does not know a replica is no end. Tables tell zero weights to newcomers. The apiary watches the sum of rights at each pick.

--- a/hive/comb/comb.go
+++ b/hive/comb/comb.go
@@ -156,6 +156,8 @@
 	revs     []revAt
 	touched  map[string]bool // peers in touch at the last gossip
 	alone    bool
+	cut      bool          // out of touch at the last tick
+	backAt   time.Duration // in touch since
 	ticked   time.Duration
 	falls    *falls.Falls
 	hived    hived
@@ -176,6 +178,8 @@
 		k.Lives[i].Age = 0 // heard now, as far as anyone knows; those that do not beat go as any silent one
 	}
 	c.reg.Merge(now, k.Lives)
+	c.reg.Unsure()
+	c.wasOut = sortedKeys(k.Register.Out)
 	c.ticked = now
 	c.hived = hived{open: map[uint64]change{}, elsewhat: map[string]elsewhere{}, drained: map[string]time.Duration{}}
 	c.core = core.New(self, k, set.Seeds, rand.New(&c.chance).Float64, hints{c})
@@ -287,10 +291,9 @@
 			for _, s := range c.streams {
 				c.out.End = append(c.out.End, s.n)
 			}
-		} else {
-			c.reg.Excuse(now)
 		}
 	}
+	c.touch(now, alone)
 	if !alone {
 		for _, id := range c.reg.Expire(now) {
 			c.note("replica_silent", "id", id)
--- a/hive/comb/streams.go
+++ b/hive/comb/streams.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"zincloft.example/zincloft/hive/falls"
+	"zincloft.example/zincloft/hive/forage"
 	"zincloft.example/zincloft/hive/registry"
 	"zincloft.example/zincloft/hive/view"
 	"zincloft.example/zincloft/hive/words"
@@ -16,6 +17,9 @@
 // coldPart is the part of what a cold replica bears that is dealt out.
 const coldPart = 0.9
 
+// dealsAfter is for how long a comb that is newly in touch deals nothing.
+const dealsAfter = forage.GrantsHold + 100*time.Millisecond
+
 // stream is a forager that holds to this comb, with what it has been told.
 type stream struct {
 	n        uint64
@@ -119,8 +123,19 @@
 	}
 }
 
+// young tells whether this comb may not know all replicas: it has just started, or was cut off.
 func (c *Comb) young(now time.Duration) bool {
-	return now < time.Duration(youngFor*float64(c.set.Heartbeat))
+	return c.cut || now-c.backAt < time.Duration(youngFor*float64(c.set.Heartbeat))
+}
+
+// touch takes note of whether this comb is in touch. One that is again could hear nobody meanwhile, and what it knows is old.
+func (c *Comb) touch(now time.Duration, alone bool) {
+	if c.cut && !alone {
+		c.reg.Excuse(now)
+		c.reg.Unsure()
+		c.backAt = now
+	}
+	c.cut = alone
 }
 
 // tell brings the foragers up to date: at once where it must not wait, else now and then.
@@ -149,7 +164,7 @@
 		st := words.State{}
 		say := now-s.saidAt >= signEvery
 		if !s.whole {
-			st.Whole, st.Young, s.whole, say = true, c.young(now), true, true
+			st.Whole, st.Young, st.Granted, s.whole, say = true, c.young(now), true, true, true
 		}
 		if !s.known || r.Seq > s.seq {
 			st.Seq, st.Version, st.Out, say = r.Seq, r.Version, sortedKeys(r.Out), true
@@ -179,7 +194,7 @@
 			if total != s.foragers {
 				st.Foragers, s.foragers, say = total, total, true
 			}
-			if g := grants[s]; !maps.Equal(g, s.grants) {
+			if g := grants[s]; st.Whole || !maps.Equal(g, s.grants) {
 				st.Granted, s.grants, say = true, g, true
 				for _, id := range sortedKeys(g) {
 					st.Grants = append(st.Grants, words.Line{Replica: id, Grant: g[id]})
@@ -213,16 +228,18 @@
 }
 
 // deal gives the right to call a cold replica to one of this comb's foragers, in its zone where there is one. Each
-// comb deals an equal part of what the replica bears, whether or not the others live, so that the sum holds while
-// combs die and foragers change sides.
+// comb of the view deals an equal part of what the replica bears, whether or not the others live, so that the sum holds
+// while combs die and foragers change sides. One that has just started or was cut off first waits until what it dealt
+// before has run out (forage.GrantsHold).
 func (c *Comb) deal(now time.Duration) map[*stream]map[string]float32 {
 	grants := map[*stream]map[string]float32{}
-	if c.config == nil || len(c.streams) == 0 {
+	v := c.core.View()
+	if c.config == nil || len(c.streams) == 0 || !v.In(c.core.Self().ID) || c.cut || now-c.backAt < dealsAfter {
 		return grants
 	}
-	part := coldPart / float64(max(len(c.core.View().Roster), 1))
+	part := coldPart / float64(len(v.Roster))
 	c.reg.Each(now, func(l registry.Life) {
-		if l.Cold == 0 && !l.Doubt || l.Draining {
+		if l.Cold == 0 && !l.Doubt && !l.Old || l.Draining {
 			return
 		}
 		var best *stream
--- /dev/null
+++ b/hive/comb/streams_test.go
@@ -0,0 +1,179 @@
+package comb
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"zincloft.example/zincloft/hive/chain"
+	"zincloft.example/zincloft/hive/core"
+	"zincloft.example/zincloft/hive/registry"
+	"zincloft.example/zincloft/hive/view"
+	"zincloft.example/zincloft/hive/words"
+)
+
+const body = `{"version":"00000002","services":[{"name":"svc","max_connections":100,"cold_start":"3s","cold_per_s":10}],"virtual_hosts":[{"hostname":"h","path_routes":[` +
+	`{"name":"r","path_prefix":"/","kind":"safe","timeout":"3s","target_latency":"1s","max_attempts":2,"service":"svc"}]}]}`
+
+// few are three combs on perfect links and disks.
+type few struct {
+	combs []*Comb
+	addrs []string
+	now   time.Duration
+	cut   map[int]bool
+	told  map[uint64]*words.State // newest by stream, with what was told before
+	ended map[uint64]bool
+	token uint64
+}
+
+func newFew() *few {
+	x := &few{cut: map[int]bool{}, told: map[uint64]*words.State{}, ended: map[uint64]bool{}}
+	for i := range 3 {
+		x.addrs = append(x.addrs, fmt.Sprintf("10.0.0.%d:1", i+1))
+	}
+	for i := range 3 {
+		var k core.Kept
+		k.Begin(x.addrs[i], x.addrs, true, "x")
+		x.combs = append(x.combs, New(0, Settings{Zone: "a", Zones: []string{"a"}, Seeds: x.addrs, LinkMbps: 1000, Heartbeat: 1500 * time.Millisecond, Seed: uint64(i)},
+			view.Member{ID: k.Disk, Addr: x.addrs[i], Zone: "a", Call: x.addrs[i]}, k))
+	}
+	for i := range x.combs {
+		x.step(i, Event{Start: true})
+	}
+	x.run(4 * time.Second)
+	x.token++
+	x.step(0, Event{Token: x.token, Order: &chain.Order{Version: 2, Body: []byte(body)}})
+	x.run(2 * time.Second)
+	return x
+}
+
+func (x *few) step(i int, e Event) {
+	a := x.combs[i].Step(x.now, e)
+	for _, t := range a.Tell {
+		for _, n := range t.Streams {
+			st := t.State
+			if had := x.told[n]; had != nil && !st.Granted {
+				st.Grants = had.Grants
+			}
+			x.told[n] = &st
+		}
+	}
+	for _, n := range a.End {
+		x.ended[n] = true
+	}
+	if a.Write != nil {
+		x.step(i, Event{Written: &Written{}})
+	}
+	for _, s := range a.Send {
+		for j, addr := range x.addrs {
+			if addr == s.To && !x.cut[i] && !x.cut[j] {
+				from, m := x.combs[i].Core().Self(), s.Message
+				x.step(j, Event{From: &from, Message: &m})
+			}
+		}
+	}
+}
+
+func (x *few) run(d time.Duration) {
+	for end := x.now + d; x.now < end; {
+		x.now += TickEvery
+		for i := range x.combs {
+			x.step(i, Event{})
+		}
+	}
+}
+
+// beat has a replica beat at a comb.
+func (x *few) beat(i int, seq uint64, cold int64) {
+	x.token++
+	x.step(i, Event{Token: x.token, Beat: &registry.Life{ID: "i1", Service: "svc", Addr: "10.9.0.1:80", Zone: "a", Slots: 4, Seq: seq, Cold: cold}})
+}
+
+func (x *few) join(i int, n uint64) {
+	x.step(i, Event{Joined: &Joined{Stream: n, Forager: fmt.Sprint("f", n), Zone: "a"}})
+}
+
+func (x *few) right(n uint64) float64 {
+	if st := x.told[n]; st != nil && len(st.Grants) > 0 {
+		return float64(st.Grants[0].Grant)
+	}
+	return 0
+}
+
+func TestDeals(t *testing.T) {
+	Convey("Given three combs, each with a forager, and a cold replica", t, func() {
+		x := newFew()
+		for i := range 3 {
+			x.join(i, uint64(i+1))
+		}
+		x.beat(0, 1, 60000)
+		x.run(2 * time.Second)
+		Convey("each deals its part, nine tenths in all", func() {
+			So(x.right(1)+x.right(2)+x.right(3), ShouldAlmostEqual, 9, 1e-3)
+		})
+		// Guards against a right dealt twice: by a comb before it was cut off, and when it is back.
+		Convey("one that was cut off deals nothing until what it dealt before has run out", func() {
+			x.cut[2] = true
+			x.run(5 * time.Second)
+			So(x.ended[3], ShouldBeTrue)
+			x.step(2, Event{Left: 3})
+			x.cut[2] = false
+			for !x.combs[2].Core().InTouch(x.now) {
+				x.run(TickEvery)
+			}
+			x.run(TickEvery)
+			x.join(2, 4)
+			So(x.told[4], ShouldNotBeNil)
+			x.run(700 * time.Millisecond)
+			So(x.right(4), ShouldEqual, 0)
+			x.run(time.Second)
+			So(x.right(4), ShouldAlmostEqual, 3, 1e-3)
+		})
+		// Guards a whole state that says nothing of rights: a forager that comes from another comb kept those it had.
+		Convey("a whole state says what is dealt, also where that is nothing", func() {
+			x.join(0, 7)
+			So(x.told[7].Whole, ShouldBeTrue)
+			So(x.told[7].Granted, ShouldBeTrue)
+		})
+	})
+	Convey("Given a comb that was cut off for long", t, func() {
+		x := newFew()
+		x.beat(0, 1, 0)
+		x.run(2 * time.Second)
+		x.cut[2] = true
+		x.run(5 * time.Second)
+		for range 25 { // the replica beats elsewhere
+			x.run(time.Second)
+			x.beat(0, 2+uint64(x.now/time.Second), 0)
+		}
+		x.cut[2] = false
+		// Guards against a fleet that is ended by one that could not hear it, where a forager comes first after the cut.
+		Convey("it takes nobody for gone or silent when it is back, also where a forager joins before its next tick", func() {
+			for !x.combs[2].Core().InTouch(x.now) {
+				x.now += 10 * time.Millisecond
+				x.step(0, Event{})
+				x.step(1, Event{})
+				x.combs[2].core.Tick(x.now)
+			}
+			x.join(2, 9)
+			x.run(TickEvery)
+			So(x.told[9], ShouldNotBeNil)
+			l, ok := x.combs[2].reg.Get(x.now, "i1")
+			So(ok, ShouldBeTrue)
+			So(l.Silent, ShouldBeFalse)
+		})
+		Convey("what it knows is told as old, by a comb that may not know all, until it has heard anew", func() {
+			for !x.combs[2].Core().InTouch(x.now) {
+				x.run(10 * time.Millisecond)
+			}
+			x.join(2, 9)
+			So(x.told[9].Whole, ShouldBeTrue)
+			So(x.told[9].Young, ShouldBeTrue)
+			x.run(3 * time.Second)
+			l, _ := x.combs[2].reg.Get(x.now, "i1")
+			So(l.Old, ShouldBeFalse)
+		})
+	})
+}
--- a/hive/forage/forage.go
+++ b/hive/forage/forage.go
@@ -25,6 +25,13 @@
 	fewest    = 8 // foragers that a budget's part is by, until it is known how many there are
 )
 
+// GrantsHold is how long rights to call cold replicas hold after the last word of the comb that dealt them. It is also the
+// longest silence between two words of one stream: after more, this node or the comb was held up, and what still comes is old.
+const GrantsHold = time.Second
+
+// unsureAfter is how long a forager that heard no comb trusts what it knows of replicas enough to tell it on as new.
+const unsureAfter = 3 * time.Second
+
 // LeaveFor is how long after readiness has fallen the platform has noticed and looked elsewhere.
 const LeaveFor = 2500 * time.Millisecond
 
@@ -75,6 +82,7 @@
 	Config  *config.Config `cbor:"-"`                    // another one is in force; nil: the same as before
 	Problem string         `cbor:"3,keyasint,omitempty"` // of a configuration that was not taken
 	Table   bool           `cbor:"4,keyasint,omitempty"` // a whole state came
+	Late    bool           `cbor:"5,keyasint,omitempty"` // the stream is to be left; nothing was taken from it
 }
 
 type pick struct {
@@ -100,6 +108,10 @@
 	combs    []view.Member
 	foragers int
 	tabled   bool
+	heardAt  time.Duration // a comb, last
+	silence  time.Duration // before the stream at hand
+	streamed bool          // a stream is held, whole
+	granted  bool          // rights are held
 
 	measured bool // windows are used
 	meter    capacity.Meter
@@ -120,6 +132,7 @@
 
 // Pick chooses a replica and counts the request there.
 func (f *Forager) Pick(now time.Duration, a Ask) Picked {
+	f.lapse(now)
 	g := f.gate(a.Service)
 	had := func(id string) bool { return slices.Contains(a.Tried, id) }
 	var r *spread.Replica
@@ -138,6 +151,19 @@
 	return Picked{N: f.picks, ID: r.ID, Addr: r.Addr}
 }
 
+// lapse drops the rights of a comb that has been silent.
+func (f *Forager) lapse(now time.Duration) {
+	if f.granted && now-f.heardAt > GrantsHold {
+		f.grants(now, nil)
+	}
+}
+
+// Right is what this node may send to a replica while it is cold, a second.
+func (f *Forager) Right(now time.Duration, id string) float64 {
+	f.lapse(now)
+	return f.spread.Right(id)
+}
+
 func (f *Forager) gate(service string) *gate.Gate {
 	if f.gates[service] == nil {
 		f.gates[service] = gate.New()
@@ -249,6 +275,14 @@
 
 // Take puts in force what a comb tells. Within a life nothing goes back: an older register is passed over.
 func (f *Forager) Take(now time.Duration, s *words.State) (t Taken) {
+	switch {
+	case s.Whole:
+		f.streamed, f.silence = true, now-f.heardAt
+	case f.streamed && now-f.heardAt > GrantsHold:
+		f.Left(now)
+		return Taken{Late: true}
+	}
+	f.heardAt = now
 	if len(s.Body) > 0 && (f.config == nil || f.config.Version < s.Version) {
 		c, err := config.Parse(s.Body)
 		if err != nil {
@@ -270,12 +304,12 @@
 		f.spread.Line(l.Replica, float64(l.Weight))
 	}
 	f.spread.Shuns(s.Whole, s.Shuns)
-	if s.Granted {
+	if s.Granted || s.Whole { // nothing that another comb, or this one in a former life, dealt holds on
 		grants := map[string]float64{}
 		for _, l := range s.Grants {
 			grants[l.Replica] = float64(l.Grant)
 		}
-		f.spread.Grants(now, grants)
+		f.grants(now, grants)
 	}
 	for _, o := range s.Fell {
 		f.spread.Fell(now, o.Replica, time.Duration(o.Millis)*time.Millisecond)
@@ -298,6 +332,17 @@
 	return t
 }
 
+// Left tells that the stream has ended: what its comb dealt is dealt to others now.
+func (f *Forager) Left(now time.Duration) {
+	f.streamed = false
+	f.grants(now, nil)
+}
+
+func (f *Forager) grants(now time.Duration, all map[string]float64) {
+	f.granted = len(all) > 0
+	f.spread.Grants(now, all)
+}
+
 // Report is what was met since the last one, so long ago, and how busy this node was meanwhile, from 0 to 1.
 func (f *Forager) Report(now, over time.Duration, busy float64) *words.Report {
 	rep := &words.Report{Over: over.Milliseconds(), Requests: f.requests}
@@ -324,7 +369,9 @@
 func (f *Forager) First(now time.Duration) *words.Report {
 	rep := &words.Report{Seq: f.seq}
 	for _, r := range f.spread.All() {
-		rep.Lives = append(rep.Lives, r.Life(now))
+		l := r.Life(now)
+		l.Old = l.Old || f.silence > unsureAfter
+		rep.Lives = append(rep.Lives, l)
 	}
 	return rep
 }
--- /dev/null
+++ b/hive/forage/forage_test.go
@@ -0,0 +1,99 @@
+package forage
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"zincloft.example/zincloft/hive/gate"
+	"zincloft.example/zincloft/hive/registry"
+	"zincloft.example/zincloft/hive/words"
+)
+
+const s = time.Second
+
+const body = `{"version":"00000002","services":[{"name":"svc","max_connections":100,"cold_start":"3s","cold_per_s":4}],"virtual_hosts":[{"hostname":"h","path_routes":[` +
+	`{"name":"r","path_prefix":"/","kind":"safe","timeout":"3s","target_latency":"1s","max_attempts":2,"service":"svc"}]}]}`
+
+func life(id string, seq uint64) registry.Life {
+	return registry.Life{ID: id, Service: "svc", Addr: "10.0.0." + id[1:] + ":80", Zone: "a", Slots: 4, Seq: seq}
+}
+
+// whole is a comb's first word to a forager.
+func whole(lives ...registry.Life) *words.State {
+	return &words.State{Whole: true, Seq: 7, Version: 2, Body: []byte(body), Lives: lives}
+}
+
+func picks(f *Forager, now time.Duration, id string) bool {
+	p := f.Pick(now, Ask{Service: "svc", Request: gate.Request{Route: "r", Target: s, Left: 3 * s}})
+	if p.N > 0 {
+		f.End(now, End{N: p.N, Took: time.Millisecond})
+	}
+	return p.ID == id
+}
+
+func TestStreams(t *testing.T) {
+	Convey("Given a forager with a right to call a cold replica", t, func() {
+		f := New(Settings{Zone: "a", Zones: 1, Seed: 1})
+		cold := life("i1", 3)
+		cold.Cold = 60000
+		w := whole(cold)
+		w.Granted, w.Grants = true, []words.Line{{Replica: "i1", Grant: 2}}
+		f.Take(1*s, w)
+		f.Take(2*s-1, &words.State{})
+		So(f.Right(2*s, "i1"), ShouldEqual, 2)
+		So(picks(f, 2*s, "i1"), ShouldBeTrue)
+		// Guards against rights that two hold: their comb deals them to another one once the stream has ended.
+		Convey("it is gone when the stream ends", func() {
+			f.Left(2 * s)
+			So(f.Right(2*s, "i1"), ShouldEqual, 0)
+			So(picks(f, 3*s, "i1"), ShouldBeFalse)
+		})
+		Convey("it is gone when the comb has been silent", func() {
+			So(f.Right(3*s, "i1"), ShouldEqual, 0)
+			So(picks(f, 3*s, "i1"), ShouldBeFalse)
+		})
+		Convey("it is gone when another comb, or the same in a new life, begins anew and deals nothing", func() {
+			f.Take(2*s, whole(cold))
+			So(f.Right(2*s, "i1"), ShouldEqual, 0)
+		})
+		// Guards a forager that was frozen: what lay in its sockets meanwhile must not be put in force, nor renew its rights.
+		Convey("words that come after a silence are not taken", func() {
+			late := f.Take(20*s, &words.State{Granted: true, Grants: []words.Line{{Replica: "i1", Grant: 2}}, Seq: 8, Out: []string{"a"}})
+			So(late.Late, ShouldBeTrue)
+			So(f.Seq(), ShouldEqual, 7)
+			So(f.Right(20*s, "i1"), ShouldEqual, 0)
+			So(f.Take(21*s, whole(cold)).Late, ShouldBeFalse)
+		})
+	})
+	Convey("Given a forager that follows a comb", t, func() {
+		f := New(Settings{Zone: "a", Zones: 1, Seed: 1})
+		f.Take(1*s, whole(life("i1", 9), life("i2", 4)))
+		// Guards a register that a wiped or backward comb tells: nothing of it may come in force.
+		Convey("an older register changes nothing, neither its evacuations nor its configuration", func() {
+			w := whole(life("i1", 9))
+			w.Seq, w.Version, w.Out = 6, 1, []string{"a"}
+			f.Take(1*s, w)
+			So(f.Seq(), ShouldEqual, 7)
+			So(f.Config().Version, ShouldEqual, 2)
+			So(picks(f, 1*s, "i1"), ShouldBeTrue)
+		})
+		Convey("it tells the next comb of each replica's newest beat, and that it is old after a long silence", func() {
+			f.Take(1500*time.Millisecond, whole(life("i1", 9), life("i2", 4)))
+			r := f.First(1500 * time.Millisecond)
+			So(r.Lives[0].Seq, ShouldEqual, 9)
+			So(r.Lives[0].Old, ShouldBeFalse)
+			f.Left(2 * s)
+			f.Take(22*s, whole(life("i1", 9), life("i2", 4)))
+			So(f.First(22 * s).Lives[0].Old, ShouldBeTrue)
+		})
+		// Guards against a replica that is lost for a minute, as a comb that had not heard of it yet was met.
+		Convey("a replica that the next comb does not know is let go, and taken in once it does", func() {
+			f.Take(1*s, whole(life("i2", 4)))
+			So(f.Spread().Get("i1"), ShouldBeNil)
+			f.Take(1*s, &words.State{Lives: []registry.Life{life("i1", 10)}})
+			So(f.Spread().Get("i1"), ShouldNotBeNil)
+		})
+	})
+}
--- a/hive/registry/registry.go
+++ b/hive/registry/registry.go
@@ -16,6 +16,7 @@
 	coldLate   = 20 * time.Millisecond  // one that comes so much later: as it turned cold anew; less is the beat's way
 	silentMost = 30 * time.Second       // after so long a silent one is taken for gone
 	keepGone   = 60 * time.Second       // ended ids are remembered for so long, against late words of them
+	doubtOnce  = 10 * time.Second       // one that was settled is not taken over again from combs that still have it
 	doubtGrace = 50 * time.Millisecond  // a beat may have been under way when its zone was given back
 )
 
@@ -36,6 +37,10 @@
 	// Silent is one governor's own judgement, and is taken back by the next sign of life. It is never taken over from
 	// others nor final: a comb that was frozen has heard nobody, and must not end the whole fleet when it wakes.
 	Silent bool `cbor:"12,keyasint,omitempty"`
+
+	// Old: known from a disk or from before the comb was cut off. It may have turned cold since. Who knows the replica
+	// otherwise passes over that; who does not takes it for cold until there is a newer word.
+	Old bool `cbor:"13,keyasint,omitempty"`
 }
 
 type entry struct {
@@ -67,7 +72,7 @@
 
 // Beat takes a replica's own word and tells whether anything is new, and whether that must not wait.
 func (r *Registry) Beat(now time.Duration, l Life) (news, urgent bool) {
-	l.Age, l.Doubt = 0, false
+	l.Age, l.Doubt, l.Old = 0, false, false
 	news, urgent = r.take(now, l, true)
 	if e := r.lives[l.ID]; e != nil {
 		e.direct = now
@@ -108,7 +113,17 @@
 	if l.Draining && !e.Draining {
 		e.Draining, news, urgent = true, true, true
 	}
+	if e.Old && !l.Old && l.Seq >= e.Seq {
+		e.Old, news = false, true
+		e.coldUntil = max(e.coldUntil, now+time.Duration(l.Cold)*time.Millisecond)
+		if l.Doubt {
+			e.Doubt, e.doubtAt, e.doubtSeq = true, now, l.Seq
+		}
+	}
 	if l.Seq > e.Seq {
+		if l.Doubt && !e.Doubt && !l.Old && now-e.doubtAt > doubtOnce { // this comb missed that its zone was given back
+			e.Doubt, e.doubtAt, e.doubtSeq, news = true, now, l.Seq, true
+		}
 		e.Seq, e.heard = l.Seq, max(e.heard, now-time.Duration(l.Age)*time.Millisecond)
 		if e.Silent && now-e.heard < r.most {
 			e.Silent, news = false, true
@@ -186,6 +201,16 @@
 	}
 }
 
+// Unsure marks all that is known as old: this governor has just started, or was cut off.
+func (r *Registry) Unsure() {
+	for _, id := range r.ids {
+		if e := r.lives[id]; !e.Gone && !e.Old {
+			e.Old = true
+			r.news(e)
+		}
+	}
+}
+
 // Doubt takes the replicas of a zone for cold until they have said more: its evacuation has just ended.
 func (r *Registry) Doubt(now time.Duration, zone string) {
 	for _, id := range r.ids {
--- a/hive/registry/registry_test.go
+++ b/hive/registry/registry_test.go
@@ -116,6 +116,46 @@
 			got, _ := find(r, 5*s, "i1")
 			So(got.Cold, ShouldEqual, 254)
 		})
+		// Guards a comb that starts from its disk, or was cut off: a replica may have turned cold since, or be in doubt.
+		Convey("what is unsure is told as old until somebody knows better", func() {
+			r.Unsure()
+			got, _ := find(r, 2*s, "i1")
+			So(got.Old, ShouldBeTrue)
+			Convey("the replica itself", func() {
+				r.Beat(2*s, beat("i1", 2))
+				got, _ = find(r, 2*s, "i1")
+				So(got.Old, ShouldBeFalse)
+			})
+			Convey("a comb or a forager that has heard as much, which also tells of cold and doubt", func() {
+				l := beat("i1", 1)
+				l.Cold, l.Doubt = 2000, true
+				r.Merge(2*s, []Life{l})
+				got, _ = find(r, 2*s, "i1")
+				So(got.Old, ShouldBeFalse)
+				So(got.Doubt, ShouldBeTrue)
+				So(got.Cold, ShouldEqual, 2000)
+			})
+			Convey("not one that is unsure too, or has heard less", func() {
+				l := beat("i1", 2)
+				l.Old = true
+				r.Merge(2*s, []Life{l, {ID: "i1"}})
+				got, _ = find(r, 2*s, "i1")
+				So(got.Old, ShouldBeTrue)
+			})
+		})
+		// Guards a comb that was away while a zone was emptied and given back.
+		Convey("doubt of another comb is taken over with a newer beat, once", func() {
+			l := beat("i1", 2)
+			l.Doubt = true
+			r.Merge(30*s, []Life{l})
+			got, _ := find(r, 30*s, "i1")
+			So(got.Doubt, ShouldBeTrue)
+			r.Beat(31*s, beat("i1", 3))
+			l.Seq = 4
+			r.Merge(31*s, []Life{l})
+			got, _ = find(r, 31*s, "i1")
+			So(got.Doubt, ShouldBeFalse)
+		})
 		// Guards a crash and a new start at the same address, and an address handed to another service.
 		Convey("a new life at its address ends it at once", func() {
 			_, urgent := r.Beat(2*s, beat("i9", 1))
--- a/hive/spread/spread.go
+++ b/hive/spread/spread.go
@@ -23,6 +23,7 @@
 	partOfAll   = 0.8                     // of a replica's connections, for those of its zone
 	partLeast   = 2
 	keepEnded   = time.Minute
+	doubtMost   = 10 * time.Second
 )
 
 // Replica is one life of a replica as this governor sees it.
@@ -34,7 +35,11 @@
 
 	coldUntil time.Duration
 	doubt     bool
-	grant     float64 // requests a second while cold
+	doubtSeq  uint64        // of the word that brought it
+	doubtEnd  time.Duration // where no word settles it: its combs have lost it
+	old       bool          // never known but from an old word
+	seq       uint64        // of the newest word
+	grant     float64       // requests a second while cold
 	tokens    float64
 	tokensAt  time.Duration
 
@@ -81,10 +86,12 @@
 
 // Lives takes in word of replicas. It returns those to which no connection is wanted any more.
 func (s *Spread) Lives(now time.Duration, whole bool, lives []registry.Life) (ended []string) {
+	var unknown []string
 	defer func() {
 		for _, id := range ended {
 			s.ended[id] = now
 		}
+		ended = append(unknown, ended...)
 		for id, at := range s.ended {
 			if s.all[id] == nil && now-at > keepEnded {
 				delete(s.ended, id)
@@ -97,9 +104,9 @@
 			named[l.ID] = true
 		}
 		for id := range s.all {
-			if !named[id] {
+			if !named[id] { // not known there, or not yet: that is no end
 				s.remove(id)
-				ended = append(ended, id)
+				unknown = append(unknown, id)
 			}
 		}
 	}
@@ -131,11 +138,38 @@
 			ended = append(ended, l.ID)
 		}
 		r.Silent = l.Silent
-		r.coldUntil, r.doubt = now+time.Duration(l.Cold)*time.Millisecond, l.Doubt
+		r.warmth(now, l)
 	}
 	return ended
 }
 
+// warmth takes a word of how cold a replica is. One that is older than what is known changes nothing, one of the same beat
+// takes nothing back, and one that may be out of date counts only where nothing is known.
+func (r *Replica) warmth(now time.Duration, l registry.Life) {
+	until := now + time.Duration(l.Cold)*time.Millisecond
+	known := r.seq > 0 && !r.old
+	if known && l.Old {
+		r.coldUntil = max(r.coldUntil, until)
+		return
+	}
+	switch {
+	case l.Doubt: // its zone was given back: that is of after any beat
+		r.doubt, r.doubtSeq = true, l.Seq
+	case !known || l.Seq == 0 || l.Seq > r.doubtSeq:
+		r.doubt = false
+	}
+	if l.Doubt || l.Old {
+		r.doubtEnd = now + doubtMost
+	}
+	switch {
+	case known && l.Seq > 0 && l.Seq < r.seq:
+	case known && l.Seq == r.seq:
+		r.coldUntil = max(r.coldUntil, until)
+	default:
+		r.coldUntil, r.old, r.seq = until, l.Old, l.Seq
+	}
+}
+
 func (s *Spread) unlist(r *Replica) {
 	s.services[r.Service] = slices.DeleteFunc(s.services[r.Service], func(x *Replica) bool { return x == r })
 	if len(s.services[r.Service]) == 0 {
@@ -190,6 +224,9 @@
 	}
 }
 
+// Right is what this governor may send to a replica while it is cold, a second.
+func (s *Spread) Right(id string) float64 { return s.granted[id] }
+
 // Misdirected takes a replica out whose address another one has answered at. It is told whether that is new.
 func (s *Spread) Misdirected(now time.Duration, id string) bool {
 	if s.all[id] == nil {
@@ -217,12 +254,14 @@
 
 // Life is what this governor was told of a replica.
 func (r *Replica) Life(now time.Duration) registry.Life {
-	return registry.Life{ID: r.ID, Service: r.Service, Addr: r.Addr, Zone: r.Zone, Slots: r.Slots, Draining: r.Draining, Doubt: r.doubt,
-		Cold: max((r.coldUntil - now).Milliseconds(), 0)}
+	return registry.Life{ID: r.ID, Service: r.Service, Addr: r.Addr, Zone: r.Zone, Slots: r.Slots, Draining: r.Draining, Seq: r.seq,
+		Doubt: r.doubt && now < r.doubtEnd, Old: r.old && now < r.doubtEnd, Cold: max((r.coldUntil - now).Milliseconds(), 0)}
 }
 
 // Cold tells whether a replica must be spared.
-func (r *Replica) Cold(now time.Duration) bool { return r.doubt || now < r.coldUntil }
+func (r *Replica) Cold(now time.Duration) bool {
+	return now < r.coldUntil || (r.doubt || r.old) && now < r.doubtEnd
+}
 
 func (r *Replica) refill(now time.Duration) {
 	r.tokens = min(r.tokens+r.grant*(now-r.tokensAt).Seconds(), 1)
--- a/hive/steer/steer.go
+++ b/hive/steer/steer.go
@@ -284,9 +284,7 @@
 				t = map[rules.ReplicaID]float64{}
 				f.tables[o.Table] = t
 			}
-			if t[o.Replica] = o.Weight; o.Weight == 0 {
-				delete(t, o.Replica)
-			}
+			t[o.Replica] = o.Weight // also 0: a forager that comes later may hold another comb's weight
 			s.spread(f, o.Table, o.Replica, o.Weight)
 		case rules.ClearTable:
 			for id := range f.tables[o.Table] {
@@ -306,6 +304,9 @@
 			}
 		case rules.Forget:
 			f.intake.Forget(o.Replica)
+			for _, t := range f.tables {
+				delete(t, o.Replica)
+			}
 			delete(f.ids, f.names[o.Replica])
 			delete(f.names, o.Replica)
 		}
@@ -372,7 +373,9 @@
 	out := map[string]float64{}
 	if f := s.fleets[service]; f != nil {
 		for id, w := range f.tables[f.bound[s.proxies[forager]]] {
-			out[f.names[id]] = w
+			if w > 0 {
+				out[f.names[id]] = w
+			}
 		}
 	}
 	return out
--- a/hive/steer/steer_test.go
+++ b/hive/steer/steer_test.go
@@ -135,6 +135,16 @@
 			So(len(c.held["late"]), ShouldEqual, 4)
 			So(c.held["late"], ShouldResemble, c.held["f000"])
 		})
+		// Guards a forager that comes from another comb: a weight of that one's table held on for what ours has taken out.
+		Convey("one that joins later is told what is out of the table too", func() {
+			c.Lives(c.now, []registry.Life{{ID: "i000", Service: "svc", Zone: "a", Slots: 4, Silent: true}})
+			c.run(1)
+			So(c.held["f000"]["i000"], ShouldEqual, 0)
+			c.join("late")
+			c.held["late"]["i000"] = 30
+			c.run(2)
+			So(c.held["late"]["i000"], ShouldEqual, 0)
+		})
 		Convey("one that drains leaves the table at once, one that is new climbs", func() {
 			c.Lives(c.now, []registry.Life{{ID: "i000", Service: "svc", Zone: "a", Slots: 4, Draining: true}})
 			c.run(1)
--- a/internal/apiary/cold_test.go
+++ b/internal/apiary/cold_test.go
@@ -24,3 +24,37 @@
 		t.Error("no cold replica was called")
 	}
 }
+
+// TestRightsChangeHands guards the sum over all foragers while rights to call cold replicas change hands: replicas turn cold again and again, combs are
+// killed, frozen, cut and wiped in turn and foragers killed and frozen, so that foragers change sides all the time.
+func TestRightsChangeHands(t *testing.T) {
+	colds := 0
+	for seed := range seeds(t, 12) {
+		s := Schedule{Seed: seed, Machines: 3 + 2*int(seed%2), Seeds: 3, Foragers: 16, Zones: 2, Replicas: 1, Lasts: 30 * time.Second,
+			Acts: []Act{{At: 1200 * time.Millisecond, Kind: "put", Version: 1}}}
+		for i := range 8 {
+			s.Acts = append(s.Acts, Act{At: time.Duration(3+3*i) * time.Second, Kind: "begin", On: i})
+		}
+		kinds := []string{"kill", "freeze", "cut", "power", "oneway", "wipe"}
+		for i := range 8 {
+			at := time.Duration(3000+3000*i)*time.Millisecond + time.Duration(seed*37%900)*time.Millisecond
+			if i%2 == 1 { // all foragers change sides while the replica is cold
+				for j := range s.Foragers {
+					s.Troubles = append(s.Troubles, Trouble{At: at + 500*time.Millisecond, For: 1100 * time.Millisecond, Kind: "bcut", On: j})
+				}
+			}
+			s.Troubles = append(s.Troubles, Trouble{At: at, For: 1300 * time.Millisecond, Kind: kinds[(int(seed)+i)%len(kinds)], On: i % s.Machines})
+			for j := range 3 {
+				s.Troubles = append(s.Troubles, Trouble{At: at + time.Duration(j)*150*time.Millisecond, For: time.Duration(400+500*j) * time.Millisecond,
+					Kind: []string{"bkill", "bfreeze", "bcut"}[(j+i)%3], On: (int(seed) + 5*i + j) % s.Foragers})
+			}
+		}
+		r := Run(s)
+		if colds += r.Colds; len(r.Broken) > 0 {
+			t.Fatalf("seed %d: %s\n%s", seed, r.Broken[0], strings.Join(r.Trace, "\n"))
+		}
+	}
+	if t.Logf("%d requests to cold replicas", colds); colds == 0 {
+		t.Error("no cold replica was called")
+	}
+}
--- a/internal/apiary/edge.go
+++ b/internal/apiary/edge.go
@@ -124,6 +124,7 @@
 	}
 	m := b.comb
 	b.comb = nil
+	b.brain.Left(w.local(&b.node))
 	w.carry(&b.node, &m.node, 0, 0, func() { w.ends(m, n) })
 	life := m.life
 	w.after(4*time.Second, func() { // at the latest, nothing is read there any more
@@ -162,7 +163,7 @@
 		}
 		b.heardAt = w.now
 		w.takes(b, s)
-		if !b.whole && s.Whole {
+		if b.comb == m && !b.whole && s.Whole {
 			b.whole = true
 			b.at = 0
 			w.report(m, b, n, b.brain.First(w.local(&b.node)))
@@ -195,7 +196,10 @@
 	if w.s.Fault == StaleTables && s.Seq > 0 && s.Seq < b.seq {
 		b.brain = forage.New(forage.Settings{Zone: w.zone(b.i), Zones: w.zones(), Seed: 1})
 	}
-	b.brain.Take(w.local(&b.node), s)
+	if t := b.brain.Take(w.local(&b.node), s); t.Late {
+		w.lost(b, b.stream)
+		return
+	}
 	if seq := b.brain.Seq(); seq < b.seq {
 		w.broken("%s went back from register %d to %d within a life", b.name, b.seq, seq)
 	} else {
@@ -231,6 +235,7 @@
 	}
 	now := w.local(&b.node)
 	w.between(b)
+	w.rights()
 	if !b.brain.Serves() && w.r.IntN(4) > 0 || b.brain.Refuses(now) { // few come still
 		return
 	}
--- a/internal/forager/follow.go
+++ b/internal/forager/follow.go
@@ -79,6 +79,7 @@
 	send(&link.Msg{Hello: &words.Hello{Forager: f.set.Name, Member: view.Member{Addr: f.set.IP.String(), Zone: f.set.Zone}}})
 	done := make(chan struct{})
 	defer close(done)
+	defer f.left()
 	began := time.Now()
 	for {
 		nc.SetReadDeadline(time.Now().Add(silentMost))
@@ -92,7 +93,10 @@
 		if m.State == nil {
 			continue
 		}
-		f.take(m.State)
+		if f.take(m.State) {
+			f.log.Info().Str("event", "comb_late").Str("comb", addr).Msg("")
+			return stood
+		}
 		if !stood && m.State.Whole {
 			stood = true
 			f.log.Info().Str("event", "comb_joined").Str("comb", addr).Uint64("seq", m.State.Seq).Msg("")
@@ -109,6 +113,13 @@
 	}
 }
 
+// left drops what holds only with the stream.
+func (f *Forager) left() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.brain.Left(f.now())
+}
+
 func (f *Forager) first() *words.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -149,8 +160,8 @@
 	return f.brain.Report(f.now(), over, busy)
 }
 
-// take puts in force what a comb tells.
-func (f *Forager) take(s *words.State) {
+// take puts in force what a comb tells. It tells whether that came too late, and the stream must be left.
+func (f *Forager) take(s *words.State) (late bool) {
 	f.mu.Lock()
 	t := f.brain.Take(f.now(), s)
 	drains := !f.brain.Serves()
@@ -172,4 +183,5 @@
 	if t.Table {
 		f.tabled.Store(true)
 	}
+	return t.Late
 }
