Core: a machine that stood still with both its clocks finds it by the others'; leavers by beats

Cause, found by the apiary: an operator's order that lay 20 s in the socket of a machine whose steady clock and time of day stood still with it took effect when it woke, over a newer acknowledged one: the beats that lay there too renewed the echo of the head's clock. And a leaver that missed the tail's one word of a view waited out its grace, as nothing repeats that word.

Ruled out: the time of day alone (it stood still too); a shorter echo (what lay in the socket renews any).

Change: the others' clocks, which come with their words, may not gain on ours beyond drift and half a second; if one does, contact is made anew, the orders at hand are let go and calls refused for 0.3 s. A leaver counts the others' own words that they were filled.

Measured: TestStoodWithItsClock fails without the change for head, middle and tail, whether the order is read before the others' words or after. All of hive/core, hive/comb and internal/apiary pass.

--- a/hive/comb/comb.go
+++ b/hive/comb/comb.go
@@ -360,6 +360,10 @@
 
 // do carries on what the core has decided.
 func (c *Comb) do(now time.Duration, a core.Actions) {
+	if a.Stood {
+		c.warn("clock_stood")
+		c.woke = now
+	}
 	if a.Sick != "" {
 		c.warn("disk", "state", a.Sick)
 	}
--- a/hive/core/core.go
+++ b/hive/core/core.go
@@ -94,6 +94,7 @@
 	Committed bool   // another register is committed
 	Viewed    bool   // another view is held
 	Sick      string // not empty: what has become of the disk
+	Stood     bool   // this machine was found to have stood still with its clock
 }
 
 type order struct {
@@ -192,8 +193,8 @@
 func (c *Core) Leave() { c.view.Leave() }
 
 // Left tells whether nothing rests on this machine any more, or nobody is there to take it over. The others must be able to go
-// on without it: a majority of the voters in the chain, each in contact now, have said that they hold what is committed
-// here. Where its seat makes the number of voters even, it waits until that has been dropped.
+// on without it: a majority of the voters in the chain, each in contact now, have said that they were filled in this view and
+// know what is committed here. Where its seat makes the number of voters even, it waits until that has been dropped.
 func (c *Core) Left(now time.Duration) bool {
 	v, id := c.view.View(), c.view.Self().ID
 	if !c.view.Leaving() || len(c.orders)+len(c.reads) > 0 {
@@ -205,13 +206,13 @@
 	// Its seat must be somebody's, or one that nobody is there to take: a learner is about to, and an even roster drops it. That goes
 	// for the seat of a disk that this machine had before, too.
 	seat := slices.ContainsFunc(v.Roster, func(m view.Member) bool { return m.Addr == c.view.Self().Addr })
-	if v.Place(id) >= 0 || v.In(id) && !c.view.Vouches(v.N) || seat && (c.chain.CommittedIn() != v.N || len(v.Roster)%2 == 0 || len(v.Learners) > 0) {
+	if v.Place(id) >= 0 || v.In(id) && !c.view.Vouches(v.N) || seat && (len(v.Roster)%2 == 0 || len(v.Learners) > 0) {
 		return false
 	}
 	r, _ := c.chain.Committed()
 	hold := 0
 	for _, m := range v.Roster {
-		if v.Place(m.ID) >= 0 && c.view.Contact(now, m.ID) && c.told[m.ID] >= r.Seq {
+		if v.Place(m.ID) >= 0 && c.view.Contact(now, m.ID) && c.view.Filled(m.ID, v.N) && c.told[m.ID] >= r.Seq {
 			hold++
 		}
 	}
@@ -319,6 +320,7 @@
 	switch {
 	case m.View != nil:
 		c.viewed(now, c.view.Receive(now, *m.View))
+		c.stood()
 		if k := m.Committed; k != nil {
 			c.told[from.ID] = k.Seq
 			c.chained(c.chain.Lacks(now, from.ID, k.Seq, k.Known))
@@ -337,7 +339,8 @@
 		}
 		c.send(from, Message{Entered: ans}, false)
 	case m.Entered != nil:
-		c.view.Heed(from.ID, m.Entered.Clock)
+		c.view.Heed(now, from.ID, m.Entered.Clock)
+		c.stood()
 		if o := c.orders[m.Entered.Token]; o != nil && m.Entered.OK {
 			o.entered, o.at = true, chain.Entered{N: m.Entered.N, Seq: m.Entered.Seq, Conflicts: m.Entered.Conflicts}
 		} else if o != nil && !o.prompt { // now that its clock is known, at once
@@ -352,6 +355,18 @@
 	}
 }
 
+// stood lets go of the orders at hand where this machine stood still with its clock: they may have lain in its sockets, been given
+// again elsewhere and undone since. What has entered the chain goes its way.
+func (c *Core) stood() {
+	if !c.view.Stood() {
+		return
+	}
+	c.out.Stood = true
+	for _, x := range c.orders {
+		x.came = never
+	}
+}
+
 // Order takes a caller's order. Its Answer comes now or later: 200 once it is committed, or, where others were confirmed
 // under its number with other content, 409 once that is; else 503.
 func (c *Core) Order(now time.Duration, o chain.Order) (uint64, Actions) {
--- a/hive/core/core_test.go
+++ b/hive/core/core_test.go
@@ -701,3 +701,34 @@
 		}
 	}
 }
+
+// TestStoodWithItsClock guards against an operator's order that lay in the socket of a machine that stood still, its steady clock and
+// its time of day with it: it took effect on waking, over something newer. Only the others' clocks tell. Found by the apiary.
+func TestStoodWithItsClock(t *testing.T) {
+	for _, order := range []string{"before", "after"} { // what lay in the socket is read before or after the others' words
+		n := newNet(t, "a", "b", "c")
+		n.pass(3 * time.Second)
+		for _, addr := range []string{"b", "c", "a"} {
+			x := n.boxes[addr]
+			x.still = true
+			late := func() { n.order(addr, "late "+addr, chain.Order{Zone: "z", Out: true}) }
+			if order == "before" {
+				n.run(x, x.life, late)
+			}
+			n.pass(20 * time.Second)
+			if order == "after" {
+				n.run(x, x.life, late)
+			}
+			x.lag += 20 * time.Second
+			n.thaw(addr)
+			n.pass(3 * time.Second)
+			if r, _ := n.boxes["a"].core.Register(); r.Out["z"] {
+				t.Errorf("%s: an order that lay 20 s in the socket of %s takes effect", order, addr)
+			}
+			if n.answers["late "+addr].Status == http.StatusOK {
+				t.Errorf("%s: an order that lay 20 s in the socket of %s is acknowledged", order, addr)
+			}
+			n.pass(3 * time.Second)
+		}
+	}
+}
--- a/hive/view/view.go
+++ b/hive/view/view.go
@@ -30,6 +30,8 @@
 	proposalMost = 500 * time.Millisecond // a proposal without an outcome is given up
 	forgetAfter  = 20 * time.Second       // a stranger that is not in the roster is forgotten
 	heldUp       = 400 * time.Millisecond // between two ticks: then it was we who were held up
+	stoodFor     = 500 * time.Millisecond // that another's clock gained on ours: then ours stood still
+	driftPart    = 100                    // clocks differ by less than one part in so many
 	contactFor   = time.Second            // contact by a word of ours that was answered lasts so long from its sending
 	goneAfter    = 2 * time.Second        // a voter out of the chain for so long may give its seat to a successor
 	emptyAfter   = 12 * time.Second       // two voters gone for so long are dropped without successors
@@ -152,7 +154,9 @@
 	leaving bool
 	filled  uint64
 	clock   Stamp // its own, as last heard
-	asked   Time  // when the newest word of ours was sent that it is known to have heard; contact counts from there
+	ahead   Time  // of ours, as far as is believed, since aheadAt: words are late, never early
+	aheadAt Time
+	asked   Time // when the newest word of ours was sent that it is known to have heard; contact counts from there
 }
 
 // Engine is one core machine's part. Make it with New.
@@ -172,6 +176,7 @@
 	out     []Send
 	adopted bool
 	changed bool
+	stood   bool
 
 	proposing struct {
 		on       bool
@@ -303,12 +308,38 @@
 	return Stamp{}
 }
 
-func (e *Engine) Heed(id string, s Stamp) {
+func (e *Engine) Heed(now Time, id string, s Stamp) {
 	if p := e.peers[id]; p != nil {
-		p.clock = s
+		e.heed(now, p, s)
 	}
 }
 
+// heed takes a reading of another's clock. One that has gained on ours shows that ours stood still, with the machine: how late
+// words are changes, but none is early.
+func (e *Engine) heed(now Time, p *peer, s Stamp) {
+	ahead := s.At - now
+	drift := (now - p.aheadAt) / driftPart // what lay in a socket comes with each reading further ahead of the one before
+	switch {
+	case s.Life != p.clock.Life:
+		p.ahead = ahead
+	case ahead > p.ahead+drift+stoodFor:
+		e.Lost(now)
+		e.stood = true
+		p.ahead = ahead
+	default:
+		p.ahead = min(max(ahead, p.ahead-drift), p.ahead+drift)
+	}
+	p.aheadAt = now
+	p.clock = s
+}
+
+// Stood tells, once, that this machine was found to have stood still with its clock. Whatever comes from its sockets may be old.
+func (e *Engine) Stood() bool {
+	stood := e.stood
+	e.stood = false
+	return stood
+}
+
 // Younger tells whether a reading of this machine's own clock, which others send back, is of this life and not older than most.
 func (e *Engine) Younger(now Time, s Stamp, most Time) bool {
 	return s.Life == e.life && s.At <= now && now-s.At <= most
@@ -411,6 +442,9 @@
 	return !slices.ContainsFunc(chain, func(o string) bool { return !hears(o, id) || !hears(id, o) })
 }
 
+// Filled tells whether a machine has said that it was filled in view n, on its disk: then it holds all that was acknowledged.
+func (e *Engine) Filled(id string, n uint64) bool { return e.filled(id) == n }
+
 func (e *Engine) filled(id string) uint64 {
 	if p := e.peers[id]; p != nil {
 		return p.filled
@@ -704,7 +738,8 @@
 	if m.Sick && !p.sick {
 		p.sickAt = now
 	}
-	p.Member, p.heard, p.sick, p.leaving, p.filled, p.clock = m.From, now, m.Sick, m.Leaving, m.Filled, m.Clock
+	e.heed(now, p, m.Clock)
+	p.Member, p.heard, p.sick, p.leaving, p.filled = m.From, now, m.Sick, m.Leaving, m.Filled
 	echo, hears := m.Heard[e.self.ID]
 	if hears && !p.hearsMe {
 		p.since = now
