Core: the head tells where an order stands only once that is on its disk

Cause, found by the apiary (two operators at once, three machines): Entered, by which a comb knows what commit confirms its order, left before the head had written. A head that was killed there and was back within the same view gave view and number to another order, and the first one was acknowledged by its commit though nobody held it.

Change: Entered waits for the disk, as passes do.

--- a/hive/core/core.go
+++ b/hive/core/core.go
@@ -337,7 +337,9 @@
 			ans.N, ans.Seq, ans.Conflicts, ans.OK = at.N, at.Seq, at.Conflicts, true
 			c.chained(out)
 		}
-		c.send(from, Message{Entered: ans}, false)
+		// Not before it is on this disk: a head that is killed and back within the same view would else give its place to another
+		// order, by which this one would be acknowledged.
+		c.send(from, Message{Entered: ans}, ans.OK)
 	case m.Entered != nil:
 		c.view.Heed(now, from.ID, m.Entered.Clock)
 		c.stood()
--- a/hive/core/core_test.go
+++ b/hive/core/core_test.go
@@ -44,6 +44,7 @@
 	answers map[string]Answer // by what was asked
 	tokens  map[string]map[uint64]string
 	delay   func(from, to string, m Message) time.Duration
+	writes  time.Duration // what a write takes
 }
 
 type at struct {
@@ -54,7 +55,7 @@
 
 func newNet(t *testing.T, seeds ...string) *net {
 	n := &net{t: t, boxes: map[string]*box{}, seeds: seeds, cut: map[[2]string]bool{}, answers: map[string]Answer{}, tokens: map[string]map[uint64]string{},
-		delay: func(string, string, Message) time.Duration { return time.Millisecond }}
+		delay: func(string, string, Message) time.Duration { return time.Millisecond }, writes: time.Millisecond}
 	for _, addr := range seeds {
 		n.start(addr, true)
 	}
@@ -126,7 +127,7 @@
 	}
 	if a.Write != nil {
 		life := b.life
-		n.after(time.Millisecond, func() {
+		n.after(n.writes, func() {
 			n.run(b, life, func() {
 				if b.full {
 					n.do(b, b.core.Written(n.local(b), "no space"))
@@ -732,3 +733,22 @@
 		}
 	}
 }
+
+// TestEnteredThenKilled guards against an order that is acknowledged by another one's number: the head told where it would stand before
+// it was on its disk, was killed, came back within the same view and gave the place to another order. Found by the apiary.
+func TestEnteredThenKilled(t *testing.T) {
+	for at := 2 * time.Millisecond; at < 30*time.Millisecond; at += time.Millisecond {
+		n := newNet(t, "a", "b", "c")
+		n.pass(3 * time.Second)
+		n.writes = 10 * time.Millisecond
+		n.order("b", "lost", chain.Order{Zone: "z", Out: true})
+		n.pass(at)
+		n.start("a", false)
+		n.order("c", "other", config(1, "one"))
+		n.pass(900 * time.Millisecond)
+		r, _ := n.boxes["a"].core.Register()
+		if a := n.answers["lost"]; a.Status == http.StatusOK && !r.Out["z"] {
+			t.Fatalf("killed after %v: an order that nobody holds is acknowledged", at)
+		}
+	}
+}
