--- a/hive/model/model_test.go
+++ b/hive/model/model_test.go
@@ -17,6 +17,7 @@
 		{"acknowledged before the sync", AckBeforeSync, Bounds{Members: 3, Orders: 2, Losses: 0, Proposals: 0, States: 2e6}},
 		{"a head that was never filled", FreshHead, Bounds{Members: 3, Orders: 1, Losses: 0, Proposals: 1, States: 2e6, Joining: true}},
 		{"decided by too few", SplitMajorities, Bounds{Members: 3, Orders: 0, Losses: 0, Proposals: 2, States: 2e6}},
+		{"decided by one that is no voter", OutsiderVotes, Bounds{Members: 4, Proposals: 2, States: 2e4, Swapped: true}},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			r := Explore(x.b, x.fault)
@@ -37,6 +38,8 @@
 		{Members: 3, Orders: 1, Losses: 1, Proposals: 1, States: 5e6},
 		{Members: 3, Orders: 2, Losses: 1, Proposals: 1, States: 5e6, Joining: true},
 		{Members: 3, Orders: 0, Losses: 0, Proposals: 2, States: 8e4},
+		{Members: 4, Orders: 0, Losses: 0, Proposals: 1, States: 5e6, Swapped: true},
+		{Members: 4, Orders: 0, Losses: 0, Proposals: 2, States: 8e4, Swapped: true},
 		{Members: 5, Orders: 1, Losses: 0, Proposals: 1, States: 8e4},
 	} {
 		r := Explore(b, Sound)
