beekeeper goes on to another comb as all callers of control do

Several addresses may be named now; what ends a call stands in internal/caller. Ruled out: giving a call to several combs at once, as each of two answers would count.

--- a/cmd/beekeeper/main.go
+++ b/cmd/beekeeper/main.go
@@ -2,13 +2,13 @@
 package main
 
 import (
-	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -17,11 +17,15 @@
 
 	"zincloft.example/zincloft/hive/config"
 	"zincloft.example/zincloft/hive/core"
+	"zincloft.example/zincloft/internal/caller"
 	"zincloft.example/zincloft/internal/cell"
 	"zincloft.example/zincloft/internal/demo"
 	"zincloft.example/zincloft/internal/program"
 )
 
+// callees is what an address of combs may be.
+const callees = "combs' control addresses, with commas between; one that does not answer is passed over"
+
 func main() {
 	if err := run(os.Args[1:], os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "beekeeper:", err)
@@ -43,12 +47,12 @@
 	check := verb("check", "check a configuration file and tell what it holds, or the path at fault")
 	check.AddPositionalValue(&file, "FILE", 1, true, "a configuration, in JSON")
 	put := verb("put", "give a configuration to a comb")
-	put.AddPositionalValue(&addr, "ADDRESS", 1, true, "a comb's control address")
+	put.AddPositionalValue(&addr, "ADDRESS", 1, true, callees)
 	put.AddPositionalValue(&file, "FILE", 2, true, "a configuration, in JSON")
 	show := verb("show", "print the newest configuration")
-	show.AddPositionalValue(&addr, "ADDRESS", 1, true, "a comb's control address")
+	show.AddPositionalValue(&addr, "ADDRESS", 1, true, callees)
 	inner := verb("core", "print how the core stands, as one comb knows: view, members, disks, lag")
-	inner.AddPositionalValue(&addr, "ADDRESS", 1, true, "any comb's control address")
+	inner.AddPositionalValue(&addr, "ADDRESS", 1, true, "any comb's control address; it is the one that tells")
 	store := verb("store", "read a comb's folder on disk, changing nothing: verify, or export as JSON")
 	verify, export := flaggy.NewSubcommand("verify"), flaggy.NewSubcommand("export")
 	verify.Description, export.Description = "check every copy; status 1 if none is whole", "print the newest whole copy"
@@ -57,10 +61,10 @@
 	store.AttachSubcommand(verify, 1)
 	store.AttachSubcommand(export, 1)
 	evacuate := verb("evacuate", "have nothing more sent to the replicas of a zone")
-	evacuate.AddPositionalValue(&addr, "ADDRESS", 1, true, "a comb's control address")
+	evacuate.AddPositionalValue(&addr, "ADDRESS", 1, true, callees)
 	evacuate.AddPositionalValue(&zone, "ZONE", 2, true, "the zone")
 	restore := verb("restore", "take an evacuation back")
-	restore.AddPositionalValue(&addr, "ADDRESS", 1, true, "a comb's control address")
+	restore.AddPositionalValue(&addr, "ADDRESS", 1, true, callees)
 	restore.AddPositionalValue(&zone, "ZONE", 2, true, "the zone")
 	win := newWindows(p)
 	replicas, logs := 3, false
@@ -164,20 +168,26 @@
 	return body
 }
 
-func call(out io.Writer, addr, name, of string, body []byte) error {
-	client := &http.Client{Timeout: 5 * time.Second}
-	resp, err := client.Post("http://"+addr+"/api/rpc?call="+name+"&of="+of, "application/json", bytes.NewReader(body))
+// within is how long a call is given again without a clear answer: a configuration has a number and may come late, an evacuation may not.
+func within(name string) time.Duration {
+	if strings.HasPrefix(name, "configuration.") {
+		return 30 * time.Second
+	}
+	return 5 * time.Second
+}
+
+// call gives a call to the combs at addrs and prints the answer.
+func call(out io.Writer, addrs, name, of string, body []byte) error {
+	c, err := caller.New(addrs)
 	if err != nil {
 		return err
 	}
-	defer resp.Body.Close()
-	answer, err := io.ReadAll(resp.Body)
+	ctx, cancel := context.WithTimeout(context.Background(), within(name))
+	defer cancel()
+	answer, err := c.Call(ctx, name, of, body)
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode != http.StatusOK {
-		return merry.Errorf("%s: %s: %s", name, resp.Status, answer)
-	}
 	fmt.Fprintf(out, "%s\n", answer)
 	return nil
 }
--- a/cmd/beekeeper/main_test.go
+++ b/cmd/beekeeper/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -53,6 +54,16 @@
 			_, err = do("put", g.Control, file)
 			So(err.Error(), ShouldContainSubstring, "virtual_hosts.0.hostname")
 		})
+		Convey("a comb that does not answer is passed over", func() {
+			nobody, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			nobody.Close()
+			out, err := do("show", nobody.Addr().String()+","+g.Control)
+			So(err, ShouldBeNil)
+			So(out, ShouldContainSubstring, "00000001")
+			_, err = do("show", "nobody")
+			So(err.Error(), ShouldContainSubstring, "address")
+		})
 		Convey("a zone is emptied and given back", func() {
 			_, err := do("evacuate", g.Control, "here")
 			So(err, ShouldBeNil)
--- a/cmd/beekeeper/windows.go
+++ b/cmd/beekeeper/windows.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"os/signal"
 	"strings"
@@ -18,6 +17,7 @@
 	"zincloft.example/zincloft/hive/comb"
 	"zincloft.example/zincloft/hive/timetable"
 	"zincloft.example/zincloft/hive/windows"
+	"zincloft.example/zincloft/internal/caller"
 	"zincloft.example/zincloft/internal/windowfile"
 )
 
@@ -48,7 +48,7 @@
 	w.agree = sub("agree", "have the core keep what a file says is agreed")
 	w.start = sub("start", "ask for each window of a file's timetable when its time has come, until all are over")
 	for _, s := range []*flaggy.Subcommand{w.agree, w.start} {
-		s.AddPositionalValue(&w.addr, "ADDRESS", 1, true, "a comb's control address")
+		s.AddPositionalValue(&w.addr, "ADDRESS", 1, true, callees)
 		s.AddPositionalValue(&w.file, "FILE", 2, true, "agreed capacity, forecasts and wishes, in YAML")
 	}
 	w.show = sub("show", "print windows, nodes, what they carry, what lacks, and why each grant was given or held back")
@@ -60,7 +60,7 @@
 	w.finish = sub("finish", "have nodes serve again")
 	w.cancel = sub("cancel", "drop windows that were asked for; have nodes serve again")
 	for _, s := range []*flaggy.Subcommand{w.show, w.pause, w.resume, w.ask, w.finish, w.cancel} {
-		s.AddPositionalValue(&w.addr, "ADDRESS", 1, true, "a comb's control address")
+		s.AddPositionalValue(&w.addr, "ADDRESS", 1, true, callees)
 	}
 	for _, s := range []*flaggy.Subcommand{w.ask, w.finish, w.cancel} {
 		s.AddPositionalValue(&w.nodes, "NODES", 2, true, "names, with commas between")
@@ -175,14 +175,15 @@
 }
 
 func (w *windowVerbs) shown(ctx context.Context) (s comb.Shown, err error) {
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.addr+"/api/rpc?call=windows.describe", nil)
+	c, err := caller.New(w.addr)
 	if err != nil {
 		return s, err
 	}
-	resp, err := http.DefaultClient.Do(q)
+	ctx, cancel := context.WithTimeout(ctx, within("windows.describe"))
+	defer cancel()
+	body, err := c.Call(ctx, "windows.describe", "", nil)
 	if err != nil {
 		return s, err
 	}
-	defer resp.Body.Close()
-	return s, json.NewDecoder(resp.Body).Decode(&s)
+	return s, json.Unmarshal(body, &s)
 }
