--- a/internal/nodefile/nodefile.go
+++ b/internal/nodefile/nodefile.go
@@ -5,8 +5,10 @@
 package nodefile
 
 import (
+	"math"
 	"net/netip"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -34,6 +36,9 @@
 	ColdSlack     float64 // requests beyond that
 }
 
+// Losses are counts of what may be lost: counted machines, or zones, or regions.
+type Losses struct{ Machines, Zones, Regions int }
+
 // Settings are what one process is told.
 type Settings struct {
 	Name, Role, Class  string
@@ -53,7 +58,8 @@
 	Seeds              []netip.AddrPort
 	Zones              map[string]string // zone to region
 	Heartbeat          time.Duration     // a replica's beats are so far apart
-	LossMachines       int               // counted machines that may be lost at once
+	Losses             Losses            // that may come at once with all rules kept
+	Contracts          []string          // the parts of the rules that are in force
 	Bounds             Bounds
 }
 
@@ -102,13 +108,52 @@
 	return v.Num
 }
 
+// whole reads a count.
+func (r *reader) whole(path string, def int) int {
+	x := r.number(path, 0, float64(def))
+	if x != math.Trunc(x) {
+		r.fail(path, "is not a whole number")
+	}
+	return int(x)
+}
+
+// truth reads true or false; what is missing is false.
+func (r *reader) truth(path string) bool {
+	v := r.doc.Get(path)
+	if v.Exists() && v.Type != gjson.Null && !v.IsBool() {
+		r.fail(path, "is neither true nor false")
+	}
+	return v.Type == gjson.True
+}
+
+// texts reads a list of them.
+func (r *reader) texts(path string) (all []string) {
+	v := r.doc.Get(path)
+	if v.Exists() && v.Type != gjson.Null && !v.IsArray() {
+		r.fail(path, "is not a list")
+		return nil
+	}
+	for i, x := range v.Array() {
+		if x.Type != gjson.String || x.Str == "" {
+			r.fail(path+"."+strconv.Itoa(i), "is empty or not a text")
+		}
+		all = append(all, x.Str)
+	}
+	return all
+}
+
+// span reads a time above nothing; spanFrom one from a least one on.
 func (r *reader) span(path string, def time.Duration) time.Duration {
+	return r.spanFrom(path, time.Nanosecond, def)
+}
+
+func (r *reader) spanFrom(path string, least, def time.Duration) time.Duration {
 	s := r.text(path, false)
 	if s == "" {
 		return def
 	}
 	d, err := time.ParseDuration(s)
-	if err != nil || d <= 0 {
+	if err != nil || d < least {
 		r.fail(path, `is not a time such as "1500ms"`)
 	}
 	return d
@@ -181,26 +226,25 @@
 	s := &Settings{
 		Name: r.text(self+"node_name", true), Role: r.text(self+"role", false), Class: r.text(self+"machine_class", false),
 		Zone: r.text(self+"zone", true), Region: r.text(self+"region", false),
-		Counted: r.doc.Get(self + "counted").Bool(), FirstStart: r.doc.Get(self + "first_start").Bool(),
+		Counted: r.truth(self + "counted"), FirstStart: r.truth(self + "first_start"),
 		DataDir:     r.text(self+"data_directory", false),
 		MemoryMB:    int64(r.number(self+"limits.memory_mb", 16, 256)),
 		Descriptors: int64(r.number(self+"limits.file_descriptors", 64, 1024)),
 		LinkMbps:    r.number(self+"limits.link_mbps", 0.01, 100),
 		Cores:       r.number(self+"limits.cpu_share", 0.001, 1) * r.number(self+"limits.cpu_cores", 0.001, 1),
 		Front:       r.address(net + "listen_addresses.front"), Ready: r.address(net + "listen_addresses.readiness"),
-		Control:      r.address(net + "listen_addresses.control"),
-		Heartbeat:    r.span("platform_settings.heartbeat_interval", 1500*time.Millisecond),
-		LossMachines: int(r.number(rule+"fault_tolerance.machines", 0, 1)),
-		Zones:        map[string]string{},
+		Control:   r.address(net + "listen_addresses.control"),
+		Heartbeat: r.span("platform_settings.heartbeat_interval", 1500*time.Millisecond),
+		Losses:    Losses{r.whole(rule+"fault_tolerance.machines", 1), r.whole(rule+"fault_tolerance.zones", 0), r.whole(rule+"fault_tolerance.regions", 0)},
+		Contracts: r.texts(rule + "active_contracts"),
+		Serves:    r.texts(self + "serves"),
+		Zones:     map[string]string{},
 	}
 	ip, err := netip.ParseAddr(r.text(self+"ip_address", true))
 	if err != nil {
 		r.fail(self+"ip_address", "is not an IP address")
 	}
 	s.IP = ip
-	for _, v := range r.doc.Get(self + "serves").Array() {
-		s.Serves = append(s.Serves, v.String())
-	}
 	ports := r.doc.Get(net + "internal_port_range").Array()
 	if len(ports) != 2 || ports[0].Int() < 1 || ports[1].Int() > 65535 || ports[1].Int()-ports[0].Int() < 1 {
 		r.fail(net+"internal_port_range", "is not a first and a last port, two at least")
@@ -210,7 +254,7 @@
 	for i, v := range r.doc.Get(net + "seed_nodes").Array() {
 		a, err := netip.ParseAddrPort(v.String())
 		if err != nil {
-			r.fail(net+"seed_nodes."+string(rune('0'+i%10)), "is not an address with a port")
+			r.fail(net+"seed_nodes."+strconv.Itoa(i), "is not an address with a port")
 			continue
 		}
 		s.Seeds = append(s.Seeds, a)
@@ -223,7 +267,7 @@
 	}
 	b := rule + "bounds."
 	s.Bounds = Bounds{
-		AddressReuse: r.span(b+"address_reuse", 2*time.Second), AckDeadline: r.span(b+"ack_deadline", 5*time.Second),
+		AddressReuse: r.spanFrom(b+"address_reuse", 0, 2*time.Second), AckDeadline: r.span(b+"ack_deadline", 5*time.Second),
 		DrainDeadline: r.span(b+"drain_deadline", 2*time.Second), GracePeriod: r.span(b+"grace_period", 6*time.Second),
 		ConfigWithin: r.span(b+"config_deadline", 2*time.Second), Evacuation: r.span(b+"evacuation", 5*time.Second),
 		CatchUp: r.span(b+"catch_up", 4*time.Second), RetryRatio: r.number(b+"retry_budget_ratio", 0, 0.2),
--- a/internal/nodefile/nodefile_test.go
+++ b/internal/nodefile/nodefile_test.go
@@ -25,7 +25,10 @@
   seed_nodes: ["10.1.0.37:8544", "10.2.0.37:8544"]
   zones: {a: "r", b: "r"}
 platform_settings: {heartbeat_interval: "1500ms"}
-rule_terms: {bounds: {grace_period: "6s", cold_slack: 5}}
+rule_terms:
+  active_contracts: [base, drain, a-later-one]
+  fault_tolerance: {machines: 2, zones: 1, regions: 0, continents: 1}
+  bounds: {grace_period: "6s", cold_slack: 5, address_reuse: "0s", a_later_one: true, another: 0.5, a_third: 7, a_fourth: [1]}
 `
 
 func TestSettings(t *testing.T) {
@@ -37,6 +40,18 @@
 		So(s.Bounds.GracePeriod, ShouldEqual, 6*time.Second)
 		So(len(s.Seeds), ShouldEqual, 2)
 		So(s.LinkMbps, ShouldEqual, 2)
+		So(s.FirstStart, ShouldBeTrue)
+		So(s.Counted, ShouldBeFalse)
+		So(s.Losses, ShouldResemble, Losses{Machines: 2, Zones: 1})
+		So(s.Contracts, ShouldResemble, []string{"base", "drain", "a-later-one"})
+		So(s.Bounds.AddressReuse, ShouldEqual, 0)
+	})
+	Convey("One seed is enough, as fewer than three may serve control; what is not told has its default", t, func() {
+		s, err := Parse([]byte(strings.Replace(strings.Replace(good, `, "10.2.0.37:8544"`, "", 1), "first_start: true", "", 1)))
+		So(err, ShouldBeNil)
+		So(s.Governors(), ShouldResemble, []string{"10.1.0.37:7540"})
+		So(s.FirstStart, ShouldBeFalse)
+		So(s.Bounds.AckDeadline, ShouldEqual, 5*time.Second)
 	})
 	Convey("What is wrong is named by its path", t, func() {
 		for _, x := range []struct{ old, new, path string }{
@@ -49,6 +64,16 @@
 			{`cold_slack: 5`, `cold_slack: "five"`, "rule_terms.bounds.cold_slack"},
 			{`front: "10.1.0.34:8548"`, `front: 8548`, "network_settings.listen_addresses.front"},
 			{`memory_mb: 284`, `memory_mb: -1`, "self_settings.limits.memory_mb"},
+			// A text such as "no" was taken for false, and with it a core that starts for the first time for one that has lost its disks.
+			{`first_start: true`, `first_start: "no"`, "self_settings.first_start"},
+			{`first_start: true`, `first_start: 1`, "self_settings.first_start"},
+			{`machines: 2`, `machines: 1.5`, "rule_terms.fault_tolerance.machines"},
+			{`machines: 2`, `machines: -1`, "rule_terms.fault_tolerance.machines"},
+			{`zones: 1,`, `zones: "one",`, "rule_terms.fault_tolerance.zones"},
+			{`[base, drain, a-later-one]`, `base`, "rule_terms.active_contracts"},
+			{`[base, drain, a-later-one]`, `[base, 7]`, "rule_terms.active_contracts.1"},
+			{`address_reuse: "0s"`, `address_reuse: "-1s"`, "rule_terms.bounds.address_reuse"},
+			{`grace_period: "6s"`, `grace_period: "0s"`, "rule_terms.bounds.grace_period"},
 		} {
 			So(strings.Contains(good, x.old), ShouldBeTrue)
 			_, err := Parse([]byte(strings.Replace(good, x.old, x.new, 1)))
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -103,6 +103,8 @@
 	}
 	if check.Used {
 		fmt.Printf("%s: %s in zone %s: settings hold\n", name, set.Name, set.Zone)
+		fmt.Printf("may be lost at once: %d machines that count, or %d zones, or %d regions; rules in force: %s\n", set.Losses.Machines,
+			set.Losses.Zones, set.Losses.Regions, strings.Join(set.Contracts, ", "))
 		return
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
