--- a/hive/comb/comb.go
+++ b/hive/comb/comb.go
@@ -163,6 +163,7 @@
 	touched  map[string]bool // peers in touch at the last gossip
 	alone    bool
 	leaving  bool
+	backAt   time.Duration // in touch since
 	ticked   time.Duration
 	woke     time.Duration // when it last came round after it was held up
 	wall     time.Duration // the time of day, and when it was told
@@ -189,6 +190,8 @@
 		k.Lives[i].Age = 0 // heard now, as far as anyone knows; those that do not beat go as any silent one
 	}
 	c.reg.Merge(now, k.Lives)
+	c.reg.Unsure()
+	c.wasOut = sortedKeys(k.Register.Out)
 	c.ticked, c.woke = now, now-lateFor
 	c.hived = hived{open: map[uint64]change{}, elsewhat: map[string]elsewhere{}, drained: map[string]time.Duration{}}
 	c.core = core.New(self, k, set.Seeds, rand.New(&c.chance).Float64, hints{c})
@@ -339,7 +342,8 @@
 	c.out.Ended = c.leaving && c.core.Left(now)
 }
 
-// touch notes that this comb has lost a majority of the others, or has it back.
+// touch notes that this comb has lost a majority of the others, or has it back: then it could hear nobody meanwhile, and what
+// it knows of replicas is old.
 func (c *Comb) touch(now time.Duration) {
 	alone := !c.core.InTouch(now)
 	if alone == c.alone {
@@ -349,6 +353,8 @@
 	c.note("in_touch", "now", !alone, "view", c.core.View().N)
 	if !alone {
 		c.reg.Excuse(now)
+		c.reg.Unsure()
+		c.backAt = now
 	}
 }
 
@@ -426,6 +432,8 @@
 	if news, urgent := c.reg.Beat(now, l); news {
 		if urgent {
 			c.note("draining", "id", l.ID)
+		}
+		if urgent || l.Cold > 0 { // it may have been warm, or cold until sooner, for the others
 			c.gossipNow(now, []registry.Life{l})
 		}
 		c.tell(now, urgent)
