A forager doubts the replicas of a zone that is given back, whatever its comb remembers

The same hole once more, one step further: a core that is killed as it gives a zone back, or comes back and gives it back in its first commit, may have no memory that the zone was out, so none of its combs doubts the zone's replicas, and foragers send at will to replicas that have just turned cold. A forager has that memory: it held them back a moment ago. It spares them until their second newer beat, for 3 s at most where no news of them come.

Ruled out: to have combs keep their doubts on disk: what is written in the moment of the kill may lack them, and a disk that is lost has none.

New checks in TestColdWords fail without the change.

--- a/hive/forage/forage.go
+++ b/hive/forage/forage.go
@@ -296,7 +296,7 @@
 	t.Ended = f.spread.Lives(now, s.Whole && !s.Young, s.Lives)
 	if s.Seq > 0 && s.Seq >= f.seq {
 		f.seq = s.Seq
-		f.spread.Evacuated(s.Out)
+		f.spread.Evacuated(now, s.Out)
 		f.measured = s.Windows
 		f.window(now, s.Window)
 	}
--- a/hive/spread/cold_test.go
+++ b/hive/spread/cold_test.go
@@ -57,6 +57,43 @@
 			So(told(s, 7, 0, ""), ShouldBeFalse)
 		})
 	})
+	// Guards a core that was killed right after, or right before, it gave a zone back: it comes back and does not remember that the zone was
+	// out, or tells it in the same breath, so that no comb doubts the zone's replicas. Who sends sees that it was out a moment ago.
+	Convey("Given a forager whose zone a is evacuated", t, func() {
+		x := New("a")
+		beat := func(now time.Duration, seq uint64) bool {
+			l := life("c1", "a")
+			l.Seq = seq
+			x.Lives(now, false, []registry.Life{l})
+			return x.Get("c1").Cold(now)
+		}
+		beat(0, 5)
+		x.Evacuated(0, []string{"a", "b"})
+		Convey("its replicas are spared when it is given back, until the second beat that is new", func() {
+			x.Evacuated(s, []string{"b"})
+			So(x.Get("c1").Cold(s), ShouldBeTrue)
+			So(beat(s, 5), ShouldBeTrue)
+			So(beat(s, 6), ShouldBeTrue) // may have been under way as it was given back
+			So(beat(2*s, 7), ShouldBeFalse)
+		})
+		Convey("or for a while, as beats that tell nothing new are not passed on", func() {
+			x.Evacuated(s, []string{"b"})
+			So(x.Get("c1").Cold(s+givenBack-1), ShouldBeTrue)
+			So(x.Get("c1").Cold(s+givenBack), ShouldBeFalse)
+		})
+		Convey("not when another zone is given back", func() {
+			x.Evacuated(s, []string{"a"})
+			So(x.Get("c1").Cold(s), ShouldBeFalse)
+		})
+		Convey("a comb's doubt holds longer than its own", func() {
+			l := life("c1", "a")
+			l.Seq, l.Doubt = 5, true
+			x.Lives(s, false, []registry.Life{l})
+			x.Evacuated(s, []string{"b"})
+			So(x.Get("c1").Cold(s+givenBack), ShouldBeTrue)
+			So(beat(s+givenBack, 6), ShouldBeFalse)
+		})
+	})
 	Convey("Given a forager that begins anew and is told what a comb knew before it was cut off", t, func() {
 		x := New("a")
 		l := life("c1", "a")
--- a/hive/spread/spread.go
+++ b/hive/spread/spread.go
@@ -24,6 +24,7 @@
 	partLeast   = 2
 	keepEnded   = time.Minute
 	doubtMost   = 10 * time.Second
+	givenBack   = 3 * time.Second // two beats of a replica in a zone that was given back, at the usual interval
 )
 
 // Replica is one life of a replica as this governor sees it.
@@ -187,8 +188,14 @@
 	delete(s.all, id)
 }
 
-// Evacuated sets the zones whose replicas get nothing.
-func (s *Spread) Evacuated(zones []string) {
+// Evacuated sets the zones whose replicas get nothing. The replicas of one that is given back may have turned cold; their comb
+// may not remember that they were out, as it has just started, so that is doubted here too until they have beaten again.
+func (s *Spread) Evacuated(now time.Duration, zones []string) {
+	for _, r := range s.all {
+		if s.out[r.Zone] && !slices.Contains(zones, r.Zone) && !(r.doubt && now < r.doubtEnd) {
+			r.doubt, r.doubtSeq, r.doubtEnd = true, r.seq+1, now+givenBack
+		}
+	}
 	clear(s.out)
 	for _, z := range zones {
 		s.out[z] = true
