Lives from a disk are old only where a zone was evacuated as they were written

Change: the disk keeps as old those lives alone whose zone was evacuated at the write, or that were in doubt; also the write that gives the zone back. A comb back from a cut hears of doubt by its neighbours' lives.

--- a/hive/comb/comb.go
+++ b/hive/comb/comb.go
@@ -178,8 +178,6 @@
 		k.Lives[i].Age = 0 // heard now, as far as anyone knows; those that do not beat go as any silent one
 	}
 	c.reg.Merge(now, k.Lives)
-	c.reg.Unsure()
-	c.wasOut = sortedKeys(k.Register.Out)
 	c.ticked = now
 	c.hived = hived{open: map[uint64]change{}, elsewhat: map[string]elsewhere{}, drained: map[string]time.Duration{}}
 	c.core = core.New(self, k, set.Seeds, rand.New(&c.chance).Float64, hints{c})
@@ -189,8 +187,18 @@
 // hints are the lives of replicas, as they are kept on disk.
 type hints struct{ c *Comb }
 
-func (h hints) Revision() uint64       { return h.c.reg.Rev() }
-func (h hints) Lives() []registry.Life { return h.c.reg.Changes(h.c.ticked, registry.All) }
+func (h hints) Revision() uint64 { return h.c.reg.Rev() }
+
+// Lives marks as old what turns cold, or may have, as its zone is given back: this very write may be the one that does so.
+func (h hints) Lives() []registry.Life {
+	lives := h.c.reg.Changes(h.c.ticked, registry.All)
+	for i, l := range lives {
+		if l.Doubt || slices.Contains(h.c.wasOut, l.Zone) {
+			lives[i].Doubt, lives[i].Old = false, true
+		}
+	}
+	return lives
+}
 
 // Kept encodes what must be on disk now. The first one must be there before anything is listened on.
 func (c *Comb) Kept() ([]byte, error) { return c.core.Kept() }
--- a/hive/comb/streams.go
+++ b/hive/comb/streams.go
@@ -128,11 +128,10 @@
 	return c.cut || now-c.backAt < time.Duration(youngFor*float64(c.set.Heartbeat))
 }
 
-// touch takes note of whether this comb is in touch. One that is again could hear nobody meanwhile, and what it knows is old.
+// touch takes note of whether this comb is in touch. One that is again could hear nobody meanwhile.
 func (c *Comb) touch(now time.Duration, alone bool) {
 	if c.cut && !alone {
 		c.reg.Excuse(now)
-		c.reg.Unsure()
 		c.backAt = now
 	}
 	c.cut = alone
--- a/hive/registry/registry.go
+++ b/hive/registry/registry.go
@@ -38,8 +38,9 @@
 	// others nor final: a comb that was frozen has heard nobody, and must not end the whole fleet when it wakes.
 	Silent bool `cbor:"12,keyasint,omitempty"`
 
-	// Old: known from a disk or from before the comb was cut off. It may have turned cold since. Who knows the replica
-	// otherwise passes over that; who does not takes it for cold until there is a newer word.
+	// Old: known from a disk that holds its zone as evacuated, or from a forager that heard no comb for long. It may have
+	// turned cold since. Who knows the replica otherwise passes over that; who does not takes it for cold until there is a
+	// newer word.
 	Old bool `cbor:"13,keyasint,omitempty"`
 }
 
@@ -201,16 +202,6 @@
 	}
 }
 
-// Unsure marks all that is known as old: this governor has just started, or was cut off.
-func (r *Registry) Unsure() {
-	for _, id := range r.ids {
-		if e := r.lives[id]; !e.Gone && !e.Old {
-			e.Old = true
-			r.news(e)
-		}
-	}
-}
-
 // Doubt takes the replicas of a zone for cold until they have said more: its evacuation has just ended.
 func (r *Registry) Doubt(now time.Duration, zone string) {
 	for _, id := range r.ids {
