Foragers and combs away for twenty seconds, as schedules of the apiary

Eight cases (a forager cut off from all, frozen; a comb cut off, one way too, frozen, wiped; both; a forager that begins as its comb is back), under drawn acts: what was acknowledged is held within the bounds, nobody goes back, cold replicas get no more than they may.

--- a/internal/apiary/cold_test.go
+++ b/internal/apiary/cold_test.go
@@ -58,3 +58,36 @@
 		t.Error("no cold replica was called")
 	}
 }
+
+// TestLongAway has foragers and combs away for twenty seconds, while configurations, evacuations and replicas change: whoever is back must hold what was
+// acknowledged within the bounds, go back in nothing, and keep cold replicas from too much.
+func TestLongAway(t *testing.T) {
+	const away = 20 * time.Second
+	cases := map[string][]Trouble{
+		"a forager is cut off from all":              {{Kind: "bcut", On: 0}, {Kind: "bcut", On: 1}},
+		"a forager freezes":                          {{Kind: "bfreeze", On: 0}, {Kind: "bfreeze", On: 1}},
+		"a comb is cut off":                          {{Kind: "cut", On: 0}},
+		"a comb is heard by nobody, or hears no one": {{Kind: "oneway", On: 1}},
+		"a comb freezes":                             {{Kind: "freeze", On: 2}},
+		"a comb is wiped":                            {{Kind: "wipe", On: 1}},
+		"a comb is cut off, a forager too":           {{Kind: "cut", On: 1}, {Kind: "bcut", On: 2}},
+		"a forager begins anew as a comb is back":    {{Kind: "cut", On: 1}, {At: 19900 * time.Millisecond, For: 200 * time.Millisecond, Kind: "bkill", On: 0}},
+	}
+	for name, troubles := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range seeds(t, 4) {
+				s := Schedule{Seed: seed, Machines: 3, Seeds: 3, Foragers: 6, Replicas: 4, Zones: zones, Lasts: 34 * time.Second, Acts: DrawActs(seed, 60, 4, 34*time.Second)}
+				for _, x := range troubles {
+					if x.At += 4*time.Second + time.Duration(seed)*130*time.Millisecond; x.For == 0 {
+						x.For = away
+					}
+					s.Troubles = append(s.Troubles, x)
+				}
+				if r := Run(s); len(r.Broken) > 0 {
+					t.Fatalf("seed %d: %s\n%s", seed, r.Broken[0], strings.Join(r.Trace, "\n"))
+				}
+			}
+		})
+	}
+}
