--- /dev/null
+++ b/hive/framing/framing_test.go
@@ -0,0 +1,121 @@
+package framing
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// Guards requests inside requests: each of these is taken by net/http in silence, or closes nothing after it.
+func TestDoubtfulFramingIsRefused(t *testing.T) {
+	for _, x := range []struct{ in, cause string }{
+		{"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "length_and_chunks"},
+		{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n", "length_and_chunks"},
+		{"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nContent-Length: 0\r\n\r\n", "two_lengths"},
+		{"POST / HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "chunks_in_http10"},
+		{"GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n", "folded_line"},
+		{"GET / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding:\r\n chunked\r\n\r\n", "transfer_encoding"},
+		{"GET / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: identity, chunked\r\n\r\n", "transfer_encoding"},
+		{"GET / HTTP/1.1\r\nHost: h\r\nX: a\rb\r\n\r\n", "bare_cr"},
+		{"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: +4\r\n\r\n", "length"},
+		{"GET / HTTP/1.1\r\nHost: h\r\nContent-Length:\r\n\r\n", "length"},
+		{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabX\r\n", "chunk_end"},
+		{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\nab\r\n", "chunk_size"},
+		{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: y\n\r\n", "trailer"},
+		{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0x2\r\nab\r\n", "chunk_size"},
+	} {
+		for step := 1; step <= len(x.in); step += max(1, len(x.in)-1) { // by bytes, and at once
+			var s Scanner
+			got := ""
+			for i := 0; i < len(x.in) && got == ""; i += step {
+				_, got = s.Feed([]byte(x.in[i:min(i+step, len(x.in))]))
+			}
+			if got != x.cause {
+				t.Errorf("%q by %d: %q, want %q", x.in, step, got, x.cause)
+			}
+		}
+	}
+}
+
+func TestProperRequestsPass(t *testing.T) {
+	in := "GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc" +
+		"POST /c HTTP/1.1\r\nHost: h\r\ntransfer-encoding: Chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nT: 1\r\n\r\nGET /d HTTP/1.0\r\n\r\n"
+	var s Scanner
+	for i := range in {
+		if n, cause := s.Feed([]byte{in[i]}); n != 1 || cause != "" {
+			t.Fatalf("at %d: %d %q", i, n, cause)
+		}
+	}
+	if s.Requests() != 4 || !s.Resting() {
+		t.Fatalf("%d requests, resting %v", s.Requests(), s.Resting())
+	}
+}
+
+// poisoned hands on what a scanner lets through, and the poison behind it.
+func poisoned(in []byte, step int) ([]byte, string) {
+	var s Scanner
+	var out []byte
+	for i := 0; i < len(in); i += step {
+		b := in[i:min(i+step, len(in))]
+		n, cause := s.Feed(b)
+		out = append(out, b[:n]...)
+		if cause != "" {
+			return append(out, Poison...), cause
+		}
+	}
+	return out, ""
+}
+
+// FuzzFraming has net/http read what the scanner lets through: where both agree that requests begin, nothing can be
+// smuggled; and what was found bad is never read as a request.
+func FuzzFraming(f *testing.F) {
+	for _, in := range []string{
+		"GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+		"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\n\r\n",
+		"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nT: 1\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n",
+		"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "GET / HTTP/1.1\nX: a\n b\n\n", "\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+	} {
+		f.Add([]byte(in), uint8(7))
+	}
+	f.Fuzz(func(t *testing.T, in []byte, step uint8) {
+		out, cause := poisoned(in, 1+int(step))
+		var s Scanner
+		starts := map[int]bool{}
+		for i := range out {
+			before := s.Requests()
+			s.Feed(out[i : i+1])
+			if s.Requests() > before {
+				starts[i] = true
+			}
+		}
+		src := bytes.NewReader(out)
+		br := bufio.NewReader(src)
+		for {
+			at := len(out) - src.Len() - br.Buffered()
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				break
+			}
+			_, err = io.Copy(io.Discard, r.Body)
+			end := len(out) - src.Len() - br.Buffered()
+			if err != nil {
+				break
+			}
+			if !starts[at] {
+				t.Fatalf("net/http reads a request at %d of %q, the scanner none (%q)", at, out, cause)
+			}
+			if cause != "" && end > len(out)-len(Poison) && !strings.HasSuffix(string(out[:end]), "\n\r\n") {
+				t.Fatalf("the poison was read as a request: %q (%q)", out, cause)
+			}
+			for next := at + 1; next < end; next++ {
+				if starts[next] {
+					t.Fatalf("the scanner sees a request at %d of %q, within one of net/http's from %d to %d", next, out, at, end)
+				}
+			}
+		}
+	})
+}
--- a/hive/tries/tries.go
+++ b/hive/tries/tries.go
@@ -25,7 +25,8 @@
 	Sent        int // replicas that it was sent to
 	Unsent      int // replicas that could not even be called
 	Left        time.Duration
-	Failed      bool // Answered: with a failure of the replica's own
+	Target      time.Duration // the route's; 0: none
+	Failed      bool          // Answered: with a failure of the replica's own
 }
 
 const (
@@ -34,19 +35,26 @@
 	// UnsentMost bounds calls that fail before anything is sent: they are no arrivals, but cost time.
 	UnsentMost = 4
 
+	leastShare = 0.1 // of the route's target: with less time than this a replica cannot be said to have been offered anything
+
 	hedgeShare = 0.55 // of the route's target, after which a second replica can still answer within it
 )
 
+// Offers tells whether the time left is enough to offer a request to a replica at all.
+func Offers(left, target time.Duration) bool {
+	return left >= max(leastLeft, time.Duration(leastShare*float64(target)))
+}
+
 // HedgeAfter is how long a safe request waits for its answer until it is offered to a second replica beside the first.
 func HedgeAfter(target, left time.Duration) (time.Duration, bool) {
 	wait := time.Duration(hedgeShare * float64(target))
-	return wait, target > 0 && wait+leastLeft < left
+	return wait, target > 0 && Offers(left-wait, target)
 }
 
 // Again tells whether the request may be offered to another replica. Further arrivals must be covered by a budget
 // besides, which is asked last so that nothing is taken from it in vain.
 func Again(v Verdict, r Request) bool {
-	if r.Left < leastLeft || r.Unsent > UnsentMost {
+	if !Offers(r.Left, r.Target) || r.Unsent > UnsentMost {
 		return false
 	}
 	if r.Sent >= r.MaxAttempts {
--- /dev/null
+++ b/internal/forager/client.go
@@ -0,0 +1,119 @@
+package forager
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"zincloft.example/zincloft/hive/framing"
+)
+
+// clients wraps the connections of clients.
+type clients struct {
+	net.Listener
+	f *Forager
+}
+
+func (l clients) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &client{Conn: c, f: l.f}, nil
+}
+
+type clientKey struct{}
+
+func withClient(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, clientKey{}, c)
+}
+
+// client is a client's connection. It keeps what is framed in a doubtful way from the server, and lets a connection
+// rest for as long as the configuration in force says, also before its first request: the server would give that one the
+// time of a head, and keep to the first configuration.
+type client struct {
+	net.Conn
+	f       *Forager
+	scan    framing.Scanner
+	poison  string
+	over    atomic.Bool // nothing further is read
+	resting bool        // the deadline is that of a rest; a head's is set with its first byte
+	busy    bool        // with a request: deadlines are its own. Like resting, it changes on the server's goroutine only
+}
+
+// serving marks a connection as busy for the time of a request.
+func serving(r *http.Request) func() {
+	c, _ := r.Context().Value(clientKey{}).(*client)
+	if c == nil {
+		return func() {}
+	}
+	c.busy = true
+	return func() { c.busy = false }
+}
+
+func (c *client) Read(b []byte) (int, error) {
+	if len(b) == 0 || c.over.Load() && c.poison == "" {
+		return 0, io.EOF
+	}
+	if c.poison == "" {
+		n, err := c.Conn.Read(b)
+		if n == 0 {
+			return n, err
+		}
+		rested := c.scan.Resting()
+		good, cause := c.scan.Feed(b[:n])
+		if rested && c.resting {
+			c.resting = false
+			if limits := c.f.config.Load(); limits != nil && limits.Limits.Header > 0 {
+				c.Conn.SetReadDeadline(time.Now().Add(limits.Limits.Header))
+			}
+		}
+		if cause == "" {
+			return n, err
+		}
+		c.poison = framing.Poison
+		c.over.Store(true)
+		c.f.bad(c.RemoteAddr().String(), cause)
+		if good > 0 {
+			return good, nil
+		}
+	}
+	n := copy(b, c.poison)
+	c.poison = c.poison[n:]
+	return n, nil
+}
+
+// SetReadDeadline gives a resting connection the time of a rest.
+func (c *client) SetReadDeadline(t time.Time) error {
+	if !c.busy && time.Until(t) > 0 && c.scan.Resting() {
+		if limits := c.f.config.Load(); limits != nil && limits.Limits.Idle > 0 {
+			c.resting = true
+			t = time.Now().Add(limits.Limits.Idle)
+		}
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Write notes what the server refuses by itself.
+func (c *client) Write(b []byte) (int, error) {
+	if bytes.HasPrefix(b, []byte("HTTP/1.1 4")) && !c.over.Load() {
+		if _, cause, ok := bytes.Cut(b, []byte("\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n4")); ok {
+			c.f.bad(c.RemoteAddr().String(), "4"+string(cause[:min(len(cause), 100)]))
+		}
+	}
+	return c.Conn.Write(b)
+}
+
+// bad counts and notes a request that is none.
+func (f *Forager) bad(from, cause string) {
+	f.count("bad_request")
+	if f.lines.Allow() {
+		f.log.Info().Str("event", "bad_request").Str("from", from).Str("cause", cause).Msg("")
+	}
+}
+
+func (f *Forager) badRequest(r *http.Request, cause string) { f.bad(r.RemoteAddr, cause) }
--- /dev/null
+++ b/internal/forager/client_test.go
@@ -0,0 +1,268 @@
+package forager
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"zincloft.example/zincloft/hive/registry"
+	"zincloft.example/zincloft/hive/words"
+	"zincloft.example/zincloft/internal/nodefile"
+	"zincloft.example/zincloft/internal/program"
+	"zincloft.example/zincloft/internal/stand/upstream"
+)
+
+// lines keeps a log.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// served starts a forager for clients on loopback, before replicas.
+func served(t testing.TB, limits string, ups ...*upstream.Replica) (addr string, f *Forager, log *lines) {
+	set, err := nodefile.Parse([]byte(settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	log = &lines{}
+	if f, err = New(set, program.Logger(log, "forager")); err != nil {
+		t.Fatal(err)
+	}
+	if f.frontLn, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	st := &words.State{Whole: true, Seq: 1, Version: 1, Body: limited(1, limits)}
+	for _, up := range ups {
+		st.Lives = append(st.Lives, registry.Life{ID: up.ID, Service: "svc", Addr: up.Addr(), Zone: "a", Slots: 4})
+	}
+	f.take(st)
+	t.Cleanup(func() { f.server.Close() })
+	return f.frontLn.Addr().String(), f, log
+}
+
+func limited(version int, limits string) []byte {
+	return bytes.Replace(configured(version, "unsafe"), []byte(`"max_body_bytes":100`), []byte(limits), 1)
+}
+
+func stood(t testing.TB, id string, next ...upstream.Behaviour) *upstream.Replica {
+	up, err := upstream.Start(id, next...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(up.Close)
+	return up
+}
+
+// say sends bytes on a new connection and reads answers until it ends.
+func say(t testing.TB, addr, bytes string) (codes []int) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	go io.WriteString(c, bytes)
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return codes
+		}
+		io.Copy(io.Discard, r.Body)
+		if codes = append(codes, r.StatusCode); r.Close {
+			return codes
+		}
+	}
+}
+
+// Guards replicas against what clients send in two meanings: it is answered 400 and closed, in a log line with its cause,
+// and nothing of it, nor behind it, reaches a replica; what came whole before it is answered in its turn.
+func TestBadRequestsReachNobody(t *testing.T) {
+	up := stood(t, "i0")
+	addr, f, log := served(t, `"max_body_bytes":1000,"max_header_bytes":4000`, up)
+	head := "POST /x/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: bad\r\n"
+	smuggled := "GET /x/smuggled HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: smuggled\r\n\r\n"
+	good := "POST /x/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: good\r\nContent-Length: 2\r\n\r\nab"
+	for _, x := range []struct {
+		say   string
+		codes string
+		cause string
+	}{
+		{head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled, "[400]", "length_and_chunks"},
+		{head + "Content-Length: 0\r\nContent-Length: 80\r\n\r\n" + smuggled, "[400]", "two_lengths"},
+		{head + "Content-Length: 0\r\nContent-Length: 0\r\n\r\n" + smuggled, "[400]", "two_lengths"},
+		{strings.Replace(head, "1.1", "1.0", 1) + "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled, "[400]", "chunks_in_http10"},
+		{head + "X-Y: z\r\n folded\r\nContent-Length: 0\r\n\r\n" + smuggled, "[400]", "folded_line"},
+		{head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + smuggled, "[400]", "transfer_encoding"},
+		{head + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcdeX\r\n0\r\n\r\n" + smuggled, "[400]", "chunk_end"},
+		{head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + smuggled, "[400]", "chunk_size"},
+		{head + "Content-Length : 3\r\n\r\n" + smuggled, "[400]", "400 Bad Request"},
+		{strings.Replace(head, "Host: h.example\r\n", "", 1) + "\r\n" + smuggled, "[400]", "Host"},
+		{head + "X-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n" + smuggled, "[400]", "target_or_identity"},
+		{strings.Replace(head, "/x/1", "*", 1) + "Content-Length: 0\r\n\r\n" + smuggled, "[400]", "target_or_identity"},
+		{head + "Content-Length: 5000\r\n\r\n" + smuggled, "[413]", ""},
+		{head + "X-Y: " + strings.Repeat("z", 9000) + "\r\n\r\n" + smuggled, "[431]", "431"},
+		{good + head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled, "[200 400]", "length_and_chunks"},
+		{good + strings.Replace(good, "/x/1", "http://h.example/x/1", 1), "[200 200]", ""},
+	} {
+		before := log.String()
+		if got := fmt.Sprint(say(t, addr, x.say)); got != x.codes {
+			t.Errorf("%q: %s, want %s", x.say[:min(len(x.say), 200)], got, x.codes)
+		}
+		if line := log.String()[len(before):]; x.cause != "" && !(strings.Contains(line, "event=bad_request") && strings.Contains(line, x.cause)) {
+			t.Errorf("%q: log %q lacks %q", x.say[:min(len(x.say), 200)], line, x.cause)
+		}
+	}
+	if ran := up.Ran(); ran["bad"]+ran["smuggled"] > 0 || ran["good"] != 3 {
+		t.Error(ran)
+	}
+	if n := f.bodies.held.Load(); n != 0 {
+		t.Errorf("%d bytes of bodies are still counted", n)
+	}
+}
+
+// Guards clients that send too slowly: what has not come whole has not run, and they are told so.
+func TestALateBodyIs408(t *testing.T) {
+	up := stood(t, "i0")
+	addr, _, _ := served(t, `"max_body_bytes":1000`, up)
+	codes := say(t, addr, "POST /x/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 1\r\nX-Deadline-Ms: 100\r\nContent-Length: 10\r\n\r\nhalf")
+	if fmt.Sprint(codes) != "[408]" || len(up.Seen()) > 0 {
+		t.Error(codes, up.Seen())
+	}
+}
+
+// Guards connections that rest: clients take them up within the time that the configuration in force names, also before
+// the first request, and also where an earlier one named less; a head that has begun has a head's time.
+func TestConnectionsRestByTheConfigurationInForce(t *testing.T) {
+	up := stood(t, "i0")
+	addr, f, _ := served(t, `"header_timeout":"100ms","idle_timeout":"100ms"`, up)
+	f.take(&words.State{Seq: 2, Version: 2, Body: limited(2, `"header_timeout":"150ms","idle_timeout":"30s"`)})
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for i := range 2 {
+		c.SetReadDeadline(time.Now().Add(400 * time.Millisecond))
+		if _, err := br.Peek(1); err == nil || err == io.EOF {
+			t.Fatalf("the connection ended while it rested before request %d: %v", i+1, err)
+		}
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		fmt.Fprintf(c, "POST /x/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %d\r\nContent-Length: 0\r\n\r\n", i)
+		r, err := http.ReadResponse(br, nil)
+		if err != nil || r.StatusCode != 200 {
+			t.Fatal(r, err)
+		}
+		io.Copy(io.Discard, r.Body)
+	}
+	io.WriteString(c, "GET /x/1 HT")
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if rest, err := io.ReadAll(br); err != nil || len(rest) > 0 && !bytes.HasPrefix(rest, []byte("HTTP/1.1 400 ")) {
+		t.Errorf("a head that does not come on: %q %v", rest, err)
+	}
+}
+
+func TestPromises(t *testing.T) {
+	Convey("A doubt stays a doubt, also where another try is proven not to have run", t, func() {
+		// Guards the promise of 503: the proof of a later try hid the doubt of the first.
+		r := newRig("safe", 2)
+		r.all(upstream.Lost)
+		r.up[0].Then(upstream.Lost)
+		r.up[1].Then(upstream.Lost)
+		for range 12 {
+			r.up[0].Then(upstream.Lost)
+			r.up[1].Then(upstream.Sheds)
+			w := r.do("GET", "/x/1", "")
+			if r.ran() > 0 {
+				So(w.Code, ShouldNotEqual, http.StatusServiceUnavailable)
+			}
+		}
+	})
+	Convey("A replica's own 503 promises nothing where it does not say that it did not run it", t, func() {
+		r := newRig("unsafe", 2)
+		r.all(upstream.Unproven)
+		So(r.do("POST", "/x/1", "order").Code, ShouldEqual, http.StatusBadGateway)
+		So(r.ran(), ShouldEqual, 1)
+	})
+	Convey("What nobody waits for is not sent, nor sent again", t, func() {
+		r := newRig("unsafe", 2)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		ask := func() {
+			q := httptest.NewRequest("POST", "/x/1", strings.NewReader("order")).WithContext(ctx)
+			q.Host = "h.example"
+			q.Header.Set("X-Attempt-Id", "gone")
+			defer func() { recover() }() // its connection is ended
+			r.f.serve(httptest.NewRecorder(), q)
+		}
+		for _, up := range r.up {
+			up.Then(upstream.Sheds)
+			up.Before = func(string) { cancel() } // the client leaves while the replica has it
+		}
+		ask()
+		So(len(r.up[0].Seen())+len(r.up[1].Seen()), ShouldEqual, 1)
+		ask()
+		So(len(r.up[0].Seen())+len(r.up[1].Seen()), ShouldEqual, 1)
+	})
+	Convey("With under a tenth of the target left nothing is offered", t, func() {
+		r := newRig("unsafe", 2)
+		q := httptest.NewRequest("POST", "/x/1", strings.NewReader("order"))
+		q.Host = "h.example"
+		q.Header.Set("X-Attempt-Id", "late")
+		q.Header.Set("X-Deadline-Ms", "90")
+		w := httptest.NewRecorder()
+		r.f.serve(w, q)
+		So(w.Code, ShouldEqual, http.StatusServiceUnavailable)
+		So(len(r.up[0].Seen())+len(r.up[1].Seen()), ShouldEqual, 0)
+	})
+	Convey("A deadline beyond all numbers is the route's", t, func() {
+		for _, ms := range []string{"Inf", "1e300", "99999999999999999999"} {
+			r := newRig("unsafe", 1)
+			q := httptest.NewRequest("POST", "/x/1", strings.NewReader("order"))
+			q.Host = "h.example"
+			q.Header.Set("X-Attempt-Id", "1")
+			q.Header.Set("X-Deadline-Ms", ms)
+			w := httptest.NewRecorder()
+			r.f.serve(w, q)
+			So(w.Code, ShouldEqual, 200)
+		}
+	})
+}
+
+// Guards the reading of a whole address as a target.
+func TestTargets(t *testing.T) {
+	for in, want := range map[string]string{"/a?b": "/a?b", "http://h/a?b": "/a?b", "http://h": "/", "http://h?x": "/?x", "*": "*"} {
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET " + in + " HTTP/1.1\r\nHost: h\r\n\r\n")))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, ok := target(r); got != want || ok != strings.HasPrefix(want, "/") {
+			t.Errorf("%s: %s %v", in, got, ok)
+		}
+	}
+}
--- a/internal/forager/forager.go
+++ b/internal/forager/forager.go
@@ -18,6 +18,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/phuslu/log"
 	"golang.org/x/net/netutil"
+	"golang.org/x/time/rate"
 
 	"zincloft.example/zincloft/hive/config"
 	"zincloft.example/zincloft/hive/falls"
@@ -34,8 +35,10 @@
 	heldUpHere  = 50 * time.Millisecond  // of a request's time, beside the replica's, from which this node counts as slow
 	leastGrace  = 300 * time.Millisecond // of the grace period, kept for the end of the process itself
 	bodyPart    = 0.25                   // of the memory limit, for requests' bodies
-	connPart    = 0.7                    // of the descriptors, for clients
-	memoryPart  = 0.6                    // of the memory limit, the garbage collector's goal
+	linesRate   = 10                     // log lines a second that others cause
+	linesBurst  = 100
+	connPart    = 0.7 // of the descriptors, for clients
+	memoryPart  = 0.6 // of the memory limit, the garbage collector's goal
 )
 
 // Forager is one proxy governor.
@@ -58,6 +61,8 @@
 	fell     chan falls.Word
 	gone     chan string // replicas whose address another one has
 
+	lines *rate.Limiter // of what others cause in the log
+
 	mu     sync.Mutex
 	brain  *forage.Forager
 	counts map[string]int
@@ -71,7 +76,7 @@
 	brain := forage.New(forage.Settings{Zone: set.Zone, Zones: len(set.Zones), RetryRatio: set.Bounds.RetryRatio, RetrySlack: set.Bounds.RetrySlack, Seed: rand.Uint64()})
 	return &Forager{set: set, log: logger, start: time.Now(), replicas: replica.NewPool(), brain: brain,
 		counts: map[string]int{}, failed: make(chan error, 4), gone: make(chan string, 64), fell: make(chan falls.Word, 64),
-		bodies: bodies{most: int64(float64(set.MemoryMB<<20) * bodyPart)}}, nil
+		lines: rate.NewLimiter(linesRate, linesBurst), bodies: bodies{most: int64(float64(set.MemoryMB<<20) * bodyPart)}}, nil
 }
 
 func (f *Forager) now() time.Duration { return time.Since(f.start) }
@@ -170,10 +175,10 @@
 		mux.NotFound(f.serve)
 		mux.MethodNotAllowed(f.serve)
 		f.server = &http.Server{Handler: mux, ReadHeaderTimeout: c.Limits.Header, IdleTimeout: c.Limits.Idle,
-			MaxHeaderBytes: int(c.Limits.HeaderBytes), ErrorLog: nil}
+			MaxHeaderBytes: int(c.Limits.HeaderBytes), ErrorLog: nil, ConnContext: withClient}
 		f.server.ErrorLog = f.log.Std("", 0)
 		go func() {
-			if err := f.server.Serve(netutil.LimitListener(f.frontLn, int(float64(f.set.Descriptors)*connPart))); err != http.ErrServerClosed {
+			if err := f.server.Serve(clients{netutil.LimitListener(f.frontLn, int(float64(f.set.Descriptors)*connPart)), f}); err != http.ErrServerClosed {
 				f.failed <- err
 			}
 		}()
--- a/internal/forager/front.go
+++ b/internal/forager/front.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"zincloft.example/zincloft/hive/config"
@@ -39,6 +43,7 @@
 
 // serve takes one request of a client through to its end.
 func (f *Forager) serve(w http.ResponseWriter, r *http.Request) {
+	defer serving(r)()
 	began := time.Now()
 	control := http.NewResponseController(w)
 	control.SetWriteDeadline(began.Add(noDeadline + writeMost)) // the one of the request before still stands
@@ -55,7 +60,14 @@
 		refuse(w, http.StatusServiceUnavailable, notYetReady)
 		return
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
+	uri, ok := target(r)
+	if !ok || len(r.Header["X-Attempt-Id"]) > 1 {
+		f.badRequest(r, "target_or_identity")
+		w.Header().Set("Connection", "close")
+		finish(w, http.StatusBadRequest)
+		return
+	}
+	path, _, _ := strings.Cut(uri, "?")
 	route, ok := c.Find(r.Host, path)
 	if !ok {
 		f.count("no_route")
@@ -66,8 +78,8 @@
 	if route.Timeout > 0 {
 		most = route.Timeout
 	}
-	if ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64); err == nil && ms > 0 {
-		most = min(most, time.Duration(ms*float64(time.Millisecond)))
+	if ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64); err == nil && ms > 0 && ms < float64(most)/float64(time.Millisecond) {
+		most = time.Duration(ms * float64(time.Millisecond))
 	}
 	// A client that sends or reads too slowly loses its connection; it may not hold one beyond its own deadline.
 	control.SetReadDeadline(began.Add(most))
@@ -86,12 +98,36 @@
 		w.Header().Set("Connection", "close")
 		refuse(w, http.StatusServiceUnavailable, comeBack)
 		return
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		f.badRequest(r, "body_late")
+		w.Header().Set("Connection", "close")
+		finish(w, http.StatusRequestTimeout) // nothing of it went anywhere
+		return
+	case err != nil && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, syscall.ECONNRESET):
+		f.badRequest(r, "body_framing")
+		w.Header().Set("Connection", "close")
+		finish(w, http.StatusBadRequest)
+		return
 	case err != nil:
 		f.count("body_broken")
 		panic(http.ErrAbortHandler) // the rest never came: nobody waits for an answer
 	}
 	control.SetReadDeadline(time.Time{})
-	f.forward(w, r, route, body, began.Add(most-min(lastMoment, most/10)))
+	f.forward(w, r, uri, route, body, began.Add(most-min(lastMoment, most/10)))
+}
+
+// target is the path and query that a request asks for; also of one that names the whole address (RFC 9112, 3.2.2).
+func target(r *http.Request) (string, bool) {
+	uri := r.RequestURI
+	if r.URL.IsAbs() {
+		_, uri, _ = strings.Cut(uri, "://")
+		if i := strings.IndexAny(uri, "/?"); i < 0 {
+			uri = "/"
+		} else if uri = uri[i:]; uri[0] == '?' {
+			uri = "/" + uri
+		}
+	}
+	return uri, strings.HasPrefix(uri, "/")
 }
 
 func (f *Forager) readBody(r *http.Request, most int64) ([]byte, error) {
@@ -112,9 +148,9 @@
 // A safe request that waits long for its answer is offered to a second replica beside the first: against replicas that
 // went dark under it, and answers that got lost. Whoever answers first is heard; the other connection is closed, and
 // with it the work there.
-func (f *Forager) forward(w http.ResponseWriter, r *http.Request, route config.Route, body []byte, deadline time.Time) {
+func (f *Forager) forward(w http.ResponseWriter, r *http.Request, uri string, route config.Route, body []byte, deadline time.Time) {
 	service := route.Pick(rand.Float64())
-	q := replica.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: replica.EndToEnd(r.Header), Body: body,
+	q := replica.Request{Method: r.Method, URI: uri, Host: r.Host, Header: replica.EndToEnd(r.Header), Body: body,
 		Attempt: r.Header.Get("X-Attempt-Id"), Deadline: deadline, Service: service}
 	var hedge <-chan time.Time
 	if route.Safe { // a safe request whose client left is dropped; an unsafe one is left to end
@@ -130,10 +166,21 @@
 	f.arrived(service)
 	began, there := time.Now(), time.Duration(0)
 	defer func() { f.done(route.Safe, time.Since(began), there) }()
-	t := tries.Request{Safe: route.Safe, MaxAttempts: route.MaxAttempts}
+	t := tries.Request{Safe: route.Safe, MaxAttempts: route.MaxAttempts, Target: route.Target}
 	var tried []string
 	ends := make(chan attempt, route.MaxAttempts+tries.UnsentMost+1)
 	pending := 0
+	last := replica.Result{Verdict: tries.NotRun}
+	defer func() {
+		last.Drop()
+		if pending > 0 { // beaten ones: what they still bring is let go of
+			go func(n int) {
+				for range n {
+					(<-ends).Drop()
+				}
+			}(pending)
+		}
+	}()
 	offer := func(spare bool) (bool, time.Duration) {
 		p := f.pick(forage.Ask{Service: service, Tried: tried, Spare: spare,
 			Request: gate.Request{Route: route.Name, Target: route.Target, Priority: route.Priority, Left: time.Until(deadline)}})
@@ -148,17 +195,25 @@
 		go func() {
 			sent := time.Now()
 			res := f.replicas.Do(p.ID, p.Addr, &q)
-			f.outcome(p, res, time.Since(sent), q.Stop != nil && q.Stop.Err() != nil)
+			f.outcome(p, q.Attempt, res, time.Since(sent), q.Stop != nil && q.Stop.Err() != nil)
 			ends <- attempt{res, time.Since(sent)}
 		}()
 		return true, 0
 	}
+	if r.Context().Err() != nil { // nobody waits for it, and it has not run
+		f.count("left")
+		panic(http.ErrAbortHandler)
+	}
+	if !tries.Offers(time.Until(deadline), route.Target) {
+		f.count("no_time")
+		refuse(w, http.StatusServiceUnavailable, comeBack)
+		return
+	}
 	if ok, wait := offer(false); !ok {
 		f.count("no_room")
 		refuse(w, http.StatusServiceUnavailable, wait)
 		return
 	}
-	last := replica.Result{Verdict: tries.NotRun}
 	for pending > 0 {
 		select {
 		case <-hedge:
@@ -179,15 +234,19 @@
 			}
 			t.Left = time.Until(deadline)
 			t.Failed = res.Answer != nil && res.Answer.Status >= 500
-			if res.Verdict == tries.Answered && !t.Failed {
+			if res.Verdict >= last.Verdict { // a later proof of one try says nothing of another
+				last, res = res, last
+			}
+			res.Drop()
+			if res = e.Result; res.Verdict == tries.Answered && !t.Failed {
 				pass(w, r, res.Answer)
 				return
 			}
-			if res.Verdict > last.Verdict || last.Answer == nil {
-				last = res
-			}
-			if r.Context().Err() != nil && route.Safe {
-				panic(http.ErrAbortHandler)
+			if r.Context().Err() != nil {
+				if route.Safe {
+					panic(http.ErrAbortHandler)
+				}
+				continue // nobody waits: what has not run is not offered again
 			}
 			if !tries.Again(res.Verdict, t) || pending > 0 {
 				continue
@@ -221,6 +280,9 @@
 	if h["Content-Type"] == nil {
 		h["Content-Type"] = nil // none is to be guessed
 	}
+	if a.Status == http.StatusNoContent {
+		h.Del("Content-Length")
+	}
 	if a.Length >= 0 && r.Method != http.MethodHead && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
@@ -234,16 +296,18 @@
 }
 
 // outcome books what became of a try.
-func (f *Forager) outcome(p forage.Picked, res replica.Result, took time.Duration, stopped bool) {
+func (f *Forager) outcome(p forage.Picked, attempt string, res replica.Result, took time.Duration, stopped bool) {
 	e := forage.End{N: p.N, Outcome: spread.Good, Took: took, Refused: res.Refused}
 	switch {
+	case res.Unsent && (res.Expired || stopped):
+		e.Outcome = spread.Left
 	case res.Unsent:
 		e.Outcome = spread.Uncalled
 	case res.Full:
 		e.Outcome = spread.Full
 	case stopped && res.Verdict != tries.Answered:
 		e.Outcome = spread.Left
-	case res.Verdict == tries.MayHaveRun && (res.Cause == "spoilt" || res.Cause == "cut" || res.Cause == "surplus" || res.Cause == "not_http"):
+	case res.Verdict == tries.MayHaveRun && (res.Cause == "spoilt" || res.Cause == "cut" || res.Cause == "surplus" || res.Cause == "unproven" || res.Cause == "not_http"):
 		e.Outcome = spread.Spoilt
 	case res.Verdict == tries.MayHaveRun:
 		e.Outcome = spread.Silent
@@ -256,6 +320,10 @@
 	if res.Cause != "" {
 		f.count("try_" + res.Cause)
 	}
+	if (res.Verdict == tries.MayHaveRun && !stopped || res.Skipped > 0) && f.lines.Allow() {
+		f.log.Info().Str("event", "try").Str("attempt", attempt[:min(len(attempt), 64)]).Str("replica", p.ID).Uint64("conn", res.Conn).Int("use", res.Use).
+			Str("verdict", res.Verdict.String()).Str("cause", res.Cause).Int("skipped", res.Skipped).Msg("")
+	}
 	f.mu.Lock()
 	follows := f.brain.End(f.now(), e)
 	f.mu.Unlock()
--- /dev/null
+++ b/internal/replica/hostile_test.go
@@ -0,0 +1,292 @@
+package replica
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"zincloft.example/zincloft/hive/tries"
+)
+
+// scripted is a replica that says what it is told to: for the n-th request of all, from 1 on, bytes, and whether it
+// closes behind them.
+func scripted(t *testing.T, say func(q *http.Request, n int) (string, bool)) (addr string, opens *atomic.Int64) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	var n, open atomic.Int64
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			open.Add(1)
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					q, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					if q.Header.Get("X-Early") == "" {
+						io.Copy(io.Discard, q.Body)
+					}
+					s, end := say(q, int(n.Add(1)))
+					io.WriteString(c, s)
+					if q.Header.Get("X-Early") != "" { // reads no body, and does not go away either
+						time.Sleep(5 * time.Second)
+					}
+					if end {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String(), &open
+}
+
+// whole is a proper answer with a body.
+func whole(id, body string, head ...string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: s\r\n%sContent-Length: %d\r\n\r\n%s", id, strings.Join(head, ""), len(body), body)
+}
+
+func try(p *Pool, addr, id, method string) Result {
+	q := request(id, time.Second)
+	q.Method = method
+	if id == "" {
+		q.Header.Del("X-Attempt-Id")
+	}
+	return p.Do("i1", addr, q)
+}
+
+func expect(t *testing.T, r Result, v tries.Verdict, body string) {
+	t.Helper()
+	if r.Verdict != v || v == tries.Answered && string(r.Answer.Body) != body {
+		t.Fatalf("%s %q (%s), want %s %q", r.Verdict, bodyOf(r), r.Cause, v, body)
+	}
+}
+
+func bodyOf(r Result) string {
+	if r.Answer == nil {
+		return ""
+	}
+	return string(r.Answer.Body)
+}
+
+// Guards answers made of another's body: a surplus answer that is longer than what is passed over was read on from its
+// middle, and whatever stood there was taken for the next answer.
+func TestNoAnswerIsReadOutOfAnothersBody(t *testing.T) {
+	forged := whole("2", "forged")
+	addr, _ := scripted(t, func(q *http.Request, n int) (string, bool) {
+		return whole("other", strings.Repeat("x", skipBytes)+forged) + whole("2", "ours"), false
+	})
+	expect(t, try(NewPool(), addr, "2", "POST"), tries.MayHaveRun, "")
+}
+
+// Guards the same by methods: a surplus answer of a HEAD has a length and no body, so under another method it swallows
+// ours; the other way round its body would be read as answers.
+func TestSurplusOfAnotherMethod(t *testing.T) {
+	for _, x := range []struct{ first, second string }{{"HEAD", "GET"}, {"GET", "HEAD"}} {
+		addr, opens := scripted(t, func(q *http.Request, n int) (string, bool) {
+			if q.Method == "HEAD" {
+				return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + q.Header.Get("X-Attempt-Id") + "\r\nX-Response-Seal: s\r\nContent-Length: 9\r\n\r\n", false
+			}
+			return whole(q.Header.Get("X-Attempt-Id"), "body of "+q.Header.Get("X-Attempt-Id")), false
+		})
+		p := NewPool()
+		try(p, addr, "1", x.first)
+		try(p, addr, "2", x.second)
+		if opens.Load() != 2 {
+			t.Errorf("%s and %s shared a connection", x.first, x.second)
+		}
+	}
+}
+
+// Guards HEAD, whose answer need not tell a length.
+func TestHeadWithoutLength(t *testing.T) {
+	addr, _ := scripted(t, func(q *http.Request, n int) (string, bool) {
+		return "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Response-Seal: s\r\n\r\n", false
+	})
+	expect(t, try(NewPool(), addr, "1", "HEAD"), tries.Answered, "")
+}
+
+// Guards the promise that a request has not run: what proves it must be an answer to this request, on a connection on
+// which nothing else has come, with a status that says so.
+func TestWhatProvesThatItHasNotRun(t *testing.T) {
+	no := func(status int, id string) string {
+		s := fmt.Sprintf("HTTP/1.1 %d X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n", status)
+		if id != "" {
+			s += "X-Attempt-Id: " + id + "\r\n"
+		}
+		return s + "\r\n"
+	}
+	plain := func(status int) string {
+		return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Attempt-Id: 1\r\nContent-Length: 0\r\n\r\n", status)
+	}
+	for _, x := range []struct {
+		name, say string
+		v         tries.Verdict
+	}{
+		{"its own word", no(503, "1"), tries.NotRun},
+		{"no id, the first words of a new connection", no(400, ""), tries.NotRun},
+		{"no id, behind an answer of another", whole("other", "x") + no(503, ""), tries.MayHaveRun},
+		{"another's refusal", no(503, "other") + whole("1", "ours"), tries.Answered},
+		{"a success that says it was none", strings.Replace(whole("1", "x"), "Content", "X-Not-Executed: 1\r\nContent", 1), tries.MayHaveRun},
+		{"two ids", "HTTP/1.1 503 X\r\nX-Attempt-Id: 1\r\nX-Attempt-Id: 2\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", tries.MayHaveRun},
+		{"503 without a word on whether it ran", plain(503), tries.MayHaveRun},
+		{"429 without a word on whether it ran", plain(429), tries.MayHaveRun},
+		{"408 without a word on whether it ran", plain(408), tries.MayHaveRun},
+		{"421: it is another one", plain(421), tries.NotRun},
+		{"a failure of its own", plain(500), tries.Answered},
+	} {
+		addr, _ := scripted(t, func(q *http.Request, n int) (string, bool) { return x.say, false })
+		if r := try(NewPool(), addr, "1", "POST"); r.Verdict != x.v || x.v == tries.Answered && bodyOf(r) == "x" {
+			t.Errorf("%s: %s (%s), want %s", x.name, r.Verdict, r.Cause, x.v)
+		}
+	}
+}
+
+// Guards a head that is put together from the end of a surplus one and ours, and others that two readers could take for
+// different answers.
+func TestHeadsThatAreNone(t *testing.T) {
+	for name, say := range map[string]string{
+		"a surplus head that ends in the middle of a line": "HTTP/1.1 500 X\r\nX-Y: " + whole("1", "ours"),
+		"a surplus status line without an end":             "HTTP/1.1 500 " + whole("1", "ours"),
+		"a length and chunks":                              whole("1", "0\r\n\r\n", "Transfer-Encoding: chunked\r\n"),
+		"two lengths":                                      whole("1", "x", "Content-Length: 1\r\n"),
+		"status 000":                                       "HTTP/1.1 000 X\r\n\r\n" + whole("1", "ours"),
+		"status 700":                                       "HTTP/1.1 700 X\r\nX-Attempt-Id: 1\r\nContent-Length: 0\r\n\r\n",
+		"101":                                              "HTTP/1.1 101 X\r\nX-Attempt-Id: 1\r\n\r\n",
+		"interim answers without end":                      strings.Repeat("HTTP/1.1 102 X\r\n\r\n", 1000) + whole("1", "ours"),
+		"a head without end":                               "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Y: "+strings.Repeat("z", 1000)+"\r\n", 200) + "X-Attempt-Id: 1\r\nX-Response-Seal: s\r\nContent-Length: 0\r\n\r\n",
+	} {
+		addr, _ := scripted(t, func(q *http.Request, n int) (string, bool) { return say, n > 1 })
+		if r := try(NewPool(), addr, "1", "POST"); r.Verdict != tries.MayHaveRun || r.Expired {
+			t.Errorf("%s: %s %q (%s)", name, r.Verdict, bodyOf(r), r.Cause)
+		}
+	}
+}
+
+// Guards callers that use one id twice, or none: on one connection the id could not tell their answers apart.
+func TestAnIdentityIsUsedOnceOnAConnection(t *testing.T) {
+	for _, id := range []string{"same", ""} {
+		addr, opens := scripted(t, func(q *http.Request, n int) (string, bool) {
+			return whole(id, fmt.Sprint(n)), false
+		})
+		p := NewPool()
+		try(p, addr, id, "POST")
+		try(p, addr, id, "POST")
+		if opens.Load() != 2 {
+			t.Errorf("two requests with the id %q shared a connection", id)
+		}
+	}
+}
+
+// Guards time: a replica that answers before it has read the body, and reads none of it, is heard at once.
+func TestAnswerBeforeTheBodyWasRead(t *testing.T) {
+	addr, opens := scripted(t, func(q *http.Request, n int) (string, bool) {
+		return "HTTP/1.1 503 X\r\nX-Attempt-Id: 1\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", false
+	})
+	p := NewPool()
+	q := request("1", 4*time.Second)
+	q.Header.Set("X-Early", "1")
+	q.Body = make([]byte, 32<<20)
+	began := time.Now()
+	expect(t, p.Do("i1", addr, q), tries.NotRun, "")
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("heard after %v", took)
+	}
+	q = request("2", time.Second)
+	p.Do("i1", addr, q)
+	if opens.Load() != 2 {
+		t.Error("a connection with half a request on it was used again")
+	}
+}
+
+// Guards descriptors: an answer that is not wanted any more ends its connection, also where it was not read whole.
+func TestAnswersLetGoOf(t *testing.T) {
+	ended := make(chan bool, 1)
+	ln, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		http.ReadRequest(bufio.NewReader(c))
+		io.WriteString(c, strings.Replace(whole("1", ""), "Content-Length: 0", fmt.Sprint("Content-Length: ", heldMost*64), 1))
+		_, err = io.CopyN(c, zeros{}, heldMost*64)
+		ended <- err != nil
+	}()
+	q := request("1", 20*time.Second)
+	r := NewPool().Do("i1", ln.Addr().String(), q)
+	if r.Answer == nil || r.Answer.Rest == nil {
+		t.Fatalf("%+v", r)
+	}
+	r.Drop()
+	if !<-ended {
+		t.Error("the replica sent all of an answer that nobody wants")
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { return len(b), nil }
+
+// Guards requests that nobody waits for: nothing is sent once the caller has left or its time is over.
+func TestNothingIsSentTooLate(t *testing.T) {
+	var seen atomic.Int64
+	addr, _ := scripted(t, func(q *http.Request, n int) (string, bool) { seen.Add(1); return whole("1", ""), false })
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	q := request("1", time.Second)
+	q.Stop = ctx
+	for _, q := range []*Request{q, request("1", -time.Second)} {
+		p := NewPool()
+		if r := try(p, addr, "0", "POST"); r.Verdict != tries.Answered && r.Verdict != tries.MayHaveRun {
+			t.Fatal(r)
+		}
+		seen.Store(0)
+		if r := p.Do("i1", addr, q); r.Verdict != tries.NotRun || !r.Unsent || seen.Load() != 0 {
+			t.Errorf("%+v, %d seen", r, seen.Load())
+		}
+	}
+}
+
+// Guards connections beyond what the replica tells: with no time at all, or one that is no time.
+func TestKeepAliveTimes(t *testing.T) {
+	for _, x := range []struct {
+		say   string
+		opens int64
+	}{{"timeout=10", 1}, {"timeout=0", 2}, {"timeout=9223372036854775807", 1}, {"timeout=-5", 1}, {"max=5, timeout=3", 1}} {
+		addr, opens := scripted(t, func(q *http.Request, n int) (string, bool) {
+			return whole(q.Header.Get("X-Attempt-Id"), "", "Keep-Alive: "+x.say+"\r\n"), false
+		})
+		p := NewPool()
+		try(p, addr, "1", "POST")
+		try(p, addr, "2", "POST")
+		if opens.Load() != x.opens {
+			t.Errorf("%s: %d connections", x.say, opens.Load())
+		}
+	}
+}
+
+// Guards the seal and the identity: a Connection header may not take what is meant for the other end.
+func TestConnectionOptionsTakeNothingOfTheEnds(t *testing.T) {
+	h := EndToEnd(http.Header{"Connection": {"X-Response-Seal, x-attempt-id, X-Hop"}, "X-Hop": {"1"}, "X-Attempt-Id": {"1"}, "X-Response-Seal": {"s"}})
+	if len(h) != 2 {
+		t.Error(h)
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -14,6 +14,8 @@
 	"net"
 	"net/http"
 	"os"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,7 +34,12 @@
 	skipMost    = 3                      // surplus answers passed over on one connection
 	skipBytes   = 256 << 10
 	headBuffer  = 4 << 10
+	headMost    = 64 << 10 // of an answer's head
+	interimMost = 8        // answers 1xx before the final one
+	writeApart  = 64 << 10 // requests beyond this size are written beside the reading of their answer
+	idsKept     = 16       // identities that a connection remembers
 	idleMost    = 30 * time.Second
+	keepMost    = 3600                  // seconds of Keep-Alive
 	atOnce      = 50 * time.Millisecond // a connection that was forgotten answers with a reset by then; later, work broke off
 	restLeast   = 20 * time.Millisecond
 	restDoubles = 5 * time.Second
@@ -57,6 +64,7 @@
 	Body   []byte
 	Length int64 // of the whole body; -1: not told
 	Rest   func(io.Writer) error
+	Close  func() // ends Rest's connection; one that is not passed on must be dropped
 }
 
 // Result is a try's outcome.
@@ -65,11 +73,21 @@
 	Answer  *Answer
 	Cause   string // for counts; empty: answered
 	Unsent  bool   // nothing was sent
+	Conn    uint64 // the connection's number in its pool; 0: there was none
+	Use     int    // how many requests it had carried by then, this one too
+	Skipped int    // answers to others that came in the place of ours
 	Expired bool
 	Refused bool // nobody listens at the address
 	Full    bool // NotRun: by the replica's own word
 }
 
+// Drop lets go of an answer that is not passed on.
+func (r Result) Drop() {
+	if r.Answer != nil && r.Answer.Close != nil {
+		r.Answer.Close()
+	}
+}
+
 // rest is how long connections to a service's replicas may lie idle, where they were found forgotten sooner than told.
 type rest struct {
 	most time.Duration
@@ -82,9 +100,12 @@
 	br        *bufio.Reader
 	idleSince time.Time
 	idleMost  time.Duration
+	n         uint64
 	used      int
-	taint     bool
-	age       time.Duration // idle before this request; 0: it is new
+	ids       [idsKept]string // of the last requests; the next stands at used % idsKept
+	unfit     bool            // for another request, until this one has its whole answer and nothing else has come
+	taint     bool            // an answer to another came on it
+	age       time.Duration   // idle before this request; 0: it is new
 }
 
 // Pool keeps idle connections to replicas, by the replica's id: an address may pass to another.
@@ -160,11 +181,25 @@
 	}
 }
 
-func (p *Pool) take(id, service string) *conn {
+// alone tells whether a request has a connection of its own: without an identity its answer is known by nothing else,
+// and an answer to HEAD ends where that to another method goes on.
+func (q *Request) alone() bool { return q.Attempt == "" || q.Method == http.MethodHead }
+
+// had tells whether a request with this identity went over the connection before: an answer could be either's.
+func (c *conn) had(attempt string) bool { return slices.Contains(c.ids[:], attempt) }
+
+// fit is the one place that decides whether a connection may carry a further request: the last one has its whole
+// answer, whose end it tells by itself, nothing more has come in, and the replica keeps it.
+func (c *conn) fit() bool { return !c.unfit && !c.taint && c.idleMost > 0 && c.br.Buffered() == 0 }
+
+func (p *Pool) take(id string, q *Request) *conn {
+	if q.alone() {
+		return nil
+	}
 	now := time.Now()
 	for {
 		p.mu.Lock()
-		most := p.restMost(service, now)
+		most := p.restMost(q.Service, now)
 		list := p.idle[id]
 		if len(list) == 0 {
 			p.mu.Unlock()
@@ -173,7 +208,7 @@
 		c := list[len(list)-1]
 		p.idle[id] = list[:len(list)-1]
 		p.mu.Unlock()
-		if c.age = now.Sub(c.idleSince); c.age <= min(c.idleMost, most) && c.quiet() {
+		if c.age = now.Sub(c.idleSince); c.age <= min(c.idleMost, most) && !c.had(q.Attempt) && c.quiet() {
 			return c
 		}
 		c.Close()
@@ -217,13 +252,20 @@
 	}
 	p.mu.Lock()
 	p.Opened++
+	n := uint64(p.Opened)
 	p.mu.Unlock()
-	return &conn{Conn: nc, raw: raw, br: bufio.NewReaderSize(nc, headBuffer), idleMost: idleGuess}, nil
+	return &conn{Conn: nc, n: n, raw: raw, br: bufio.NewReaderSize(nc, headBuffer), idleMost: idleGuess}, nil
 }
 
 // Do sends a request to the replica at addr and waits for its answer.
 func (p *Pool) Do(id, addr string, q *Request) Result {
-	c := p.take(id, q.Service)
+	if q.Stop != nil && q.Stop.Err() != nil {
+		return Result{Verdict: tries.NotRun, Cause: "left", Unsent: true}
+	}
+	if !time.Now().Before(q.Deadline) {
+		return Result{Verdict: tries.NotRun, Cause: "late", Unsent: true, Expired: true}
+	}
+	c := p.take(id, q)
 	if c == nil {
 		var err error
 		if c, err = p.dial(addr, q.Deadline); err != nil {
@@ -236,18 +278,20 @@
 		stop = context.AfterFunc(q.Stop, func() { c.SetDeadline(time.Unix(1, 0)) })
 	}
 	sent := time.Now()
-	res, keep := c.exchange(q)
+	res := c.exchange(q)
+	res.Conn, res.Use = c.n, c.used
 	if c.age > 0 && time.Since(sent) < atOnce && (res.Cause == "broken" || res.Cause == "closed" || res.Cause == "write") && q.Service != "" {
 		p.forgotten(q.Service, c.age)
 	}
-	if !stop() && q.Stop.Err() != nil {
-		keep = false
+	if !stop() {
+		c.unfit = true
 	}
 	switch {
 	case res.Answer != nil && res.Answer.Rest != nil:
 		rest := res.Answer.Rest
 		res.Answer.Rest = func(w io.Writer) error { defer c.Close(); return rest(w) }
-	case keep:
+		res.Answer.Close = func() { c.Close() }
+	case c.fit():
 		p.put(id, c)
 	default:
 		c.Close()
@@ -255,23 +299,64 @@
 	return res
 }
 
-func (c *conn) exchange(q *Request) (Result, bool) {
-	n, err := c.Write(q.encode())
+// exchange sends the request and reads until its answer is there. What was handed to the kernel may have run, whether
+// it had left by then or not.
+func (c *conn) exchange(q *Request) Result {
+	c.unfit = true
+	c.ids[c.used%idsKept] = q.Attempt
 	c.used++
-	if err != nil && n == 0 && !errors.Is(err, os.ErrDeadlineExceeded) {
-		return Result{Verdict: tries.NotRun, Cause: "write", Unsent: true}, false
+	head := q.head()
+	if len(q.Body) <= writeApart {
+		if n, err := c.Write(append(head, q.Body...)); err != nil {
+			return unwritten(n, err)
+		}
+		return c.answer(q)
 	}
-	if err != nil {
-		return Result{Verdict: tries.MayHaveRun, Cause: "write", Expired: errors.Is(err, os.ErrDeadlineExceeded)}, false
+	type end struct {
+		n   int
+		err error
+	}
+	written := make(chan end, 1)
+	go func() {
+		n, err := c.Write(head)
+		if err == nil {
+			var m int
+			m, err = c.Write(q.Body)
+			n += m
+		}
+		written <- end{n, err}
+	}()
+	res := c.answer(q)
+	c.SetWriteDeadline(time.Unix(1, 0)) // who has answered need not read on
+	w := <-written
+	if w.err != nil {
+		c.unfit = true
+		if res.Verdict == tries.MayHaveRun && w.n == 0 {
+			return unwritten(w.n, w.err)
+		}
 	}
+	return res
+}
+
+func unwritten(n int, err error) Result {
+	res := failed(err, "write")
+	if n == 0 {
+		res.Verdict, res.Unsent = tries.NotRun, true
+	}
+	return res
+}
+
+// answer reads until an answer to this request has come.
+func (c *conn) answer(q *Request) Result {
 	for skipped := 0; ; skipped++ {
-		res, skip, keep := c.read(q)
+		res, skip := c.read(q)
+		res.Skipped = skipped
 		if !skip {
-			return res, keep && !c.taint
+			return res
 		}
 		c.taint = true
 		if skipped >= skipMost {
-			return Result{Verdict: tries.MayHaveRun, Cause: "surplus"}, false
+			return Result{Verdict: tries.MayHaveRun, Cause: "surplus", Skipped: skipped}
 		}
 	}
 }
@@ -284,70 +369,159 @@
 	return Result{Verdict: tries.MayHaveRun, Cause: cause, Expired: expired}
 }
 
+func spoilt() Result { return Result{Verdict: tries.MayHaveRun, Cause: "spoilt"} }
+
+var errHead = errors.New("a head that can be read in two ways, or has no end")
+
+// head waits for the whole head of the next answer and checks what http.ReadResponse would mend in silence.
+func (c *conn) head() error {
+	for seen := 0; ; {
+		b, _ := c.br.Peek(c.br.Buffered())
+		if end := headEnd(b, max(seen-3, 0)); end >= 0 {
+			if !plain(b[:end]) {
+				return errHead
+			}
+			return nil
+		}
+		if seen = len(b); seen >= headMost {
+			return errHead
+		}
+		if seen == c.br.Size() {
+			c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(b)), c.Conn), headMost)
+		}
+		if _, err := c.br.Peek(seen + 1); err != nil {
+			return err
+		}
+	}
+}
+
+func headEnd(b []byte, from int) int {
+	for i := from; ; {
+		j := bytes.IndexByte(b[i:], '\n')
+		if j < 0 {
+			return -1
+		}
+		i += j + 1
+		switch rest := b[i:]; {
+		case len(rest) > 0 && rest[0] == '\n':
+			return i + 1
+		case len(rest) > 1 && rest[0] == '\r' && rest[1] == '\n':
+			return i + 2
+		}
+	}
+}
+
+// statusLine is what an answer begins with. Within a head it is the beginning of ours behind a piece of a surplus one.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
+
+// plain tells whether a head can be read in one way only.
+func plain(b []byte) bool {
+	if i := bytes.Index(b[1:], []byte("HTTP/1.")); i >= 0 && statusLine.Match(b[1+i:]) {
+		return false
+	}
+	lengths, chunks := 0, 0
+	for first := true; len(b) > 0; first = false {
+		line, rest, _ := bytes.Cut(b, []byte{'\n'})
+		b = rest
+		line = bytes.TrimSuffix(line, []byte{'\r'})
+		if bytes.IndexByte(line, '\r') >= 0 || !first && len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
+			return false
+		}
+		switch i := bytes.IndexByte(line, ':'); {
+		case i == len("Content-Length") && bytes.EqualFold(line[:i], []byte("Content-Length")):
+			lengths++
+		case i == len("Transfer-Encoding") && bytes.EqualFold(line[:i], []byte("Transfer-Encoding")):
+			chunks++
+		}
+	}
+	return lengths+chunks <= 1
+}
+
 // read takes the next answer. It tells to skip one that belongs to another request.
-func (c *conn) read(q *Request) (res Result, skip, keep bool) {
+func (c *conn) read(q *Request) (res Result, skip bool) {
 	var resp *http.Response
-	for {
-		r, err := http.ReadResponse(c.br, &http.Request{Method: q.Method})
-		if err != nil {
-			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-				return failed(err, "closed"), false, false
-			}
-			var ne net.Error
-			if errors.As(err, &ne) {
-				return failed(err, "broken"), false, false
-			}
-			return failed(err, "not_http"), false, false
+	for interim := 0; ; interim++ {
+		err := c.head()
+		if err == nil {
+			resp, err = http.ReadResponse(c.br, &http.Request{Method: q.Method})
+		}
+		var ne net.Error
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+			return failed(err, "closed"), false
+		case errors.As(err, &ne):
+			return failed(err, "broken"), false
+		default:
+			return failed(err, "not_http"), false
 		}
-		if resp = r; r.StatusCode >= 200 || r.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode < 100 || resp.StatusCode > 599 || resp.StatusCode == http.StatusSwitchingProtocols || interim >= interimMost {
+			return spoilt(), false
+		}
+		if resp.StatusCode >= 200 {
 			break
 		}
 	}
 	h := resp.Header
+	ids := h["X-Attempt-Id"]
+	if len(ids) > 1 {
+		return spoilt(), false
+	}
 	id := h.Get("X-Attempt-Id")
+	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || q.Method == http.MethodHead ||
+		resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	if id != "" && id != q.Attempt {
-		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, skipBytes))
-		if err != nil {
-			return failed(err, "surplus"), false, false
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, skipBytes))
+		if err != nil || n >= skipBytes || !delimited || resp.Close || q.Method == http.MethodHead {
+			return failed(err, "surplus"), false // where the next answer begins isn't known
 		}
-		return Result{}, true, false
+		return Result{}, true
 	}
-	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	body, err := io.ReadAll(io.LimitReader(resp.Body, heldMost+1))
 	if err != nil {
-		return failed(err, "cut"), false, false
+		return failed(err, "cut"), false
 	}
 	a := &Answer{Status: resp.StatusCode, Header: h, Body: body, Length: resp.ContentLength}
 	whole := len(body) <= heldMost
 	if whole && a.Length < 0 {
 		a.Length = int64(len(body))
 	}
-	refused := h.Get("X-Not-Executed") != "" || resp.StatusCode == http.StatusMisdirectedRequest
-	good := resp.StatusCode/100 == 2
-	switch {
-	case refused && (id != "" || c.used == 1):
-		res = Result{Verdict: tries.NotRun, Answer: a, Cause: "refused_" + strconv.Itoa(resp.StatusCode), Full: true}
-	case id == "" || !delimited || h.Get("Content-Encoding") != "" || good && h.Get("X-Response-Seal") == "" || resp.StatusCode < 200:
-		return Result{Verdict: tries.MayHaveRun, Cause: "spoilt"}, false, false
-	default:
-		res = Result{Verdict: tries.Answered, Answer: a}
+	if res = c.judge(q, a, id, delimited); res.Answer == nil {
+		return res, false
 	}
 	if !whole {
-		a.Body = body
 		a.Rest = func(w io.Writer) error {
 			_, err := io.Copy(w, resp.Body)
 			return err
 		}
-		return res, false, false
+		return res, false
 	}
-	keep = !resp.Close && c.br.Buffered() == 0 && delimited
+	c.unfit = resp.Close || !delimited || q.alone()
 	if s, ok := keepAlive(h); ok {
 		c.idleMost = max(s*7/10, s-time.Second)
 		if s <= time.Second {
 			c.idleMost = s / 2
 		}
 	}
-	return res, false, keep
+	return res, false
+}
+
+// judge is the one verdict on an answer that names this request, or nobody.
+//
+// It has not run where the answer says so, names this request or is all that ever came on a new connection, and has a
+// status of refusal. A success needs its seal. 408, 429 and 503 would be a promise to the client which the replica has
+// not given.
+func (c *conn) judge(q *Request, a *Answer, id string, delimited bool) Result {
+	refused := a.Header.Get("X-Not-Executed") != "" || a.Status == http.StatusMisdirectedRequest
+	switch {
+	case refused && a.Status >= 400 && (id != "" || c.used == 1 && !c.taint):
+		return Result{Verdict: tries.NotRun, Answer: a, Cause: "refused_" + strconv.Itoa(a.Status), Full: true}
+	case refused, id == "", !delimited, a.Header.Get("Content-Encoding") != "", a.Status/100 == 2 && a.Header.Get("X-Response-Seal") == "":
+		return spoilt()
+	case a.Status == http.StatusRequestTimeout, a.Status == http.StatusTooManyRequests, a.Status == http.StatusServiceUnavailable:
+		return Result{Verdict: tries.MayHaveRun, Cause: "unproven"}
+	}
+	return Result{Verdict: tries.Answered, Answer: a}
 }
 
 // keepAlive reads the timeout of a Keep-Alive header.
@@ -356,7 +530,7 @@
 		k, v, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if strings.EqualFold(k, "timeout") {
 			if n, err := strconv.Atoi(strings.TrimSpace(v)); err == nil && n >= 0 {
-				return time.Duration(n) * time.Second, true
+				return time.Duration(min(n, keepMost)) * time.Second, true
 			}
 		}
 	}
@@ -367,6 +541,9 @@
 var perConnection = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
 	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true}
 
+// endToEnd are those that a Connection header may not take: they are meant for the other end (RFC 9110, 7.6.1).
+var endToEnd = map[string]bool{"X-Attempt-Id": true, "X-Response-Seal": true, "Content-Type": true, "Retry-After": true}
+
 // EndToEnd returns the headers that are passed on: without those that concern one connection, by name or as the
 // Connection header lists them.
 func EndToEnd(h http.Header) http.Header {
@@ -378,15 +555,17 @@
 	}
 	for _, v := range h["Connection"] {
 		for name := range strings.SplitSeq(v, ",") {
-			delete(out, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+			if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); !endToEnd[name] {
+				delete(out, name)
+			}
 		}
 	}
 	return out
 }
 
-func (q *Request) encode() []byte {
+func (q *Request) head() []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(q.Body))
+	b.Grow(1024 + min(len(q.Body), writeApart))
 	b.WriteString(q.Method + " " + q.URI + " HTTP/1.1\r\nHost: " + q.Host + "\r\n")
 	left := max(time.Until(q.Deadline).Milliseconds(), 1)
 	b.WriteString("X-Deadline-Ms: " + strconv.FormatInt(left, 10) + "\r\nX-Target-Instance: " + q.Instance + "\r\n")
@@ -395,6 +574,5 @@
 	}
 	q.Header.WriteSubset(&b, map[string]bool{"Host": true, "Content-Length": true, "X-Deadline-Ms": true, "X-Target-Instance": true, "Expect": true})
 	b.WriteString("\r\n")
-	b.Write(q.Body)
 	return b.Bytes()
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -96,7 +96,11 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			q := request("1", time.Minute)
 			q.Stop = ctx
-			cancel()
+			go func() {
+				for len(r.Seen()) == 0 { // until it has arrived: before that it has not run
+				}
+				cancel()
+			}()
 			So(p.Do("i1", r.Addr(), q).Verdict, ShouldEqual, tries.MayHaveRun)
 		})
 		Convey("one that cannot be called has not run it", func() {
--- a/internal/stand/upstream/upstream.go
+++ b/internal/stand/upstream/upstream.go
@@ -30,6 +30,7 @@
 	Late       Behaviour = "late"       // sends an answer of another request first
 	Fails      Behaviour = "fails"      // runs it, 500
 	Closes     Behaviour = "closes"     // answers, and closes the connection without a word
+	Unproven   Behaviour = "unproven"   // runs it, 503, and does not say whether it ran
 	NoIdentity Behaviour = "noidentity" // runs it, and the answer names no attempt
 )
 
@@ -38,6 +39,8 @@
 	ID   string
 	Took time.Duration // of its work
 
+	Before func(attempt string) // called before each answer; may be nil
+
 	ln    net.Listener
 	mu    sync.Mutex
 	next  []Behaviour
@@ -149,6 +152,9 @@
 			r.ran[id]++
 		}
 		r.mu.Unlock()
+		if r.Before != nil {
+			r.Before(id)
+		}
 		if r.Took > 0 {
 			time.Sleep(r.Took)
 		}
@@ -181,6 +187,8 @@
 			io.WriteString(c, whole+answer(200, "X-Attempt-Id: other\r\nX-Response-Seal: s\r\n", "another's"))
 		case Late:
 			io.WriteString(c, answer(200, "X-Attempt-Id: other\r\nX-Response-Seal: s\r\n", "another's")+whole)
+		case Unproven:
+			io.WriteString(c, answer(503, echo, ""))
 		case Fails:
 			io.WriteString(c, answer(500, echo, "failed\n"))
 		case Closes:
