--- a/hive/forage/forage.go
+++ b/hive/forage/forage.go
@@ -174,6 +174,9 @@
 	}
 }
 
+// Underway is how many requests of clients are not at their end.
+func (f *Forager) Underway() int { return f.underway }
+
 // Serves tells whether this node calls itself ready, as far as its window goes; Refuses, whether it turns requests away:
 // by then the platform has had the time to look elsewhere.
 func (f *Forager) Serves() bool { return f.phase == windows.Serving }
--- a/hive/trymodel/trymodel.go
+++ b/hive/trymodel/trymodel.go
@@ -25,7 +25,7 @@
 	IgnoresIdentity           // an answer's identity is not compared
 	PromisesAfterReset        // a reset is taken for proof that the request has not run
 	ReusesPastTime            // a pooled connection is used beyond its Keep-Alive
-	BelievesNameless          // a refusal that names nobody is believed on a connection that was used before
+	BelievesNameless          // a refusal that names nobody is believed
 	ForgetsDoubt              // the verdict of the last try counts, not the worst of all
 	OffersForNobody           // a request whose client has left is offered again
 	ReusesAfterSilence        // a connection goes back to the pool when its try ends without an answer
@@ -364,7 +364,7 @@
 	case id != 0 && id != i+1:
 		c.taint = true
 		m.add(s, "%s: another's", label)
-	case x.what == refusal && (id != 0 || c.used == 1 && !c.taint || m.fault == BelievesNameless):
+	case x.what == refusal && (id != 0 || m.fault == BelievesNameless):
 		m.ended(s, k, tries.NotRun, quiet && !c.taint, label)
 	case x.what == refusal || id == 0:
 		m.ended(s, k, tries.MayHaveRun, false, label)
--- a/internal/forager/client_test.go
+++ b/internal/forager/client_test.go
@@ -222,7 +222,7 @@
 		}
 		for _, up := range r.up {
 			up.Then(upstream.Sheds)
-			up.Before = func(string) { cancel() } // the client leaves while the replica has it
+			up.Before(func(string) { cancel() }) // the client leaves while the replica has it
 		}
 		ask()
 		So(len(r.up[0].Seen())+len(r.up[1].Seen()), ShouldEqual, 1)
--- a/internal/forager/front.go
+++ b/internal/forager/front.go
@@ -307,7 +307,7 @@
 		e.Outcome = spread.Full
 	case stopped && res.Verdict != tries.Answered:
 		e.Outcome = spread.Left
-	case res.Verdict == tries.MayHaveRun && (res.Cause == "spoilt" || res.Cause == "cut" || res.Cause == "surplus" || res.Cause == "unproven" || res.Cause == "not_http"):
+	case res.Verdict == tries.MayHaveRun && (res.Cause == "spoilt" || res.Cause == "cut" || res.Cause == "surplus" || res.Cause == "unproven" || res.Cause == "nameless" || res.Cause == "not_http"):
 		e.Outcome = spread.Spoilt
 	case res.Verdict == tries.MayHaveRun:
 		e.Outcome = spread.Silent
--- a/internal/replica/hostile_test.go
+++ b/internal/replica/hostile_test.go
@@ -140,7 +140,7 @@
 		v         tries.Verdict
 	}{
 		{"its own word", no(503, "1"), tries.NotRun},
-		{"no id, the first words of a new connection", no(400, ""), tries.NotRun},
+		{"no id, the first words of a new connection", no(400, ""), tries.MayHaveRun},
 		{"no id, behind an answer of another", whole("other", "x") + no(503, ""), tries.MayHaveRun},
 		{"another's refusal", no(503, "other") + whole("1", "ours"), tries.Answered},
 		{"a success that says it was none", strings.Replace(whole("1", "x"), "Content", "X-Not-Executed: 1\r\nContent", 1), tries.MayHaveRun},
@@ -152,6 +152,9 @@
 		{"a failure of its own", plain(500), tries.Answered},
 	} {
 		addr, _ := scripted(t, func(q *http.Request, n int) (string, bool) { return x.say, false })
+		if r := try(NewPool(), addr, "", "POST"); x.name == "no id, the first words of a new connection" && r.Verdict != tries.NotRun {
+			t.Errorf("a request without an identity: %s (%s)", r.Verdict, r.Cause)
+		}
 		if r := try(NewPool(), addr, "1", "POST"); r.Verdict != x.v || x.v == tries.Answered && bodyOf(r) == "x" {
 			t.Errorf("%s: %s (%s), want %s", x.name, r.Verdict, r.Cause, x.v)
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -508,14 +508,16 @@
 
 // judge is the one verdict on an answer that names this request, or nobody.
 //
-// It has not run where the answer says so, names this request or is all that ever came on a new connection, and has a
-// status of refusal. A success needs its seal. 408, 429 and 503 would be a promise to the client which the replica has
+// It has not run where the answer says so, has a status of refusal and names this request; to one without an identity
+// nobody can, and it has a connection of its own. A success needs its seal. 408, 429 and 503 would be a promise to the client which the replica has
 // not given.
 func (c *conn) judge(q *Request, a *Answer, id string, delimited bool) Result {
 	refused := a.Header.Get("X-Not-Executed") != "" || a.Status == http.StatusMisdirectedRequest
 	switch {
-	case refused && a.Status >= 400 && (id != "" || c.used == 1 && !c.taint):
+	case refused && a.Status >= 400 && (id != "" || q.Attempt == "" && !c.taint):
 		return Result{Verdict: tries.NotRun, Answer: a, Cause: "refused_" + strconv.Itoa(a.Status), Full: true}
+	case refused && id == "":
+		return Result{Verdict: tries.MayHaveRun, Cause: "nameless"}
 	case refused, id == "", !delimited, a.Header.Get("Content-Encoding") != "", a.Status/100 == 2 && a.Header.Get("X-Response-Seal") == "":
 		return spoilt()
 	case a.Status == http.StatusRequestTimeout, a.Status == http.StatusTooManyRequests, a.Status == http.StatusServiceUnavailable:
--- a/internal/stand/upstream/upstream.go
+++ b/internal/stand/upstream/upstream.go
@@ -39,15 +39,15 @@
 	ID   string
 	Took time.Duration // of its work
 
-	Before func(attempt string) // called before each answer; may be nil
-
-	ln    net.Listener
-	mu    sync.Mutex
-	next  []Behaviour
-	ran   map[string]int // by attempt
-	seen  []*http.Request
-	conns map[net.Conn]bool
-	opens int
+	ln     net.Listener
+	before func(attempt string)
+	take   func(net.Conn)
+	mu     sync.Mutex
+	next   []Behaviour
+	ran    map[string]int // by attempt
+	seen   []*http.Request
+	conns  map[net.Conn]bool
+	opens  int
 }
 
 // Start listens on loopback.
@@ -71,6 +71,19 @@
 	r.next = next
 }
 
+// Before has f called before each answer; Take has it serve the connections that come from now on.
+func (r *Replica) Before(f func(attempt string)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.before = f
+}
+
+func (r *Replica) Take(f func(net.Conn)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.take = f
+}
+
 // Ran is how often attempts ran, by their ids.
 func (r *Replica) Ran() map[string]int {
 	r.mu.Lock()
@@ -115,7 +128,12 @@
 		r.mu.Lock()
 		r.conns[c] = true
 		r.opens++
+		take := r.take
 		r.mu.Unlock()
+		if take != nil {
+			go take(c)
+			continue
+		}
 		go r.serve(c)
 	}
 }
@@ -148,12 +166,13 @@
 			b = Other
 		}
 		r.seen = append(r.seen, q)
+		before := r.before
 		if b != Sheds && b != Other {
 			r.ran[id]++
 		}
 		r.mu.Unlock()
-		if r.Before != nil {
-			r.Before(id)
+		if before != nil {
+			before(id)
 		}
 		if r.Took > 0 {
 			time.Sleep(r.Took)
