Clients' heads and rests by the configuration in force, also those that rest when it comes

Cause: the server kept the limits of the first configuration for its life. Change: a rest that is over goes on where the configuration in force names more; heads are bounded by that configuration, beneath 64 KiB for all.

--- a/internal/forager/client.go
+++ b/internal/forager/client.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +44,7 @@
 	poison  string
 	over    atomic.Bool // nothing further is read
 	resting bool        // the deadline is that of a rest; a head's is set with its first byte
+	since   time.Time   // of the rest
 	busy    bool        // with a request: deadlines are its own. Like resting, it changes on the server's goroutine only
 }
 
@@ -61,6 +64,9 @@
 	}
 	if c.poison == "" {
 		n, err := c.Conn.Read(b)
+		for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.longer() {
+			n, err = c.Conn.Read(b)
+		}
 		if n == 0 {
 			return n, err
 		}
@@ -87,12 +93,22 @@
 	return n, nil
 }
 
+// longer tells whether a rest that is over goes on by a configuration that came meanwhile.
+func (c *client) longer() bool {
+	limits := c.f.config.Load()
+	if !c.resting || limits == nil {
+		return false
+	}
+	end := c.since.Add(limits.Limits.Idle)
+	return time.Now().Before(end) && c.Conn.SetReadDeadline(end) == nil
+}
+
 // SetReadDeadline gives a resting connection the time of a rest.
 func (c *client) SetReadDeadline(t time.Time) error {
 	if !c.busy && time.Until(t) > 0 && c.scan.Resting() {
 		if limits := c.f.config.Load(); limits != nil && limits.Limits.Idle > 0 {
-			c.resting = true
-			t = time.Now().Add(limits.Limits.Idle)
+			c.resting, c.since = true, time.Now()
+			t = c.since.Add(limits.Limits.Idle)
 		}
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/internal/forager/forager.go
+++ b/internal/forager/forager.go
@@ -37,8 +37,9 @@
 	bodyPart    = 0.25                   // of the memory limit, for requests' bodies
 	linesRate   = 10                     // log lines a second that others cause
 	linesBurst  = 100
-	connPart    = 0.7 // of the descriptors, for clients
-	memoryPart  = 0.6 // of the memory limit, the garbage collector's goal
+	headsMost   = 64 << 10 // bytes that the server reads of a head; the configuration in force allows less
+	connPart    = 0.7      // of the descriptors, for clients
+	memoryPart  = 0.6      // of the memory limit, the garbage collector's goal
 )
 
 // Forager is one proxy governor.
@@ -175,7 +176,7 @@
 		mux.NotFound(f.serve)
 		mux.MethodNotAllowed(f.serve)
 		f.server = &http.Server{Handler: mux, ReadHeaderTimeout: c.Limits.Header, IdleTimeout: c.Limits.Idle,
-			MaxHeaderBytes: int(c.Limits.HeaderBytes), ErrorLog: nil, ConnContext: withClient}
+			MaxHeaderBytes: max(int(c.Limits.HeaderBytes), headsMost), ErrorLog: nil, ConnContext: withClient}
 		f.server.ErrorLog = f.log.Std("", 0)
 		go func() {
 			if err := f.server.Serve(clients{netutil.LimitListener(f.frontLn, int(float64(f.set.Descriptors)*connPart)), f}); err != http.ErrServerClosed {
--- a/internal/forager/front.go
+++ b/internal/forager/front.go
@@ -27,6 +27,7 @@
 	comeBack    = 300 * time.Millisecond // until a refused client finds room, where nothing better is known
 	notYetReady = time.Second
 	passOver    = 20 * time.Millisecond // another governor has room at once
+	headSlack   = 4096                  // bytes of a head beyond the limit that are let pass, as net/http does
 	writeMost   = 5 * time.Second       // beyond its deadline, for a client to read its answer
 )
 
@@ -67,6 +68,12 @@
 		finish(w, http.StatusBadRequest)
 		return
 	}
+	if headBytes(r) > c.Limits.HeaderBytes+headSlack {
+		f.badRequest(r, "head_too_large")
+		w.Header().Set("Connection", "close")
+		finish(w, http.StatusRequestHeaderFieldsTooLarge)
+		return
+	}
 	path, _, _ := strings.Cut(uri, "?")
 	route, ok := c.Find(r.Host, path)
 	if !ok {
@@ -116,6 +123,17 @@
 	f.forward(w, r, uri, route, body, began.Add(most-min(lastMoment, most/10)))
 }
 
+// headBytes is how long a request's head was, about.
+func headBytes(r *http.Request) int64 {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + 32
+	for k, vs := range r.Header {
+		for _, v := range vs {
+			n += len(k) + len(v) + 4
+		}
+	}
+	return int64(n)
+}
+
 // target is the path and query that a request asks for; also of one that names the whole address (RFC 9112, 3.2.2).
 func target(r *http.Request) (string, bool) {
 	uri := r.RequestURI
