Fuzz targets for what others send; calls of nobody are not carried out; a hostile demo

- A call whose caller has left by the time that the deciding goroutine comes to it is not carried out: the caller has called another comb, and an old order could undo a newer one.
- A beat's sequence of -5 was taken for 2^64-5, above all later ones; numbers that are none get 422.
Bodies over the limit get 413, late ones 408.
- A link's frame took the room that its length names before anything of it had come: 8 MiB for four bytes.
Room is now made as bytes come.

--- a/cmd/beekeeper/main.go
+++ b/cmd/beekeeper/main.go
@@ -63,9 +63,11 @@
 	restore.AddPositionalValue(&addr, "ADDRESS", 1, true, "a comb's control address")
 	restore.AddPositionalValue(&zone, "ZONE", 2, true, "the zone")
 	win := newWindows(p)
-	replicas, logs := 3, false
+	replicas, logs, hostility := 3, false, demo.Hostility{}
 	play := verb("demo", "run one comb, two foragers and stand-in replicas on loopback, until Ctrl-C")
 	play.Int(&replicas, "n", "replicas", "stand-in replicas")
+	play.Float64(&hostility.Rate, "H", "hostile", "share of requests that the replicas meet badly, 0 to 1")
+	play.UInt64(&hostility.Seed, "S", "seed", "of the replicas' bad acts")
 	play.Bool(&logs, "l", "logs", "print the logs of the comb and the foragers")
 	if err := p.ParseArgs(args); err != nil {
 		return err
@@ -99,7 +101,7 @@
 	case win.verb.Used:
 		return win.run(out)
 	case play.Used:
-		return runDemo(out, replicas, logs)
+		return runDemo(out, replicas, logs, hostility)
 	}
 	return merry.New("no verb; see --help")
 }
@@ -182,7 +184,7 @@
 	return nil
 }
 
-func runDemo(out io.Writer, replicas int, logs bool) error {
+func runDemo(out io.Writer, replicas int, logs bool, h demo.Hostility) error {
 	dir, err := os.MkdirTemp("", "zincloft-demo-")
 	if err != nil {
 		return err
@@ -192,7 +194,7 @@
 	if logs {
 		w = os.Stderr
 	}
-	g, err := demo.Start(dir, w, max(replicas, 1))
+	g, err := demo.StartHostile(dir, w, max(replicas, 1), h)
 	if err != nil {
 		return err
 	}
--- a/internal/combd/calls.go
+++ b/internal/combd/calls.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -19,6 +21,10 @@
 const (
 	bodyMost = 16 << 20
 	beatMost = 64 << 10
+
+	bodyTime   = 10 * time.Second // for a call's body to come
+	numberMost = 1 << 53          // of whole numbers in JSON
+	slotsMost  = 1 << 20
 )
 
 // routes is the one dispatch of calls: method and path by the router, then the call's name, which stands in the query.
@@ -65,10 +71,52 @@
 	return <-done
 }
 
+// gone is the status of a call whose caller has left: nobody reads it.
+const gone = 499
+
+// called has the brain answer a caller, unless that one has left by the time: it calls another comb then, and what it
+// asked for here might undo what has come since.
+func (c *Comb) called(r *http.Request, e comb.Event) comb.Answer {
+	done := make(chan comb.Answer, 1)
+	c.post(func() {
+		if r.Context().Err() != nil {
+			done <- comb.Answer{Status: gone}
+			return
+		}
+		c.token++
+		e.Token = c.token
+		c.waiting[e.Token] = done
+		c.step(e)
+	})
+	return <-done
+}
+
+// bodyOf reads a call's body whole. Where it can't, the call has been answered.
+func bodyOf(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTime))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	http.NewResponseController(w).SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, true
+	case errors.As(err, &tooLarge):
+		say(w, http.StatusRequestEntityTooLarge, "the body is too large")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		say(w, http.StatusRequestTimeout, "the body did not come in time")
+	default:
+		say(w, http.StatusBadRequest, "the body cannot be read whole")
+	}
+	return nil, false
+}
+
 func (c *Comb) heartbeat(w http.ResponseWriter, r *http.Request) {
 	id := r.URL.Query().Get("of")
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, beatMost))
-	if err != nil || !gjson.ValidBytes(body) || id == "" {
+	body, ok := bodyOf(w, r, beatMost)
+	if !ok {
+		return
+	}
+	if !gjson.ValidBytes(body) || id == "" {
 		say(w, http.StatusBadRequest, "heartbeat: cannot be read")
 		return
 	}
@@ -80,7 +128,12 @@
 		say(w, http.StatusUnprocessableEntity, "heartbeat: address or service is missing")
 		return
 	}
-	a := c.call(comb.Event{Beat: &l})
+	// A number that is none would stand above all later ones.
+	if seq := doc.Get("sequence"); seq.Exists() && (seq.Type != gjson.Number || seq.Num < 0 || seq.Num > numberMost) || l.Slots < 0 || l.Slots > slotsMost || cold < 0 {
+		say(w, http.StatusUnprocessableEntity, "heartbeat: sequence, slots or cold_remaining is no such number")
+		return
+	}
+	a := c.called(r, comb.Event{Beat: &l})
 	if a.Status != http.StatusOK {
 		say(w, a.Status, "out of touch with the other combs")
 		return
@@ -100,7 +153,7 @@
 		say(w, http.StatusBadRequest, "of: names no replica")
 		return
 	}
-	if a := c.call(comb.Event{Leave: id}); a.Status != http.StatusOK {
+	if a := c.called(r, comb.Event{Leave: id}); a.Status != http.StatusOK {
 		say(w, a.Status, "out of touch with the other combs")
 		return
 	}
@@ -108,9 +161,8 @@
 }
 
 func (c *Comb) replace(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
-	if err != nil {
-		say(w, http.StatusBadRequest, "configuration: the body cannot be read whole")
+	body, ok := bodyOf(w, r, bodyMost)
+	if !ok {
 		return
 	}
 	conf, err := config.Parse(body)
@@ -119,7 +171,7 @@
 		say(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	say(w, c.call(comb.Event{Order: &chain.Order{Version: conf.Version, Body: body}}).Status, "")
+	say(w, c.called(r, comb.Event{Order: &chain.Order{Version: conf.Version, Body: body}}).Status, "")
 }
 
 func (c *Comb) evacuate(w http.ResponseWriter, r *http.Request, out bool) {
@@ -128,7 +180,7 @@
 		say(w, http.StatusUnprocessableEntity, "of: names no zone")
 		return
 	}
-	say(w, c.call(comb.Event{Order: &chain.Order{Zone: zone, Out: out}}).Status, "")
+	say(w, c.called(r, comb.Event{Order: &chain.Order{Zone: zone, Out: out}}).Status, "")
 }
 
 // standing tells an operator how the core stands, as this comb knows; also while it is out of touch.
@@ -138,13 +190,16 @@
 
 // command takes an operator's word on maintenance windows.
 func (c *Comb) command(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
+	body, ok := bodyOf(w, r, bodyMost)
+	if !ok {
+		return
+	}
 	var x windows.Command
-	if err != nil || json.Unmarshal(body, &x) != nil {
+	if json.Unmarshal(body, &x) != nil {
 		say(w, http.StatusBadRequest, "windows: the command cannot be read")
 		return
 	}
-	a := c.call(comb.Event{Windows: &x})
+	a := c.called(r, comb.Event{Windows: &x})
 	say(w, a.Status, string(a.Body))
 }
 
@@ -167,8 +222,8 @@
 	w.Write(m.body)
 }
 
-func (c *Comb) describe(w http.ResponseWriter, _ *http.Request) {
-	a := c.call(comb.Event{Read: true})
+func (c *Comb) describe(w http.ResponseWriter, r *http.Request) {
+	a := c.called(r, comb.Event{Read: true})
 	switch a.Status {
 	case http.StatusTemporaryRedirect:
 		w.Header().Set("Location", "http://"+a.Where+"/api/rpc?call=configuration.describe")
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -19,6 +19,7 @@
 	"zincloft.example/zincloft/internal/forager"
 	"zincloft.example/zincloft/internal/nodefile"
 	"zincloft.example/zincloft/internal/program"
+	"zincloft.example/zincloft/internal/stand/hostile"
 	"zincloft.example/zincloft/internal/stand/upstream"
 )
 
@@ -66,8 +67,19 @@
 	return ports, nil
 }
 
+// Hostility makes the demo's replicas break off, cut, double and forge answers: at a rate of their requests, by seed.
+type Hostility struct {
+	Rate float64
+	Seed uint64
+}
+
 // Start runs the demo; its logs go to w, its state under dir.
 func Start(dir string, w io.Writer, replicas int) (*Gateway, error) {
+	return StartHostile(dir, w, replicas, Hostility{})
+}
+
+// StartHostile runs it with replicas that do badly.
+func StartHostile(dir string, w io.Writer, replicas int, h Hostility) (*Gateway, error) {
 	p, err := freePorts(6)
 	if err != nil {
 		return nil, merry.Prepend(err, "looking for free ports")
@@ -104,9 +116,13 @@
 		}
 		g.Fronts, g.Ready = append(g.Fronts, front), append(g.Ready, at(p[3+2*i]))
 	}
+	book := hostile.NewBook()
 	for i := 0; i < replicas && err == nil; i++ {
 		var r *upstream.Replica
 		if r, err = upstream.Start(fmt.Sprintf("i-demo-%d", i+1)); err == nil {
+			if h.Rate > 0 {
+				r.Take(hostile.New(r.ID, h.Seed+uint64(i), h.Rate, book).Serve)
+			}
 			g.Replicas = append(g.Replicas, r)
 			go g.beat(ctx, r)
 		}
--- a/internal/forager/bench_test.go
+++ b/internal/forager/bench_test.go
@@ -68,7 +68,12 @@
 				b.Fatal(err)
 			}
 			srv := &http.Server{Handler: x.h}
-			go srv.Serve(ln)
+			if x.name == "forager" { // as in service: with what watches its clients' bytes
+				srv.ConnContext = withClient
+				go srv.Serve(clients{ln, f})
+			} else {
+				go srv.Serve(ln)
+			}
 			defer srv.Close()
 			url := "http://" + ln.Addr().String() + "/x/1"
 			if x.h == nil {
--- /dev/null
+++ b/internal/link/fuzz_test.go
@@ -0,0 +1,62 @@
+package link
+
+import (
+	"bytes"
+	"io"
+	"runtime"
+	"testing"
+
+	"zincloft.example/zincloft/hive/falls"
+	"zincloft.example/zincloft/hive/view"
+	"zincloft.example/zincloft/hive/words"
+)
+
+// Guards memory against a length that nothing follows: whoever reaches the port could have eight MiB for four bytes.
+func TestALengthIsNoMemory(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range 8 {
+		if _, err := Read(bytes.NewReader([]byte{0, 0x7f, 0xff, 0xff, 1})); err == nil {
+			t.Fatal("a message of one byte")
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if n := after.TotalAlloc - before.TotalAlloc; n > 2<<20 {
+		t.Errorf("%d bytes for eight frames that never came", n)
+	}
+	b, err := Frame(&Msg{State: &words.State{Body: make([]byte, 1<<20)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m, err := Read(bytes.NewReader(b)); err != nil || len(m.State.Body) != 1<<20 {
+		t.Fatal("a large frame:", err)
+	}
+	if _, err := Read(bytes.NewReader(b[:len(b)-1])); err != io.ErrUnexpectedEOF {
+		t.Fatal("a frame that was cut:", err)
+	}
+}
+
+// FuzzRead reads what another governor may send: it ends in a message that can be sent on, or in an error.
+func FuzzRead(f *testing.F) {
+	for _, m := range []*Msg{{}, {Hello: &words.Hello{Forager: "f", Member: view.Member{ID: "d", Addr: "a:1", Zone: "z"}}}, {State: &words.State{Whole: true, Seq: 4, Body: []byte("{}")}}, {Fell: []falls.Out{{}}}} {
+		b, err := Frame(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Add([]byte{0, 0x7f, 0xff, 0xff, 1})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Read(bytes.NewReader(b))
+		if err != nil {
+			return
+		}
+		again, err := Frame(m)
+		if err != nil {
+			t.Fatalf("read and not to be sent: %v", err)
+		}
+		if _, err := Read(bytes.NewReader(again)); err != nil {
+			t.Fatalf("sent and not to be read: %v", err)
+		}
+	})
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -21,6 +21,7 @@
 
 const (
 	mostFrame   = 8 << 20
+	readFirst   = 64 << 10
 	dialMost    = 500 * time.Millisecond
 	writeMost   = time.Second
 	userTimeout = time.Second
@@ -67,10 +68,20 @@
 	if n > mostFrame {
 		return nil, merry.Errorf("a frame of %d bytes", n)
 	}
-	body := make([]byte, n)
+	body := make([]byte, min(n, readFirst))
 	if _, err := io.ReadFull(r, body); err != nil {
 		return nil, err
 	}
+	if rest := int(n) - len(body); rest > 0 { // room is made for what has come, not for what was said to come
+		more, err := io.ReadAll(io.LimitReader(r, int64(rest)))
+		if err != nil {
+			return nil, err
+		}
+		if len(more) < rest {
+			return nil, io.ErrUnexpectedEOF
+		}
+		body = append(body, more...)
+	}
 	m := &Msg{}
 	if err := decMode.Unmarshal(body, m); err != nil {
 		return nil, merry.Prepend(err, "decoding a message")
