An unsafe request waits for a silent replica to its deadline

Ruled out: no bound on unacknowledged bytes. What a dead replica has not even received is given up after 500 ms as before: it is no offer, and others learn of it by that. Change: no probes while an unsafe request waits; they go on while the connection rests, so that it isn't used when dead.

--- a/internal/forager/front.go
+++ b/internal/forager/front.go
@@ -169,7 +169,7 @@
 func (f *Forager) forward(w http.ResponseWriter, r *http.Request, uri string, route config.Route, body []byte, deadline time.Time) {
 	service := route.Pick(rand.Float64())
 	q := replica.Request{Method: r.Method, URI: uri, Host: r.Host, Header: replica.EndToEnd(r.Header), Body: body,
-		Attempt: r.Header.Get("X-Attempt-Id"), Deadline: deadline, Service: service}
+		Attempt: r.Header.Get("X-Attempt-Id"), Deadline: deadline, Service: service, Patient: !route.Safe}
 	var hedge <-chan time.Time
 	if route.Safe { // a safe request whose client left is dropped; an unsafe one is left to end
 		ctx, cancel := context.WithCancel(r.Context())
--- a/internal/replica/hostile_test.go
+++ b/internal/replica/hostile_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -293,3 +294,34 @@
 		t.Error(h)
 	}
 }
+
+// Guards answers that a silent link still brings: while an unsafe request waits, the kernel does not ask whether the other
+// end is there, and so does not end the connection before the deadline; while the connection rests it does.
+func TestSilenceIsWaitedFor(t *testing.T) {
+	var c *conn
+	asks := func() bool {
+		on := -1
+		c.raw.Control(func(fd uintptr) { on, _ = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_KEEPALIVE) })
+		return on == 1
+	}
+	during := make(chan bool, 2)
+	addr, _ := scripted(t, func(q *http.Request, n int) (string, bool) {
+		during <- asks()
+		return whole(q.Header.Get("X-Attempt-Id"), ""), false
+	})
+	p := NewPool()
+	var err error
+	c, err = p.dial(addr, time.Now().Add(time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.put("i1", c)
+	for _, patient := range []bool{true, false} {
+		q := request(fmt.Sprint(patient), time.Second)
+		q.Patient = patient
+		expect(t, p.Do("i1", addr, q), tries.Answered, "")
+		if got := <-during; got == patient || !asks() {
+			t.Errorf("patient %v: asks while it waits: %v, while it rests: %v", patient, got, asks())
+		}
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -53,6 +53,7 @@
 	Attempt           string // X-Attempt-Id
 	Instance, Service string
 	Deadline          time.Time
+	Patient           bool            // what is silent is waited for to the deadline, where another try may not be made anyway
 	Stop              context.Context // ends the try, where the client has left and nothing is lost by that; may be nil
 }
 
@@ -96,6 +97,7 @@
 
 type conn struct {
 	net.Conn
+	tcp       *net.TCPConn
 	raw       syscall.RawConn
 	br        *bufio.Reader
 	idleSince time.Time
@@ -185,6 +187,9 @@
 // and an answer to HEAD ends where that to another method goes on.
 func (q *Request) alone() bool { return q.Attempt == "" || q.Method == http.MethodHead }
 
+// SetKeepAlive has the kernel ask whether the other end is still there: a machine that is gone without a word is noticed.
+func (c *conn) SetKeepAlive(on bool) { c.tcp.SetKeepAlive(on) }
+
 // had tells whether a request with this identity went over the connection before: an answer could be either's.
 func (c *conn) had(attempt string) bool { return slices.Contains(c.ids[:], attempt) }
 
@@ -254,7 +259,7 @@
 	p.Opened++
 	n := uint64(p.Opened)
 	p.mu.Unlock()
-	return &conn{Conn: nc, n: n, raw: raw, br: bufio.NewReaderSize(nc, headBuffer), idleMost: idleGuess}, nil
+	return &conn{Conn: nc, tcp: tc, n: n, raw: raw, br: bufio.NewReaderSize(nc, headBuffer), idleMost: idleGuess}, nil
 }
 
 // Do sends a request to the replica at addr and waits for its answer.
@@ -273,6 +278,9 @@
 		}
 	}
 	c.SetDeadline(q.Deadline)
+	if q.Patient {
+		c.SetKeepAlive(false)
+	}
 	stop := func() bool { return true }
 	if q.Stop != nil {
 		stop = context.AfterFunc(q.Stop, func() { c.SetDeadline(time.Unix(1, 0)) })
@@ -292,6 +300,9 @@
 		res.Answer.Rest = func(w io.Writer) error { defer c.Close(); return rest(w) }
 		res.Answer.Close = func() { c.Close() }
 	case c.fit():
+		if q.Patient {
+			c.SetKeepAlive(true)
+		}
 		p.put(id, c)
 	default:
 		c.Close()
