--- a/internal/forager/client.go
+++ b/internal/forager/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,12 +43,50 @@
 	f       *Forager
 	scan    framing.Scanner
 	poison  string
+	begun   atomic.Bool // something has come
 	over    atomic.Bool // nothing further is read
+	known   bool        // it is not unused any more
 	resting bool        // the deadline is that of a rest; a head's is set with its first byte
 	since   time.Time   // of the rest
 	busy    bool        // with a request: deadlines are its own. Like resting, it changes on the server's goroutine only
 }
 
+// unused holds the connections that have not had a request yet.
+type unused struct {
+	mu sync.Mutex
+	m  map[*client]bool
+}
+
+// state follows the server's word on a connection.
+func (u *unused) state(nc net.Conn, s http.ConnState) {
+	c, ok := nc.(*client)
+	if !ok || s != http.StateNew && c.known {
+		return
+	}
+	c.known = s != http.StateNew // it leaves once; what follows costs nothing
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if s != http.StateNew {
+		delete(u.m, c)
+		return
+	}
+	if u.m == nil {
+		u.m = map[*client]bool{}
+	}
+	u.m[c] = true
+}
+
+// close ends those of which nothing has come.
+func (u *unused) close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for c := range u.m {
+		if !c.begun.Load() {
+			c.Close()
+		}
+	}
+}
+
 // serving marks a connection as busy for the time of a request.
 func serving(r *http.Request) func() {
 	c, _ := r.Context().Value(clientKey{}).(*client)
@@ -70,6 +109,7 @@
 		if n == 0 {
 			return n, err
 		}
+		c.begun.Store(true)
 		rested := c.scan.Resting()
 		good, cause := c.scan.Feed(b[:n])
 		if rested && c.resting {
--- a/internal/forager/client_test.go
+++ b/internal/forager/client_test.go
@@ -180,6 +180,33 @@
 	}
 }
 
+// Guards the end of a process: connections that clients opened in advance held it up until the grace period was over, in
+// which nobody listened.
+func TestUnusedConnectionsDoNotHoldUpTheEnd(t *testing.T) {
+	up := stood(t, "i0")
+	addr, f, _ := served(t, `"idle_timeout":"30s"`, up)
+	unused, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unused.Close()
+	if got := fmt.Sprint(say(t, addr, "POST /x/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")); got != "[200]" {
+		t.Fatal(got)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	if err := f.shut(ctx); err != nil {
+		t.Error(err)
+	}
+	unused.SetReadDeadline(time.Now().Add(time.Second))
+	if _, err := unused.Read(make([]byte, 1)); err != io.EOF {
+		t.Error("the unused connection:", err)
+	}
+	if !until(func() bool { f.unused.mu.Lock(); defer f.unused.mu.Unlock(); return len(f.unused.m) == 0 }) {
+		t.Error("connections that ended are kept")
+	}
+}
+
 // Guards connections that rest: clients take them up within the time that the configuration in force names, also before
 // the first request, and also where an earlier one named less; a head that has begun has a head's time.
 func TestConnectionsRestByTheConfigurationInForce(t *testing.T) {
--- a/internal/forager/forager.go
+++ b/internal/forager/forager.go
@@ -37,6 +37,7 @@
 	bodyPart    = 0.25                   // of the memory limit, for requests' bodies
 	linesRate   = 10                     // log lines a second that others cause
 	linesBurst  = 100
+	unusedEvery = 20 * time.Millisecond
 	headsMost   = 64 << 10 // bytes that the server reads of a head; the configuration in force allows less
 	connPart    = 0.7      // of the descriptors, for clients
 	memoryPart  = 0.6      // of the memory limit, the garbage collector's goal
@@ -62,7 +63,8 @@
 	fell     chan falls.Word
 	gone     chan string // replicas whose address another one has
 
-	lines *rate.Limiter // of what others cause in the log
+	unused unused
+	lines  *rate.Limiter // of what others cause in the log
 
 	mu     sync.Mutex
 	brain  *forage.Forager
@@ -176,7 +178,7 @@
 		mux.NotFound(f.serve)
 		mux.MethodNotAllowed(f.serve)
 		f.server = &http.Server{Handler: mux, ReadHeaderTimeout: c.Limits.Header, IdleTimeout: c.Limits.Idle,
-			MaxHeaderBytes: max(int(c.Limits.HeaderBytes), headsMost), ErrorLog: nil, ConnContext: withClient}
+			MaxHeaderBytes: max(int(c.Limits.HeaderBytes), headsMost), ErrorLog: nil, ConnContext: withClient, ConnState: f.unused.state}
 		f.server.ErrorLog = f.log.Std("", 0)
 		go func() {
 			if err := f.server.Serve(clients{netutil.LimitListener(f.frontLn, int(float64(f.set.Descriptors)*connPart)), f}); err != http.ErrServerClosed {
@@ -202,7 +204,24 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	f.server.Shutdown(ctx)
+	f.shut(ctx)
+}
+
+// shut ends the server once what is under way has its answer. It would wait five seconds for connections that have not
+// had a request yet, as clients open them in advance; those are closed.
+func (f *Forager) shut(ctx context.Context) error {
+	done := make(chan error, 1)
+	go func() { done <- f.server.Shutdown(ctx) }()
+	again := time.NewTicker(unusedEvery)
+	defer again.Stop()
+	for {
+		f.unused.close()
+		select {
+		case err := <-done:
+			return err
+		case <-again.C:
+		}
+	}
 }
 
 func (f *Forager) reload() {
