A connection rests by the server's word, not by where its bytes end

Cause: a whole request in one piece left the scanner at a boundary, and the deadline of its head was taken for that of a rest. The read that the server breaks off behind an answer was then taken up again, so that the connection never became idle: it held up the end of a process to the grace period. Change: the server's states say when a connection rests. Test: answered connections end at once when the server is shut.

--- a/internal/forager/client.go
+++ b/internal/forager/client.go
@@ -40,15 +40,15 @@
 // time of a head, and keep to the first configuration.
 type client struct {
 	net.Conn
-	f       *Forager
-	scan    framing.Scanner
-	poison  string
-	begun   atomic.Bool // something has come
-	over    atomic.Bool // nothing further is read
-	known   bool        // it is not unused any more
-	resting bool        // the deadline is that of a rest; a head's is set with its first byte
-	since   time.Time   // of the rest
-	busy    bool        // with a request: deadlines are its own. Like resting, it changes on the server's goroutine only
+	f      *Forager
+	scan   framing.Scanner
+	poison string
+	begun  atomic.Bool // something has come
+	over   atomic.Bool // nothing further is read
+	known  bool        // it is not unused any more
+	rests  atomic.Bool // nothing of the next request has come, as far as the server knows; a head has its time from its first byte on
+	since  time.Time   // of the rest
+	busy   bool        // with a request: deadlines are its own. It changes on the server\'s goroutine only
 }
 
 // unused holds the connections that have not had a request yet.
@@ -60,6 +60,9 @@
 // state follows the server's word on a connection.
 func (u *unused) state(nc net.Conn, s http.ConnState) {
 	c, ok := nc.(*client)
+	if ok && (s == http.StateNew || s == http.StateIdle) {
+		c.rests.Store(true)
+	}
 	if !ok || s != http.StateNew && c.known {
 		return
 	}
@@ -94,6 +97,7 @@
 		return func() {}
 	}
 	c.busy = true
+	c.rests.Store(false) // also where the request lay in the buffer: reads are broken off behind it, and must end then
 	return func() { c.busy = false }
 }
 
@@ -110,10 +114,8 @@
 			return n, err
 		}
 		c.begun.Store(true)
-		rested := c.scan.Resting()
 		good, cause := c.scan.Feed(b[:n])
-		if rested && c.resting {
-			c.resting = false
+		if c.rests.Swap(false) {
 			if limits := c.f.config.Load(); limits != nil && limits.Limits.Header > 0 {
 				c.Conn.SetReadDeadline(time.Now().Add(limits.Limits.Header))
 			}
@@ -136,19 +138,21 @@
 // longer tells whether a rest that is over goes on by a configuration that came meanwhile.
 func (c *client) longer() bool {
 	limits := c.f.config.Load()
-	if !c.resting || limits == nil {
+	if !c.rests.Load() || limits == nil {
 		return false
 	}
 	end := c.since.Add(limits.Limits.Idle)
 	return time.Now().Before(end) && c.Conn.SetReadDeadline(end) == nil
 }
 
-// SetReadDeadline gives a resting connection the time of a rest.
+// SetReadDeadline gives a resting connection the time of a rest, and one on which a head comes that of a head.
 func (c *client) SetReadDeadline(t time.Time) error {
-	if !c.busy && time.Until(t) > 0 && c.scan.Resting() {
-		if limits := c.f.config.Load(); limits != nil && limits.Limits.Idle > 0 {
-			c.resting, c.since = true, time.Now()
-			t = c.since.Add(limits.Limits.Idle)
+	if limits := c.f.config.Load(); !c.busy && limits != nil && time.Until(t) > 0 {
+		switch now := time.Now(); {
+		case c.rests.Load() && limits.Limits.Idle > 0:
+			c.since, t = now, now.Add(limits.Limits.Idle)
+		case limits.Limits.Header > 0:
+			t = now.Add(limits.Limits.Header)
 		}
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/internal/forager/client_test.go
+++ b/internal/forager/client_test.go
@@ -207,6 +207,38 @@
 	}
 }
 
+// Guards the end of a process, and of rests: behind a request that came in one piece the connection looked as if it had not
+// had its answer yet, so that it held up the end, and rested without end in the server's eyes.
+func TestAnsweredConnectionsRest(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		up := stood(t, "i0")
+		addr, f, _ := served(t, `"idle_timeout":"30s"`, up)
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		br := bufio.NewReader(c)
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		for i := range 3 {
+			fmt.Fprintf(c, "%s /x/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %d\r\nContent-Length: 2\r\n\r\nab", method, i)
+			r, err := http.ReadResponse(br, nil)
+			if err != nil || r.StatusCode != 200 {
+				t.Fatal(r, err)
+			}
+			io.Copy(io.Discard, r.Body)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		if err := f.shut(ctx); err != nil {
+			t.Error(method, err)
+		}
+		if _, err := br.Peek(1); err != io.EOF {
+			t.Error(method, err)
+		}
+	}
+}
+
 // Guards connections that rest: clients take them up within the time that the configuration in force names, also before
 // the first request, and also where an earlier one named less; a head that has begun has a head's time.
 func TestConnectionsRestByTheConfigurationInForce(t *testing.T) {
