--- a/internal/stand/upstream/upstream.go
+++ b/internal/stand/upstream/upstream.go
@@ -130,11 +130,15 @@
 		r.opens++
 		take := r.take
 		r.mu.Unlock()
-		if take != nil {
-			go take(c)
-			continue
+		if take == nil {
+			take = r.serve
 		}
-		go r.serve(c)
+		go func() {
+			take(c)
+			r.mu.Lock()
+			delete(r.conns, c)
+			r.mu.Unlock()
+		}()
 	}
 }
 
