--- a/hive/tries/tries_test.go
+++ b/hive/tries/tries_test.go
@@ -73,3 +73,22 @@
 		So(ok, ShouldBeFalse)
 	})
 }
+
+// Guards offers that are none: with under a tenth of the target left a replica cannot be said to have been offered the
+// request, so it is refused with the proof that it has not run.
+func TestOffers(t *testing.T) {
+	Convey("A request is offered only with a tenth of its target left, and 20 ms", t, func() {
+		So(Offers(79*time.Millisecond, 800*time.Millisecond), ShouldBeFalse)
+		So(Offers(80*time.Millisecond, 800*time.Millisecond), ShouldBeTrue)
+		So(Offers(19*time.Millisecond, 0), ShouldBeFalse)
+		So(Offers(20*time.Millisecond, 0), ShouldBeTrue)
+		r := Request{MaxAttempts: 2, Sent: 1, Left: 79 * time.Millisecond, Target: 800 * time.Millisecond}
+		So(Again(NotRun, r), ShouldBeFalse)
+		r.Left = 80 * time.Millisecond
+		So(Again(NotRun, r), ShouldBeTrue)
+		_, ok := HedgeAfter(800*time.Millisecond, 519*time.Millisecond)
+		So(ok, ShouldBeFalse)
+		_, ok = HedgeAfter(800*time.Millisecond, 520*time.Millisecond)
+		So(ok, ShouldBeTrue)
+	})
+}
