--- a/internal/apiary/apiary.go
+++ b/internal/apiary/apiary.go
@@ -61,6 +61,15 @@
 	Took    []time.Duration // of orders, from the call that was answered to its acknowledgement
 	Mended  []time.Duration // after a kill, freeze or cut of a member of the chain: until a view without it stood
 	Told    []time.Duration // from a configuration's commit to each forager that held to a comb
+
+	// Of days with a Tolerance.
+	Tries   []Try
+	Caught  []time.Duration // from a machine's start until it was in the chain and held on disk what was committed
+	TakenIn []time.Duration // the same of machines at a new address
+	Still   []time.Duration // from a cut's begin to each answer that the one cut off still gave
+	Thawed  []time.Duration // from a wake to each answer that was given while a newer view stood elsewhere
+	Kept    int             // most bytes on one disk
+	Changes uint64
 }
 
 // Op is one call of an operator, for a check of the whole history: a write raises the register to at least its version,
@@ -97,6 +106,12 @@
 	up     bool
 	frozen bool
 	held   []func() // what came while frozen
+	ticks  func()   // and one tick, as a timer does not pile up
+
+	core          bool // a comb's; the next two cut it from other combs alone
+	deaf, mute    int
+	apart         int // from all
+	cutAt, wokeAt time.Duration
 }
 
 type world struct {
@@ -127,6 +142,8 @@
 	onGrant   []Trouble
 	tokens    uint64
 
+	hard hard
+
 	windows    windows.State // as committed
 	windowsRev uint64
 	windowsAt  time.Duration
@@ -139,13 +156,17 @@
 	w := &world{s: s, r: rand.New(rand.NewPCG(s.Seed, 2)), byAddr: map[string]*machine{}, cut: map[[2]string]int{}, fifo: map[[2]string]time.Duration{},
 		bySeq: map[uint64]string{}, versions: map[string]uint64{}, committed: map[uint64]time.Duration{}, outAt: map[string]time.Duration{}, down: map[int]time.Duration{}}
 	for i := range s.Machines {
-		m := &machine{i: i, node: node{name: fmt.Sprintf("comb %d", i)}, addr: fmt.Sprintf("10.0.0.%d:7000", i+1), disk: newDisk()}
+		m := &machine{i: i, node: node{name: fmt.Sprintf("comb %d", i), core: true}, addr: fmt.Sprintf("10.0.0.%d:7000", i+1), disk: newDisk()}
 		m.disk.lax = s.Fault == NoFolderSync
 		w.combs = append(w.combs, m)
 		w.byAddr[m.addr] = m
 	}
 	for _, m := range w.combs {
-		w.start(m, true)
+		if s.Spread == 0 {
+			w.start(m, true)
+		} else {
+			w.after(time.Duration(w.r.Int64N(int64(s.Spread))), func() { w.start(m, true) })
+		}
 	}
 	for i := range s.Foragers {
 		b := &bee{i: i, node: node{name: fmt.Sprintf("forager %d", i)}}
@@ -165,6 +186,11 @@
 	for _, t := range s.Troubles {
 		end = max(end, t.At+t.For+restart)
 	}
+	if s.Tolerance > 0 {
+		w.hard.begin()
+		w.watch()
+		end += 4 * time.Second
+	}
 	w.after(end+8*time.Second, func() { w.last() })
 	for len(w.q) > 0 && w.now < end+14*time.Second && len(w.res.Broken) == 0 {
 		e := heap.Pop(&w.q).(event)
@@ -194,7 +220,7 @@
 // begins starts a node's life, with a clock of its own.
 func (w *world) begins(n *node) {
 	n.life++
-	n.up, n.frozen, n.held, n.began, n.skew = true, false, nil, w.now, 0
+	n.up, n.frozen, n.held, n.began, n.skew, n.ticks, n.wokeAt = true, false, nil, w.now, 0, nil, 0
 	n.rate = 1 + 0.004*(w.r.Float64()-0.5)
 }
 
@@ -222,9 +248,12 @@
 	life := n.life
 	w.after(span, func() {
 		if n.up && n.life == life && n.frozen {
-			n.frozen = false
+			n.frozen, n.wokeAt = false, w.now
 			held := n.held
 			n.held = nil
+			if n.ticks != nil { // it may come before what lay in the sockets, or after
+				held, n.ticks = slices.Insert(held, w.r.IntN(len(held)+1), n.ticks), nil
+			}
 			w.say("%s wakes", n.name)
 			for _, f := range held {
 				f()
@@ -248,7 +277,7 @@
 	}
 	life := to.life
 	w.after(at-w.now, func() {
-		if w.cut[link] == 0 {
+		if w.cut[link] == 0 && !severed(from, to) {
 			w.run(to, life, arrive)
 		}
 	})
@@ -277,6 +306,9 @@
 		w.after(2*time.Second, func() { w.onView = slices.DeleteFunc(w.onView, func(x Trouble) bool { return x == t }) })
 		return
 	}
+	if w.s.Tolerance > 0 && w.strikeHard(t) {
+		return
+	}
 	w.say("TROUBLE: %v", t)
 	w.trouble = max(w.trouble, w.now+t.For+restart)
 	switch t.Kind {
--- a/internal/apiary/edge.go
+++ b/internal/apiary/edge.go
@@ -38,13 +38,15 @@
 	version uint64 // newest in force in this life
 	seq     uint64
 	at      int // of the candidates, the next one to call
+	meets   *machine
+	seeds   []string
 	freeAt  time.Duration
 }
 
 func (w *world) wake(b *bee) {
 	w.begins(&b.node)
 	b.brain = forage.New(forage.Settings{Zone: w.zone(b.i), Zones: w.zones(), RetryRatio: 0.2, RetrySlack: 60, Seed: w.r.Uint64()})
-	b.comb, b.stream, b.version, b.seq, b.at = nil, 0, 0, 0, 0
+	b.comb, b.stream, b.version, b.seq, b.at, b.seeds = nil, 0, 0, 0, 0, w.seeds(false)
 	life := b.life
 	var follow, send func()
 	follow = func() {
@@ -95,13 +97,12 @@
 		}
 		return
 	}
-	var seeds []string
-	for _, m := range w.combs[:w.s.Seeds] {
-		seeds = append(seeds, m.addr)
-	}
-	all := b.brain.Candidates(seeds)
+	all := b.brain.Candidates(b.seeds)
 	m := w.byAddr[all[b.at%len(all)]]
 	b.at++
+	if b.meets != nil {
+		m, b.meets = b.meets, nil
+	}
 	w.tokens++
 	n := w.tokens
 	b.comb, b.stream, b.whole, b.heardAt = m, n, false, w.now-silence+dialMost
@@ -141,7 +142,8 @@
 
 // tell brings a comb's word to a forager. A stream that loses one has ended: the next would not fit on.
 func (w *world) tell(m *machine, b *bee, n uint64, s *words.State) {
-	if w.cut[[2]string{m.name, b.name}] > 0 {
+	w.tells(m, b, s)
+	if w.cut[[2]string{m.name, b.name}] > 0 || severed(&m.node, &b.node) {
 		delete(m.streams, n)
 		life := m.life
 		w.after(silence, func() { w.run(&m.node, life, func() { w.step(m, comb.Event{Left: n}) }) })
@@ -308,7 +310,7 @@
 	if !r.alive || tries > 4 {
 		return
 	}
-	m := w.combs[w.r.IntN(len(w.combs))]
+	m := w.anyone()
 	if t := w.byAddr[r.next]; t != nil {
 		m = t
 	}
@@ -354,7 +356,7 @@
 }
 
 func (w *world) leave(r *replica) {
-	m := w.combs[w.r.IntN(len(w.combs))]
+	m := w.anyone()
 	if r.alive && m.up && !m.frozen && m.brain != nil {
 		w.beats(m, registry.Life{ID: r.id}, true, func(bool, string) {})
 	}
--- a/internal/apiary/machine.go
+++ b/internal/apiary/machine.go
@@ -34,6 +34,11 @@
 	calls   map[uint64]func(comb.Answer)
 	callers map[uint64]*call // operators' calls that wait here
 	streams map[uint64]*bee
+	seeds   []string
+	spare   bool // came at a new address
+	gone    bool
+	goneAt  time.Duration
+	caught  bool
 	sent    int // messages in the second at hand
 	second  time.Duration
 }
@@ -42,7 +47,8 @@
 // write is awaited before anything is listened on.
 func (w *world) start(m *machine, first bool) {
 	w.begins(&m.node)
-	m.seen, m.brain = 0, nil
+	w.event()
+	m.seen, m.brain, m.caught = 0, nil, first
 	m.calls, m.callers, m.streams = map[uint64]func(comb.Answer){}, map[uint64]*call{}, map[uint64]*bee{}
 	store, err := cell.Open(m.disk)
 	if err != nil {
@@ -58,10 +64,7 @@
 			return
 		}
 	}
-	var seeds []string
-	for _, o := range w.combs[:w.s.Seeds] {
-		seeds = append(seeds, o.addr)
-	}
+	seeds := w.seeds(first)
 	if k.Disk == "" && !first {
 		m.wiped++
 	}
@@ -96,7 +99,11 @@
 }
 
 func (w *world) tock(m *machine, life int) {
-	w.run(&m.node, life, func() { w.step(m, comb.Event{}) })
+	if m.frozen && w.s.Tolerance > 0 {
+		m.ticks = func() { w.step(m, comb.Event{}) }
+	} else {
+		w.run(&m.node, life, func() { w.step(m, comb.Event{}) })
+	}
 	if m.up && m.life == life {
 		late := time.Duration(w.r.IntN(5)) * time.Millisecond
 		if w.r.IntN(200) == 0 {
@@ -228,6 +235,7 @@
 }
 
 func (w *world) viewed(m *machine, v view.View) {
+	w.timed(v)
 	for _, t := range w.onView {
 		w.onView, w.trouble = nil, w.now+t.For+restart
 		w.after(time.Duration(w.r.Int64N(int64(6*time.Millisecond))), func() { t.Kind = "all"; w.strike(t) })
@@ -257,6 +265,7 @@
 		w.broken("%s went back from %d to %d within a life", m.name, m.seen, r.Seq)
 	}
 	m.seen = r.Seq
+	w.observe(m, r)
 	w.granted(m, r)
 	if _, ok := w.committed[r.Version]; !ok {
 		w.committed[r.Version] = w.now
@@ -296,9 +305,14 @@
 			w.carry(&m.node, &b.node, 0, 0, func() { w.lost(b, n) })
 		}
 	}
+	w.event()
+	if back < 0 {
+		m.gone, m.goneAt = true, w.now
+		return
+	}
 	w.after(back, func() {
 		delete(w.down, m.i)
-		if !m.up {
+		if !m.up && !m.gone {
 			w.start(m, false)
 		}
 	})
@@ -325,6 +339,10 @@
 	done     bool
 	deadline time.Duration
 	asked    time.Duration // the try at hand
+	had      []*machine    // called already
+	next     *machine      // a redirect's
+	lost     bool          // an answer was lost on its way
+	try      int           // of Result.Tries
 	op       int           // of a write
 	ended    time.Duration
 }
@@ -344,6 +362,9 @@
 	c := &call{n: n, act: a, began: w.now, deadline: w.now + 5*time.Second, floor: w.acked}
 	switch a.Kind {
 	case "put":
+		if a.Body > 0 {
+			n = a.Body
+		}
 		c.version, c.body = a.Version, configuration(a.Version, n)
 		w.versions[c.body] = c.version
 		c.op = len(w.res.Ops)
@@ -364,6 +385,7 @@
 
 // again sends a call to some machine, once more.
 func (w *world) again(c *call) {
+	w.givenUp(c)
 	if c.done || w.now > c.deadline || w.quiet {
 		if !c.done && !w.quiet && c.began > w.trouble+beatable && c.tries > 0 {
 			w.broken("call %d, made at %.2f s when all had been calm, was not answered", c.n, c.began.Seconds())
@@ -372,13 +394,14 @@
 	}
 	c.tries++
 	c.asked = w.now
-	m := w.combs[w.r.IntN(len(w.combs))]
-	if !m.up || m.frozen || m.brain == nil {
+	m := w.called(c)
+	if !m.up || m.frozen && w.s.Tolerance == 0 || m.brain == nil {
 		w.after(200*time.Millisecond, func() { w.again(c) })
 		return
 	}
 	w.tokens++
 	e := comb.Event{Token: w.tokens}
+	w.tried(c)
 	switch c.act.Kind {
 	case "read":
 		c.floor = max(c.floor, w.acked)
@@ -391,9 +414,17 @@
 		e.Order = &chain.Order{Zone: w.zone(c.act.On), Out: c.act.Kind == "evacuate"}
 	}
 	m.callers[e.Token] = c
-	m.calls[e.Token] = func(a comb.Answer) { w.answered(m, c, a) }
-	w.step(m, e)
 	tries := c.tries
+	m.calls[e.Token] = func(a comb.Answer) {
+		if w.s.Tolerance == 0 || c.tries == tries && !w.loses(m, c, a) {
+			w.answered(m, c, a)
+		}
+	}
+	if w.s.Tolerance > 0 { // it may lie in the socket of one that is frozen
+		w.run(&m.node, m.life, func() { w.step(m, e) })
+	} else {
+		w.step(m, e)
+	}
 	w.after(time.Second, func() { // silence: another machine is asked
 		if !c.done && c.tries == tries {
 			w.again(c)
@@ -408,6 +439,7 @@
 	switch a.Status {
 	case http.StatusOK, http.StatusNotFound, http.StatusConflict:
 	default:
+		w.unclear(c, a)
 		tries := c.tries
 		w.after(100*time.Millisecond, func() {
 			if c.tries == tries {
@@ -418,6 +450,7 @@
 	}
 	c.done, c.ended = true, w.now
 	w.res.Calls++
+	w.answers(m, c, a)
 	if c.act.Kind == "read" {
 		version := uint64(0)
 		if a.Status == http.StatusOK {
@@ -466,6 +499,9 @@
 
 // lonely tells whether a machine has reached no other for seconds.
 func (w *world) lonely(m *machine) bool {
+	if w.s.Tolerance > 0 {
+		return m.cutOff() && w.now-m.cutAt > contact
+	}
 	at, ok := w.down[m.i]
 	if !ok || w.now-at <= 3*time.Second || m.frozen {
 		return false
@@ -482,6 +518,9 @@
 func (w *world) lasts(c *call) {
 	n := 0
 	for _, m := range w.combs {
+		if m.gone {
+			continue
+		}
 		store, err := cell.Open(m.disk.after())
 		if err != nil {
 			continue
@@ -494,7 +533,11 @@
 		}
 		store.Close()
 	}
-	if most := (w.s.Machines - 1) / 2; n <= min(most, (w.s.Seeds-1)/2) {
+	most := min((w.s.Machines-1)/2, (w.s.Seeds-1)/2)
+	if w.hard.formed {
+		most = w.s.Tolerance
+	}
+	if n <= most {
 		w.broken("call %d was acknowledged with only %d disks that hold it", c.n, n)
 	}
 }
--- a/internal/apiary/schedule.go
+++ b/internal/apiary/schedule.go
@@ -18,8 +18,20 @@
 	// ackwipe whoever acknowledges next; ackallpower all, then; viewall all processes at the next view; grantpower,
 	// grantall whoever hears first of the next grant of a window, or all; zone all machines of one; bkill, bfreeze, bcut
 	// a forager; rcrash a replica.
+	//
+	// On days with a Tolerance also: cut, freeze for 20 s, still (a freeze in which the steady clock stands), island (cut
+	// from the other combs alone, both ways), deaf, mute (one way); gone (for good, without a word), leave (SIGTERM),
+	// spare (a new machine at a new address).
 	Kind string
 	On   int
+
+	// On days with a Tolerance: Role, if any, says whom it strikes: head, tail, middle, seed, newest (the last spare).
+	// Meet has a forager begin a new life and call that machine first, soon after it was struck and when it is over. When
+	// says what is waited for, up to 6 s: joined (the first view with the newest spare in the chain), voter (in the
+	// roster), viewed (any view).
+	Role string `json:",omitempty"`
+	Meet bool   `json:",omitempty"`
+	When string `json:",omitempty"`
 }
 
 func (t Trouble) String() string {
@@ -30,6 +42,9 @@
 	case "rcrash":
 		what = "of replica"
 	}
+	if t.Role != "" {
+		what += " (the " + t.Role + ")"
+	}
 	return fmt.Sprintf("%.2fs %s %s %d for %.2fs", t.At.Seconds(), t.Kind, what, t.On, t.For.Seconds())
 }
 
@@ -38,6 +53,10 @@
 	At      time.Duration
 	Kind    string // put, evacuate, restore, read; drain, begin (cold); agree, ask, finish, cancel (a window)
 	Version uint64 // put
+	To      int    `json:",omitempty"` // 1 + the comb of the list that is called first; 0: any
+	Back    bool   `json:",omitempty"` // that one is called again, not another
+	Lost    bool   `json:",omitempty"` // the first answer is lost on its way
+	Body    int    `json:",omitempty"` // put: names what is sent; 0: the act's place does
 	On      int    // evacuate, restore: the zone; drain: the replica; ask, finish, cancel: the forager
 }
 
@@ -56,6 +75,10 @@
 	Reorder  float64 // share that come late, behind later ones
 	Late     time.Duration
 	Fault    Fault `json:",omitempty"`
+
+	// Tolerance, where set, is how many machines may be lost at once; what is promised beside that is watched too.
+	Tolerance int           `json:",omitempty"`
+	Spread    time.Duration `json:",omitempty"` // machines start within this
 }
 
 // Fault is a bug put in on purpose, to see that the invariants find it.
@@ -171,19 +194,27 @@
 	return s
 }
 
-// Shrink drops troubles, acts, foragers and replicas from a schedule as long as it still breaks something.
+// Shrink drops troubles (no successors), acts, foragers and replicas from a schedule as long as it still breaks something.
 func Shrink(s Schedule) (Schedule, Result) {
-	res := Run(s)
+	return ShrinkBy(s, func(s Schedule) (Result, bool) { r := Run(s); return r, len(r.Broken) > 0 })
+}
+
+// ShrinkBy does the same with a check of one's own.
+func ShrinkBy(s Schedule, play func(Schedule) (Result, bool)) (Schedule, Result) {
+	res, _ := play(s)
 	try := func(t Schedule) bool {
-		r := Run(t)
-		if len(r.Broken) > 0 {
+		r, breaks := play(t)
+		if breaks {
 			s, res = t, r
 		}
-		return len(r.Broken) > 0
+		return breaks
 	}
 	for again := true; again; {
 		again = false
 		for i := 0; i < len(s.Troubles); i++ {
+			if s.Troubles[i].Kind == "spare" {
+				continue // without the successor more would be lost than may be
+			}
 			t := s
 			t.Troubles = slices.Delete(slices.Clone(s.Troubles), i, i+1)
 			if try(t) {
