--- a/internal/apiary/families.go
+++ b/internal/apiary/families.go
@@ -117,7 +117,7 @@
 	d.s.Lasts = 36 * second
 	at := d.between(7*second, 9*second)
 	for range 1 + d.IntN(d.s.Tolerance) {
-		d.strike(d.role(Trouble{At: at, For: 20 * second, Kind: d.of("cut", "island", "deaf", "mute", "freeze", "still"), Meet: d.IntN(2) == 0}))
+		d.strike(d.role(Trouble{At: at, For: 20 * second, Kind: d.of("cut", "island", "deaf", "mute", "freeze", "still", "stopped"), Meet: d.IntN(2) == 0}))
 		at += d.between(0, 4*second)
 	}
 	for at := 10 * second; at < 34*second; at += d.between(2*second, 9*second) {
@@ -193,7 +193,7 @@
 		case 0:
 			d.all(at+d.between(0, 600*time.Millisecond), "all", "allpower", "wipepower")
 		case 1, 2:
-			d.strike(d.role(Trouble{At: at + d.between(0, 30*time.Millisecond), For: d.between(300*time.Millisecond, 4*second), Kind: d.of("kill", "power", "wipe", "freeze", "still", "cut", "island", "deaf", "mute", "stall"), Meet: d.IntN(3) == 0}))
+			d.strike(d.role(Trouble{At: at + d.between(0, 30*time.Millisecond), For: d.between(300*time.Millisecond, 4*second), Kind: d.of("kill", "power", "wipe", "freeze", "still", "stopped", "cut", "island", "deaf", "mute", "stall"), Meet: d.IntN(3) == 0}))
 		}
 	}
 	d.acts(7*second, 26*second, 12)
--- a/internal/apiary/hard.go
+++ b/internal/apiary/hard.go
@@ -20,6 +20,7 @@
 	grace      = 6 * time.Second // from SIGTERM to SIGKILL
 	diskMost   = 64 << 10        // bytes of files on a disk, on days with a Tolerance
 	waitsMost  = 6 * time.Second // of a trouble that waits for a moment
+	claims     = 60              // changes for which it is known which body was acknowledged under a number
 	lateMost   = 2 * time.Second // an order without a clear answer may still take effect for so long after it was given up
 )
 
@@ -31,8 +32,8 @@
 	acks      []moment // versions acknowledged, rising
 	committed map[string]bool
 	refused   map[string]bool
-	held      map[uint64]string // bodies acknowledged, by version
-	ids       map[string]int    // of bodies
+	held      map[uint64]claim // acknowledged, by version
+	ids       map[string]int   // of bodies
 	waits     []Trouble
 	spare     *machine
 	spares    int
@@ -40,6 +41,12 @@
 	ticks     int
 }
 
+// claim is a configuration that was acknowledged, and the newest number that was committed then.
+type claim struct {
+	body string
+	top  uint64
+}
+
 type moment struct {
 	at time.Duration
 	n  uint64
@@ -56,7 +63,7 @@
 }
 
 func (h *hard) begin() {
-	h.committed, h.refused, h.held, h.ids = map[string]bool{}, map[string]bool{}, map[uint64]string{}, map[string]int{"": 0}
+	h.committed, h.refused, h.held, h.ids = map[string]bool{}, map[string]bool{}, map[uint64]claim{}, map[string]int{"": 0}
 }
 
 func (h *hard) id(body string) int {
@@ -237,31 +244,16 @@
 	if c.act.Kind != "put" {
 		return
 	}
-	// One that is not above what is held is acknowledged and changes nothing; of two under the number that is held one is.
-	had, ok := w.hard.held[c.version]
-	if ok && had != c.body && (w.res.Changes == 0 || w.newest() <= c.version) {
-		w.broken("version %d is acknowledged as %s and as %s", c.version, short(had), short(c.body))
-	}
-	if !ok {
-		w.hard.held[c.version] = c.body
+	if had, ok := w.hard.held[c.version]; !ok {
+		w.hard.held[c.version] = claim{c.body, w.hard.top}
+	} else if had.body != c.body && w.hard.top-had.top < claims {
+		w.broken("version %d is acknowledged as %s and as %s", c.version, short(had.body), short(c.body))
 	}
 	if c.version > last(w.hard.acks, w.now) {
 		w.hard.acks = append(w.hard.acks, moment{w.now, c.version})
 	}
 }
 
-// newest is the newest version that is committed anywhere.
-func (w *world) newest() (v uint64) {
-	for _, m := range w.combs {
-		if m.brain != nil {
-			if r, known := m.brain.Core().Register(); known {
-				v = max(v, r.Version)
-			}
-		}
-	}
-	return v
-}
-
 // speaks measures how long one that was cut off, or that has just thawed and missed a view, still answers.
 func (w *world) speaks(m *machine) {
 	if m.cutOff() {
@@ -517,17 +509,18 @@
 		m.gone = true
 	case "leave":
 		w.leaves(m)
-	case "freeze", "still":
+	case "freeze", "still", "stopped":
 		if m.up && !m.frozen {
 			w.down[m.i], m.cutAt = w.now, w.now
 			life, from := m.life, w.now
-			if t.Kind == "still" {
-				w.after(t.For, func() {
-					if m.life == life {
-						m.skew -= time.Duration(float64(w.now-from) * m.rate)
-					}
-				})
-			}
+			w.after(t.For, func() {
+				if m.life == life && t.Kind != "freeze" {
+					m.skew -= time.Duration(float64(w.now-from) * m.rate)
+				}
+				if m.life == life && t.Kind == "stopped" {
+					m.wall -= w.now - from
+				}
+			})
 			w.freeze(&m.node, t.For)
 			over(func() { delete(w.down, m.i) })
 		}
@@ -572,7 +565,23 @@
 func spareAddr(n int) string { return "10.0.1." + string(rune('0'+n)) + ":7000" }
 
 // leaves ends a machine in order: SIGTERM, then SIGKILL after the grace.
-func (w *world) leaves(m *machine) { w.kill(m, "kill", -1) }
+func (w *world) leaves(m *machine) {
+	if !m.up {
+		m.gone, m.goneAt = true, w.now
+		return
+	}
+	life := m.life
+	w.run(&m.node, life, func() { w.step(m, comb.Event{Leaving: true}) })
+	w.after(grace, func() {
+		if m.up && m.life == life {
+			w.say("%s has not ended within the grace", m.name)
+			w.kill(m, "kill", -1)
+		}
+	})
+}
+
+// wallClock is the time of day at a machine.
+func (w *world) wallClock(m *machine) time.Duration { return 1000*time.Hour + w.now + m.wall }
 
 // meet has a forager begin a new life and call one comb first.
 func (w *world) meet(m *machine) {
--- a/internal/apiary/machine.go
+++ b/internal/apiary/machine.go
@@ -35,7 +35,8 @@
 	callers map[uint64]*call // operators' calls that wait here
 	streams map[uint64]*bee
 	seeds   []string
-	spare   bool // came at a new address
+	wall    time.Duration // by which its time of day is off
+	spare   bool          // came at a new address
 	gone    bool
 	goneAt  time.Duration
 	caught  bool
@@ -172,6 +173,9 @@
 		e = anyView(m, e)
 	}
 	views, seq := m.brain.Core().View().N, m.seen
+	if w.s.Tolerance > 0 {
+		e.Wall = w.wallClock(m)
+	}
 	a := m.brain.Step(w.local(&m.node), e)
 	if len(a.Write) > keptMost || len(m.calls) > callsMost {
 		w.broken("%s holds %d bytes to be kept and %d calls", m.name, len(a.Write), len(m.calls))
@@ -219,6 +223,10 @@
 			w.carry(&m.node, &b.node, 0, 0, func() { w.lost(b, n) })
 		}
 	}
+	if a.Ended {
+		w.say("%s has left", m.name)
+		w.kill(m, "kill", -1)
+	}
 }
 
 // anyView is a fault: a pass, or the tail's word that it is committed, counts whatever view it is of.
--- a/internal/apiary/schedule.go
+++ b/internal/apiary/schedule.go
@@ -19,7 +19,8 @@
 	// grantall whoever hears first of the next grant of a window, or all; zone all machines of one; bkill, bfreeze, bcut
 	// a forager; rcrash a replica.
 	//
-	// On days with a Tolerance also: cut, freeze for 20 s, still (a freeze in which the steady clock stands), island (cut
+	// On days with a Tolerance also: cut, freeze for 20 s, still (a freeze in which the steady clock stands), stopped
+	// (and the time of day too), island (cut
 	// from the other combs alone, both ways), deaf, mute (one way); gone (for good, without a word), leave (SIGTERM),
 	// spare (a new machine at a new address).
 	Kind string
@@ -79,6 +80,10 @@
 	// Tolerance, where set, is how many machines may be lost at once; what is promised beside that is watched too.
 	Tolerance int           `json:",omitempty"`
 	Spread    time.Duration `json:",omitempty"` // machines start within this
+
+	// Unasked has a comb tell each forager that joins what it holds to be committed, before it has asked the others: what the
+	// forager itself keeps up when a comb is wrong shows only then.
+	Unasked bool `json:",omitempty"`
 }
 
 // Fault is a bug put in on purpose, to see that the invariants find it.
