--- a/hive/spread/spread.go
+++ b/hive/spread/spread.go
@@ -24,6 +24,7 @@
 	partLeast   = 2
 	keepEnded   = time.Minute
 	doubtMost   = 10 * time.Second
+	givenBack   = 3 * time.Second // two beats of a replica in a zone that was given back, at the usual interval
 )
 
 // Replica is one life of a replica as this governor sees it.
@@ -144,12 +145,15 @@
 }
 
 // warmth takes a word of how cold a replica is. One that is older than what is known changes nothing, one of the same beat
-// takes nothing back, and one that may be out of date counts only where nothing is known.
+// takes nothing back, and one that may be out of date counts only where nothing is known, but for its doubt.
 func (r *Replica) warmth(now time.Duration, l registry.Life) {
 	until := now + time.Duration(l.Cold)*time.Millisecond
 	known := r.seq > 0 && !r.old
 	if known && l.Old {
 		r.coldUntil = max(r.coldUntil, until)
+		if l.Doubt { // a comb that has just started may be the one that gives the zone back
+			r.doubt, r.doubtSeq, r.doubtEnd = true, max(r.seq, l.Seq), now+doubtMost
+		}
 		return
 	}
 	switch {
@@ -184,8 +188,14 @@
 	delete(s.all, id)
 }
 
-// Evacuated sets the zones whose replicas get nothing.
-func (s *Spread) Evacuated(zones []string) {
+// Evacuated sets the zones whose replicas get nothing. The replicas of one that is given back may have turned cold; their comb
+// may not remember that they were out, as it has just started, so that is doubted here too until they have beaten again.
+func (s *Spread) Evacuated(now time.Duration, zones []string) {
+	for _, r := range s.all {
+		if s.out[r.Zone] && !slices.Contains(zones, r.Zone) && !(r.doubt && now < r.doubtEnd) {
+			r.doubt, r.doubtSeq, r.doubtEnd = true, r.seq+1, now+givenBack
+		}
+	}
 	clear(s.out)
 	for _, z := range zones {
 		s.out[z] = true
