--- a/internal/apiary/edge.go
+++ b/internal/apiary/edge.go
@@ -111,7 +111,7 @@
 			return
 		}
 		m.streams[n] = b
-		if r, known := m.brain.Core().Register(); w.s.Unasked && known {
+		if r, known := m.brain.Core().Register(); (w.s.Unasked || w.s.Fault == ToldUnasked) && known {
 			w.tell(m, b, n, &words.State{Whole: true, Young: true, Seq: r.Seq, Version: r.Version, Body: r.Body, Out: sortedKeys(r.Out)})
 		}
 		w.step(m, comb.Event{Joined: &comb.Joined{Stream: n, Forager: b.name, Zone: w.zone(b.i)}})
--- a/internal/apiary/families.go
+++ b/internal/apiary/families.go
@@ -126,6 +126,14 @@
 	d.acts(7*second, 36*second, 36)
 }
 
+// later is when one that is gone comes back all the same, with its disk, long after its successor: at times.
+func (d *drawer) later() time.Duration {
+	if d.IntN(3) > 0 {
+		return 0
+	}
+	return d.between(14*second, 30*second)
+}
+
 // replaced has machines go for good or leave in order, and others come at new addresses, before or after that, with a
 // further loss timed into it where that is allowed.
 func (d *drawer) replaced() {
@@ -148,17 +156,20 @@
 			if !d.lost.take(at, until) {
 				break
 			}
-			s.Troubles = append(s.Troubles, d.role(Trouble{At: at, Kind: d.of("gone", "leave")}))
+			s.Troubles = append(s.Troubles, d.role(Trouble{At: at, For: d.later(), Kind: d.of("gone", "leave")}))
 			spare(comes)
 			midst(at + 50*time.Millisecond)
 		case 1: // the successor is there first, then it leaves
 			spare(at)
 			midst(at)
-			leaves := at + catchUp + restart + d.between(0, second)
-			if until = leaves + grace + restart; !d.lost.take(leaves, until) {
-				break
+			leaves := at + catchUp + waitsMost + d.between(0, second)
+			until = leaves + grace + restart
+			if d.IntN(2) == 0 { // in order: another may be lost while it hands over
+				s.Troubles = append(s.Troubles, Trouble{At: leaves, Kind: "leave", Role: "head"})
+				d.strike(Trouble{At: leaves + d.between(0, second), For: d.between(time.Second, 8*time.Second), Kind: d.of("power", "freeze", "cut"), Role: d.of("middle", "tail")})
+			} else if d.lost.take(leaves, until) {
+				s.Troubles = append(s.Troubles, d.role(Trouble{At: leaves, For: d.later(), Kind: d.of("gone", "leave")}))
 			}
-			s.Troubles = append(s.Troubles, d.role(Trouble{At: leaves, Kind: d.of("gone", "leave", "leave")}))
 		case 2: // the newcomer itself is lost as it comes in, and another comes
 			spare(at)
 			until = at + 2*waitsMost + restart + catchUp
--- a/internal/apiary/hard.go
+++ b/internal/apiary/hard.go
@@ -80,8 +80,9 @@
 	Key     string // what it is about: the configuration (empty), or a zone
 	Kind    string // put, out, back, read
 	Version uint64
-	Body    int  // of the configuration, or 1 with a zone that is out
-	Refused bool // 409
+	Body    int    // of the configuration, or 1 with a zone that is out
+	Seq     uint64 // read, of a committed register: its number
+	Refused bool   // 409
 	Clear   bool
 	Call    time.Duration
 	End     time.Duration // without a clear answer: when it was given up
@@ -294,13 +295,13 @@
 			w.broken("%s: version %d %s is committed, which was refused", m.name, r.Version, short(body))
 		}
 	}
-	w.res.Tries = append(w.res.Tries, Try{Kind: "read", Version: r.Version, Body: h.id(string(r.Body)), Clear: true, Call: w.now, End: w.now})
+	w.res.Tries = append(w.res.Tries, Try{Kind: "read", Version: r.Version, Body: h.id(string(r.Body)), Seq: r.Seq, Clear: true, Call: w.now, End: w.now})
 	for i := range w.zones() {
 		out := 0
 		if r.Out[w.zone(i)] {
 			out = 1
 		}
-		w.res.Tries = append(w.res.Tries, Try{Key: w.zone(i), Kind: "read", Body: out, Clear: true, Call: w.now, End: w.now})
+		w.res.Tries = append(w.res.Tries, Try{Key: w.zone(i), Kind: "read", Body: out, Seq: r.Seq, Clear: true, Call: w.now, End: w.now})
 	}
 }
 
@@ -500,11 +501,21 @@
 		w.kill(m, "kill", restart)
 	case "power", "wipe":
 		w.kill(m, t.Kind, t.For)
-	case "gone":
-		w.kill(m, "power", -1)
-		m.gone = true
-	case "leave":
-		w.leaves(m)
+	case "gone", "leave":
+		if t.Kind == "leave" {
+			w.leaves(m)
+		} else {
+			w.kill(m, "power", -1)
+			m.gone = true
+		}
+		if t.For > 0 { // it comes back with its disk, when nobody counts on it any more
+			w.after(t.For, func() {
+				if m.gone && !m.up {
+					m.gone, m.leaving = false, false
+					w.start(m, false)
+				}
+			})
+		}
 	case "freeze", "still", "stopped":
 		if m.up && !m.frozen {
 			w.down[m.i], m.cutAt = w.now, w.now
@@ -560,6 +571,26 @@
 
 func spareAddr(n int) string { return "10.0.1." + string(rune('0'+n)) + ":7000" }
 
+// planted puts a bug in what the machines say to one another.
+func (w *world) planted(m *machine, e comb.Event) comb.Event {
+	msg, c := *e.Message, *e.Message.Core
+	switch f := w.s.Fault; {
+	case f == VouchesAnyway && c.Confirmed != nil:
+		x := *c.Confirmed
+		x.OK, c.Confirmed = true, &x
+	case f == NoIdentity && c.Enter != nil:
+		x := *c.Enter
+		x.Order.ID, c.Enter = 0, &x
+	case f == ConflictUntold && c.Entered != nil:
+		x := *c.Entered
+		x.Conflicts, c.Entered = false, &x
+	default:
+		return e
+	}
+	msg.Core, e.Message = &c, &msg
+	return e
+}
+
 // leaves ends a machine in order: SIGTERM, then SIGKILL after the grace.
 func (w *world) leaves(m *machine) {
 	if !m.up {
@@ -567,7 +598,10 @@
 		return
 	}
 	life := m.life
-	m.leaving = true
+	if m.leaving = true; w.s.Fault == LeavesAtOnce {
+		w.kill(m, "kill", -1)
+		return
+	}
 	w.run(&m.node, life, func() { w.step(m, comb.Event{Leaving: true}) })
 	w.after(grace, func() {
 		if m.up && m.life == life {
--- a/internal/apiary/machine.go
+++ b/internal/apiary/machine.go
@@ -69,6 +69,9 @@
 	if k.Disk == "" && !first {
 		m.wiped++
 	}
+	if w.s.Fault == ClaimsForgotten {
+		k.Register.Claims = nil
+	}
 	k.Begin(m.addr, seeds, first || w.s.Fault == Amnesia, fmt.Sprintf("w%d", m.wiped))
 	m.brain = comb.New(w.local(&m.node), comb.Settings{Zone: w.zone(m.i), Control: m.addr, Zones: []string{"a", "b", "c"}, Regions: map[string]string{"a": "r0", "b": "r1", "c": "r2"}, Seeds: seeds, LinkMbps: 1000,
 		DrainDeadline: drainIn, Heartbeat: beatEvery, Seed: w.r.Uint64()}, view.Member{ID: k.Disk, Addr: m.addr, Zone: w.zone(m.i), Call: m.addr}, k)
@@ -172,6 +175,9 @@
 	if w.s.Fault == NoViewNumber && e.Message != nil && e.Message.Core != nil && e.Message.Core.Chain != nil {
 		e = anyView(m, e)
 	}
+	if e.Message != nil && e.Message.Core != nil {
+		e = w.planted(m, e)
+	}
 	views, seq := m.brain.Core().View().N, m.seen
 	if w.s.Tolerance > 0 {
 		e.Wall = w.wallClock(m)
@@ -429,7 +435,14 @@
 		}
 	}
 	if w.s.Tolerance > 0 { // it may lie in the socket of one that is frozen
-		w.run(&m.node, m.life, func() { w.step(m, e) })
+		w.run(&m.node, m.life, func() {
+			if w.s.Fault == LateCalls && w.now-m.wokeAt < time.Second {
+				life := m.life
+				w.after(time.Second, func() { w.run(&m.node, life, func() { w.step(m, e) }) })
+				return
+			}
+			w.step(m, e)
+		})
 	} else {
 		w.step(m, e)
 	}
--- a/internal/apiary/schedule.go
+++ b/internal/apiary/schedule.go
@@ -96,6 +96,15 @@
 	NoFolderSync  Fault = "a new file's folder is not synced"
 	StaleTables   Fault = "a forager takes an older register"
 	OwnGrants     Fault = "each comb deals out all that a cold replica bears"
+
+	// On days with a Tolerance.
+	ToldUnasked     Fault = "a forager that joins is told what is held, without asking the others"
+	VouchesAnyway   Fault = "a view is vouched for by those who know of a later one"
+	NoIdentity      Fault = "an order that is entered again is a new one"
+	LateCalls       Fault = "what lay in the socket of a machine that stood still is taken for new"
+	ConflictUntold  Fault = "the head does not tell that a number is others'"
+	ClaimsForgotten Fault = "numbers that were taken are forgotten at a restart"
+	LeavesAtOnce    Fault = "a leaver ends without waiting for anybody"
 )
 
 // kinds of trouble that a core machine has alone, and those of all.
