--- /dev/null
+++ b/hive/config/capacity_test.go
@@ -0,0 +1,97 @@
+package config_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"zincloft.example/zincloft/hive/config"
+	"zincloft.example/zincloft/internal/sizes"
+)
+
+var capacityRoutes = []int{8, 500, 5000, 51000}
+
+func sized(routes int) sizes.Fleet {
+	f := sizes.Users()
+	f.Routes, f.Services = routes, max(routes*f.Services/f.Routes, 3)
+	return f
+}
+
+// layouts are the ends between which platforms lie: eight routes a host, or all under one.
+var layouts = []struct {
+	name string
+	of   func(routes int) int
+}{{"hosts", func(int) int { return 8 }}, {"onehost", func(n int) int { return n }}}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkCapacityParse reads a configuration; heap-B is what the parsed one holds.
+func BenchmarkCapacityParse(b *testing.B) {
+	for _, l := range layouts {
+		for _, n := range capacityRoutes {
+			b.Run(fmt.Sprintf("%s/n=%d", l.name, n), func(b *testing.B) {
+				raw := sized(n).Configuration(1, l.of(n))
+				before := heap()
+				c, err := config.Parse(raw)
+				if err != nil {
+					b.Fatal(err)
+				}
+				held := float64(heap()) - float64(before)
+				b.ReportAllocs()
+				for b.Loop() {
+					if _, err := config.Parse(raw); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(max(held, 0), "heap-B")
+				b.ReportMetric(float64(len(raw)), "wire-B")
+				runtime.KeepAlive(c)
+			})
+		}
+	}
+}
+
+// BenchmarkCapacityFind looks a request's route up.
+func BenchmarkCapacityFind(b *testing.B) {
+	for _, l := range layouts {
+		for _, n := range capacityRoutes {
+			b.Run(fmt.Sprintf("%s/n=%d", l.name, n), func(b *testing.B) {
+				c, err := config.Parse(sized(n).Configuration(1, l.of(n)))
+				if err != nil {
+					b.Fatal(err)
+				}
+				hosts, paths := make([]string, 997), make([]string, 997)
+				for i := range hosts {
+					r := i * 7919 % n
+					hosts[i], paths[i] = sizes.Host(r/l.of(n)), sizes.Prefix(r)+"item"
+				}
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					if _, ok := c.Find(hosts[i%997], paths[i%997]); !ok {
+						b.Fatal("not found")
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkCapacityRoutesTo is asked for each service when a comb first takes a configuration.
+func BenchmarkCapacityRoutesTo(b *testing.B) {
+	for _, n := range capacityRoutes {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			c, err := config.Parse(sized(n).Configuration(1, 8))
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				c.RoutesTo(sizes.Service(0))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/hive/spread/capacity_test.go
@@ -0,0 +1,88 @@
+package spread_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"zincloft.example/zincloft/hive/spread"
+	"zincloft.example/zincloft/internal/sizes"
+)
+
+var capacitySizes = []int{1740, 5220, 15700, 47000}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func sized(replicas, services int) sizes.Fleet {
+	f := sizes.Users()
+	f.Replicas, f.Services = replicas, services
+	return f
+}
+
+// BenchmarkCapacityPick chooses, begins and ends a try, 70 of them a second. "many" has 36 replicas a service, as the users
+// have in the mean; "one" has all of them in one service, as a request's cost goes by those of its service.
+func BenchmarkCapacityPick(b *testing.B) {
+	for _, layout := range []string{"many", "one"} {
+		for _, n := range capacitySizes {
+			f := sized(n, n/36)
+			if layout == "one" {
+				n /= 48 // 36 to 979
+				f = sized(n, 1)
+			}
+			b.Run(fmt.Sprintf("%s/n=%d", layout, n), func(b *testing.B) {
+				before := heap()
+				lives := f.Lives()
+				s := spread.New(sizes.Zone(0))
+				s.Lives(0, true, lives)
+				lives = nil
+				held := float64(heap()) - float64(before)
+				chance := rand.New(rand.NewPCG(1, 2)).Float64
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					now := time.Duration(i) * 14 * time.Millisecond
+					r := s.Pick(now, sizes.Service(i%f.Services), func(string) bool { return false }, 1e9, chance)
+					if r == nil {
+						b.Fatal("nobody")
+					}
+					s.Begin(now, r)
+					s.End(now, r, spread.Good, time.Millisecond)
+				}
+				b.ReportMetric(max(held, 0), "heap-B")
+			})
+		}
+	}
+}
+
+// BenchmarkCapacityLives takes a whole state in at a new forager, and again at one that holds it; "change" is one life that
+// moved; "report" goes over all for the report of a second.
+func BenchmarkCapacityLives(b *testing.B) {
+	for _, what := range []string{"first", "again", "change", "report"} {
+		for _, n := range capacitySizes {
+			b.Run(fmt.Sprintf("%s/n=%d", what, n), func(b *testing.B) {
+				lives := sized(n, n/36).Lives()
+				s := spread.New(sizes.Zone(0))
+				s.Lives(0, true, lives)
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					switch what {
+					case "first":
+						spread.New(sizes.Zone(0)).Lives(0, true, lives)
+					case "again":
+						s.Lives(0, true, lives)
+					case "change":
+						s.Lives(0, false, lives[i%n:i%n+1])
+					case "report":
+						s.All()
+					}
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/hive/steer/capacity_test.go
@@ -0,0 +1,136 @@
+package steer_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"zincloft.example/zincloft/hive/config"
+	"zincloft.example/zincloft/hive/registry"
+	"zincloft.example/zincloft/hive/steer"
+	"zincloft.example/zincloft/hive/words"
+	"zincloft.example/zincloft/internal/sizes"
+)
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// part is so much of the users' fleet as one of ten combs steers: all replicas and services, a tenth of the foragers.
+func part(x float64) sizes.Fleet {
+	f := sizes.Users().Part(x)
+	f.Foragers = max(f.Foragers/10, 1)
+	return f
+}
+
+type table struct {
+	*steer.Steer
+	lives []registry.Life
+	f     sizes.Fleet
+}
+
+func steered(b *testing.B, f sizes.Fleet) *table {
+	c, err := config.Parse(f.Configuration(1, 8))
+	if err != nil {
+		b.Fatal(err)
+	}
+	zones := []string{sizes.Zone(0), sizes.Zone(1), sizes.Zone(2)}
+	t := &table{steer.New(steer.Site{Seed: 1, Zone: zones[0], Zones: zones, Combs: 10, LinkMbps: 1000, DrainGrace: 2 * time.Second}), f.Lives(), f}
+	t.Configure(time.Second, c, f.Foragers*10)
+	t.Lives(time.Second, t.lives)
+	for i := range f.Foragers {
+		t.Join(time.Second, fmt.Sprintf("f%04d", i), zones[i%3])
+	}
+	return t
+}
+
+// report is what a forager met in a second: 70 requests, each to another replica.
+func (t *table) report(i int) *words.Report {
+	r := &words.Report{Over: 1000, Requests: map[string]int{}}
+	for j := range min(70, len(t.lives)) {
+		l := t.lives[(i*70+j*7919)%len(t.lives)]
+		r.Requests[l.Service]++
+		r.Sums = append(r.Sums, words.Sum{Replica: l.ID, Tries: 1, Took: 200000, Running: 2, Slots: 6})
+	}
+	return r
+}
+
+// capacityParts go up to where a comb's memory allows it here; n is the number of replicas.
+var capacityParts = []float64{1.0 / 81, 1.0 / 27, 1.0 / 9, 1.0 / 3}
+
+// BenchmarkCapacitySecond is a second of a comb's module: ten ticks, a report of each forager, and the lines taken for each.
+func BenchmarkCapacitySecond(b *testing.B) {
+	for _, x := range capacityParts {
+		f := part(x)
+		b.Run(fmt.Sprintf("n=%d", f.Replicas), func(b *testing.B) {
+			before := heap()
+			t := steered(b, f)
+			now, lines, seconds := time.Second, 0, 0
+			second := func() {
+				for i := range f.Foragers {
+					t.Report(now, fmt.Sprintf("f%04d", i), t.report(i+seconds))
+				}
+				for range 10 {
+					now += 100 * time.Millisecond
+					t.Tick(now)
+				}
+				for i := range f.Foragers {
+					lines += len(t.Lines(fmt.Sprintf("f%04d", i)))
+				}
+				seconds++
+			}
+			for range 3 { // the first tables go out
+				second()
+			}
+			held := float64(heap()) - float64(before)
+			lines, seconds = 0, 0
+			b.ReportAllocs()
+			for b.Loop() {
+				second()
+			}
+			b.ReportMetric(held, "heap-B")
+			b.ReportMetric(float64(lines)/float64(seconds), "lines/s")
+			b.ReportMetric(float64(f.Foragers), "foragers")
+			runtime.KeepAlive(t)
+		})
+	}
+}
+
+// BenchmarkCapacityReport takes one forager's report.
+func BenchmarkCapacityReport(b *testing.B) {
+	for _, x := range capacityParts {
+		f := part(x)
+		b.Run(fmt.Sprintf("n=%d", f.Replicas), func(b *testing.B) {
+			t := steered(b, f)
+			r := t.report(0)
+			for i := 0; b.Loop(); i++ {
+				t.Report(time.Second, "f0000", r)
+				if i%64 == 63 { // what waits for a tick is kept small
+					b.StopTimer()
+					t.Tick(time.Second)
+					b.StartTimer()
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkCapacityConfigure starts the governors of all services.
+func BenchmarkCapacityConfigure(b *testing.B) {
+	for _, x := range capacityParts {
+		f := part(x)
+		b.Run(fmt.Sprintf("n=%d", f.Replicas), func(b *testing.B) {
+			c, err := config.Parse(f.Configuration(1, 8))
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				steer.New(steer.Site{Seed: 1, Zone: sizes.Zone(0), Zones: []string{sizes.Zone(0)}, Combs: 10, LinkMbps: 1000}).Configure(time.Second, c, f.Foragers*10)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/cell/capacity_test.go
@@ -0,0 +1,274 @@
+package cell_test
+
+import (
+	"bytes"
+	"fmt"
+	"io/fs"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"zincloft.example/zincloft/hive/chain"
+	"zincloft.example/zincloft/hive/core"
+	"zincloft.example/zincloft/hive/registry"
+	"zincloft.example/zincloft/hive/view"
+	"zincloft.example/zincloft/internal/cell"
+	"zincloft.example/zincloft/internal/link"
+	"zincloft.example/zincloft/internal/sizes"
+)
+
+// memory is a disk that counts what is written to it.
+type memory struct {
+	files   map[string][]byte
+	written int
+}
+
+func (d *memory) ReadFile(name string) ([]byte, error) {
+	if b, ok := d.files[name]; ok {
+		return b, nil
+	}
+	return nil, &fs.PathError{Op: "open", Path: name, Err: os.ErrNotExist}
+}
+func (d *memory) Create(name string) (cell.File, error) { return &page{d, name}, nil }
+func (d *memory) Rename(from, to string) error          { return nil }
+func (d *memory) SyncFolder() error                     { return nil }
+
+type page struct {
+	d    *memory
+	name string
+}
+
+func (f *page) WriteAt(p []byte, off int64) (int, error) {
+	b := f.d.files[f.name]
+	if need := int(off) + len(p); need > len(b) {
+		b = append(b, make([]byte, need-len(b))...)
+	}
+	copy(b[off:], p)
+	f.d.files[f.name] = b
+	f.d.written += len(p)
+	return len(p), nil
+}
+func (f *page) Sync() error  { return nil }
+func (f *page) Close() error { return nil }
+
+type hints struct {
+	rev   uint64
+	lives []registry.Life
+}
+
+func (h *hints) Revision() uint64       { return h.rev }
+func (h *hints) Lives() []registry.Life { return h.lives }
+
+type member struct {
+	core *core.Core
+	self view.Member
+	disk *memory
+	cell *cell.Cell
+	down bool
+}
+
+// machines are core machines joined by frames that come at once, each with the real store; an order's bytes are counted.
+type machines struct {
+	b       *testing.B
+	now     time.Duration
+	all     []*member
+	passed  int // bytes from machine to machine, beside beats
+	most    int // bytes of the largest frame
+	refused int // frames that internal/link does not take
+	answers map[uint64]int
+	hints   *hints
+}
+
+func newMachines(b *testing.B, n int) *machines {
+	m := &machines{b: b, answers: map[uint64]int{}, hints: &hints{}}
+	var seeds []string
+	for i := range n {
+		seeds = append(seeds, fmt.Sprintf("10.0.0.%d:7540", i+1))
+	}
+	for i, addr := range seeds {
+		x := &member{disk: &memory{files: map[string][]byte{}}, self: view.Member{ID: addr + "/0", Addr: addr, Zone: sizes.Zone(i), Call: addr}}
+		var err error
+		if x.cell, err = cell.Open(x.disk); err != nil {
+			b.Fatal(err)
+		}
+		k := core.Kept{}
+		k.Begin(addr, seeds, true, "")
+		x.core = core.New(x.self, k, seeds, rand.New(rand.NewPCG(uint64(i), 1)).Float64, m.hints)
+		m.all = append(m.all, x)
+	}
+	for _, x := range m.all {
+		m.do(x, x.core.Start(m.now))
+	}
+	m.until(func() bool {
+		for _, x := range m.all {
+			if !x.core.InTouch(m.now) {
+				return false
+			}
+		}
+		return true
+	})
+	return m
+}
+
+func (m *machines) do(x *member, a core.Actions) {
+	for _, s := range a.Answers {
+		m.answers[s.Token] = s.Status
+	}
+	if a.Write != nil {
+		if err := x.cell.Put(map[string][]byte{"state": a.Write}); err != nil {
+			m.b.Fatal(err)
+		}
+		m.do(x, x.core.Written(m.now, ""))
+	}
+	for _, s := range a.Send {
+		frame, err := link.Frame(&link.Msg{Core: &s.Message})
+		if err != nil {
+			m.b.Fatal(err)
+		}
+		if s.Message.View == nil {
+			m.passed += len(frame)
+			m.most = max(m.most, len(frame))
+		}
+		for _, to := range m.all {
+			if to.self.Addr == s.To && !to.down {
+				got, err := link.Read(bytes.NewReader(frame))
+				if err != nil { // too long: a real peer ends the connection. Here it goes on, to measure what it would cost
+					m.refused++
+					got = &link.Msg{}
+					if err := cbor.Unmarshal(frame[4:], got); err != nil {
+						m.b.Fatal(err)
+					}
+				}
+				m.do(to, to.core.Receive(m.now, x.self, *got.Core))
+			}
+		}
+	}
+}
+
+func (m *machines) until(done func() bool) {
+	for end := m.now + time.Minute; !done(); m.now += 50 * time.Millisecond {
+		for _, x := range m.all {
+			if !x.down {
+				m.do(x, x.core.Tick(m.now))
+			}
+		}
+		if m.now > end {
+			m.b.Skipf("not within a minute of simulated time")
+		}
+	}
+}
+
+func (m *machines) order(x *member, o chain.Order) {
+	token, a := x.core.Order(m.now, o)
+	m.do(x, a)
+	m.until(func() bool { return m.answers[token] != 0 })
+	if m.answers[token] != http.StatusOK {
+		m.b.Skipf("an order of %d bytes got %d", len(o.Body), m.answers[token])
+	}
+}
+
+func (m *machines) written() (n int) {
+	for _, x := range m.all {
+		n += x.disk.written
+	}
+	return
+}
+
+func body(routes int, version uint64) []byte {
+	f := sizes.Users()
+	f.Routes, f.Services = routes, max(routes*f.Services/f.Routes, 3)
+	return f.Configuration(version, 8)
+}
+
+var capacityRoutes = []int{8, 500, 5000, 51000}
+
+// BenchmarkCapacityOrder changes the configuration ("config") or evacuates a zone ("zone") at three combs, by an order to the
+// last of the chain: processor time and memory are those of all three together, frames and files included.
+func BenchmarkCapacityOrder(b *testing.B) {
+	for _, what := range []string{"config", "zone"} {
+		for _, n := range capacityRoutes {
+			b.Run(fmt.Sprintf("%s/n=%d", what, n), func(b *testing.B) {
+				m := newMachines(b, 3)
+				version := uint64(1)
+				raw := body(n, version)
+				m.order(m.all[2], chain.Order{Version: version, Body: raw})
+				m.passed, m.most, m.refused = 0, 0, 0
+				before := m.written()
+				b.ReportAllocs()
+				i := 0
+				for ; b.Loop(); i++ {
+					o := chain.Order{Zone: sizes.Zone(0), Out: i%2 == 0}
+					if what == "config" {
+						version++
+						o = chain.Order{Version: version, Body: raw}
+					}
+					m.order(m.all[2], o)
+				}
+				b.ReportMetric(float64(m.passed)/float64(i), "passed-B")
+				b.ReportMetric(float64(m.most), "frame-B")
+				b.ReportMetric(float64(m.refused)/float64(i), "refused")
+				b.ReportMetric(float64(m.written()-before)/float64(i), "disk-B")
+			})
+		}
+	}
+}
+
+// BenchmarkCapacityCatchUp has a member come back with its disk after ten changes that it missed.
+func BenchmarkCapacityCatchUp(b *testing.B) {
+	for _, n := range capacityRoutes {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			m := newMachines(b, 3)
+			version := uint64(1)
+			raw := body(n, version)
+			m.order(m.all[0], chain.Order{Version: version, Body: raw})
+			passed, disk, took, rounds := 0, 0, time.Duration(0), 0
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				m.all[2].down = true
+				m.until(func() bool { return m.all[0].core.View().Place(m.all[2].self.ID) < 0 })
+				for range 10 {
+					version++
+					m.order(m.all[0], chain.Order{Version: version, Body: raw})
+				}
+				m.passed = 0
+				before, from := m.written(), m.now
+				b.StartTimer()
+				m.all[2].down = false
+				m.until(func() bool {
+					r, _ := m.all[2].core.Register()
+					return r.Version == version && m.all[0].core.View().Place(m.all[2].self.ID) >= 0 && m.all[2].core.InTouch(m.now)
+				})
+				passed, disk, took, rounds = passed+m.passed, disk+m.written()-before, took+m.now-from, rounds+1
+			}
+			b.ReportMetric(float64(passed)/float64(rounds), "passed-B")
+			b.ReportMetric(float64(disk)/float64(rounds), "disk-B")
+			b.ReportMetric(float64(took.Milliseconds())/float64(rounds), "simulated-ms")
+		})
+	}
+}
+
+// BenchmarkCapacityHints encodes and writes what a comb keeps once a second while lives of replicas change, beside eight routes.
+func BenchmarkCapacityHints(b *testing.B) {
+	for _, n := range []int{1740, 5220, 15700, 47000} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			m := newMachines(b, 1)
+			f := sizes.Users()
+			f.Replicas = n
+			m.hints.lives = f.Lives()
+			x := m.all[0]
+			before, i := x.disk.written, 0
+			b.ReportAllocs()
+			for ; b.Loop(); i++ {
+				m.hints.rev++
+				m.now += 1100 * time.Millisecond
+				m.do(x, x.core.Tick(m.now))
+			}
+			b.ReportMetric(float64(x.disk.written-before)/float64(i), "disk-B")
+		})
+	}
+}
