--- a/cmd/zinclab/main.go
+++ b/cmd/zinclab/main.go
@@ -70,7 +70,7 @@
 	f.DurationVar(&plan.Length, "length", 45*time.Second, "the run's length")
 	f.StringVar(&plan.Operator, "operator", "", "the governor's operator file")
 	f.StringVar(&plan.Profile, "profile", "", "where a governor that can writes its CPU profile")
-	root.AddCommand(c, awayCommand(), emulateCommand())
+	root.AddCommand(c, awayCommand(), emulateCommand(), scaleCommand(), powersCommand())
 	root.AddCommand(experimentCommands()...)
 	return root
 }
