--- a/hive/comb/comb.go
+++ b/hive/comb/comb.go
@@ -190,6 +190,7 @@
 		k.Lives[i].Age = 0 // heard now, as far as anyone knows; those that do not beat go as any silent one
 	}
 	c.reg.Merge(now, k.Lives)
+	c.wasOut = sortedKeys(k.Register.Out) // a zone that was given back while this comb was away is doubted too
 	c.ticked, c.woke = now, now-lateFor
 	c.hived = hived{open: map[uint64]change{}, elsewhat: map[string]elsewhere{}, drained: map[string]time.Duration{}}
 	c.core = core.New(self, k, set.Seeds, rand.New(&c.chance).Float64, hints{c})
