Foragers that hear no comb send each replica their part of what a cold one may be sent

Ruled out: the fencing of rights (none was held); probing each replica's health answer (priced, and slower than a second).

Change: a forager that has heard no comb for 2 s leaves between two requests to one replica what its part comes to, of nine tenths of the bound, by the number of foragers last told. TestApart fails without it.

--- a/hive/forage/forage.go
+++ b/hive/forage/forage.go
@@ -29,6 +29,12 @@
 // longest silence between two words of one stream: after more, this node or the comb was held up, and what still comes is old.
 const GrantsHold = time.Second
 
+// apartAfter is how long a forager that hears no comb sends to replicas as it likes: as late as any word of coldness may be.
+const apartAfter = 2 * time.Second
+
+// apartPart is the part of what a cold replica may be sent that foragers which hear no comb together send to any.
+const apartPart = 0.9
+
 // unsureAfter is how long a forager that heard no comb trusts what it knows of replicas enough to tell it on as new.
 const unsureAfter = 3 * time.Second
 
@@ -42,6 +48,9 @@
 	RetryRatio float64 `cbor:"3,keyasint"` // further tries for each request, over all foragers
 	RetrySlack float64 `cbor:"4,keyasint"` // further tries beyond the ratio in a window, over all foragers
 	Seed       uint64  `cbor:"5,keyasint"` // of its chance
+
+	ColdTimes float64 `cbor:"6,keyasint,omitempty"` // times what it bears that a cold replica may be sent in a second, over all foragers
+	ColdSlack float64 `cbor:"7,keyasint,omitempty"` // requests beyond that
 }
 
 // Ask is a request that looks for a replica.
@@ -112,6 +121,7 @@
 	silence  time.Duration // before the stream at hand
 	streamed bool          // a stream is held, whole
 	granted  bool          // rights are held
+	isApart  bool          // no comb was heard for long
 
 	measured bool // windows are used
 	meter    capacity.Meter
@@ -133,6 +143,7 @@
 // Pick chooses a replica and counts the request there.
 func (f *Forager) Pick(now time.Duration, a Ask) Picked {
 	f.lapse(now)
+	f.apart(now)
 	g := f.gate(a.Service)
 	had := func(id string) bool { return slices.Contains(a.Tried, id) }
 	var r *spread.Replica
@@ -158,6 +169,27 @@
 	}
 }
 
+// apart has this node, where it has heard no comb for long, send each replica no more than its part of what a cold one may be
+// sent: it has no word of those that turn cold.
+func (f *Forager) apart(now time.Duration) {
+	apart := f.tabled && f.config != nil && now-f.heardAt > apartAfter
+	if apart == f.isApart {
+		return
+	}
+	f.isApart = apart
+	if !apart {
+		f.spread.Apart(nil)
+		return
+	}
+	by := map[string]time.Duration{}
+	for name, svc := range f.config.Services {
+		if bears := apartPart * (svc.ColdPerSecond*f.set.ColdTimes + f.set.ColdSlack); bears > 0 {
+			by[name] = time.Duration(float64(max(f.foragers, fewest)) / bears * float64(time.Second))
+		}
+	}
+	f.spread.Apart(by)
+}
+
 // Right is what this node may send to a replica while it is cold, a second.
 func (f *Forager) Right(now time.Duration, id string) float64 {
 	f.lapse(now)
--- a/hive/forage/forage_test.go
+++ b/hive/forage/forage_test.go
@@ -97,3 +97,41 @@
 		})
 	})
 }
+
+// TestApart guards a cold replica against foragers that were cut off from all combs before it turned cold: a few of them sent it,
+// beside those replicas that were left in their eyes, more than it may be sent.
+func TestApart(t *testing.T) {
+	Convey("Given a forager of ten that knows two replicas, of which one may be sent eleven requests a second while cold", t, func() {
+		f := New(Settings{Zone: "a", Zones: 1, ColdTimes: 1.5, ColdSlack: 5, Seed: 1})
+		body := []byte(`{"version":"00000001","services":[{"name":"svc","cold_per_s":4}],"virtual_hosts":[{"hostname":"h","path_routes":[` +
+			`{"name":"r","path_prefix":"/","kind":"safe","timeout":"3s","target_latency":"1s","max_attempts":2,"service":"svc"}]}]}`)
+		var lives []registry.Life
+		for _, id := range []string{"i1", "i2"} {
+			lives = append(lives, registry.Life{ID: id, Service: "svc", Addr: id, Zone: "a", Slots: 100, Seq: 1})
+		}
+		const s = time.Second
+		f.Take(s, &words.State{Whole: true, Seq: 1, Version: 1, Body: body, Lives: lives, Foragers: 10,
+			Lines: []words.Line{{Replica: "i1", Weight: 50}, {Replica: "i2", Weight: 50}}})
+		sent := func(from, to time.Duration) (n int) {
+			for now := from; now < to; now += 10 * time.Millisecond {
+				if p := f.Pick(now, Ask{Service: "svc"}); p.ID != "" {
+					f.End(now, End{N: p.N})
+					n++
+				}
+			}
+			return n
+		}
+		Convey("it sends as it likes while it hears a comb, and for two seconds more", func() {
+			So(sent(s, 3*s), ShouldEqual, 200)
+		})
+		Convey("then each replica gets its part: the ten together send one no more than it may be sent", func() {
+			sent(s, 4*s)
+			So(sent(4*s, 14*s)*10, ShouldBeBetween, 2*10*8, 2*10*11)
+			Convey("until a comb is heard", func() {
+				f.Left(14 * s)
+				f.Take(14*s, &words.State{Whole: true, Lives: lives})
+				So(sent(14*s, 15*s), ShouldEqual, 100)
+			})
+		})
+	})
+}
--- a/hive/spread/spread.go
+++ b/hive/spread/spread.go
@@ -44,6 +44,8 @@
 	tokens    float64
 	tokensAt  time.Duration
 
+	sent     bool
+	sentAt   time.Duration // a request, last
 	inflight int
 	others   float64 // requests that others had there when it last told
 	toldAt   time.Duration
@@ -68,6 +70,7 @@
 	out      map[string]bool
 	granted  map[string]float64
 	caps     map[string]int           // requests at once at one replica of a service, so that connections suffice for all
+	apart    map[string]time.Duration // between two requests to one replica of a service
 	ended    map[string]time.Duration // ids that are not to come back: stale words of them may still arrive
 }
 
@@ -247,6 +250,10 @@
 	return true
 }
 
+// Apart has this governor leave so much time between two requests to one replica, by service; nil: none. It is for one that
+// hears no comb: any replica may have turned cold, and others who know no more send to it too.
+func (s *Spread) Apart(by map[string]time.Duration) { s.apart = by }
+
 // Caps sets how many requests this governor may have at one replica at once, by service: its part of the connections
 // that a replica accepts from all.
 func (s *Spread) Caps(caps map[string]int) { s.caps = caps }
@@ -293,7 +300,7 @@
 // is a token, and those that are doubted.
 func (s *Spread) sorted(now time.Duration, service string, tried func(string) bool) (near, far, cold, poor []*Replica) {
 	for _, r := range s.services[service] {
-		if r.Draining || s.out[r.Zone] || tried(r.ID) || s.capped(r) {
+		if r.Draining || s.out[r.Zone] || tried(r.ID) || s.capped(r) || r.sent && now-r.sentAt < s.apart[service] {
 			continue
 		}
 		if r.Cold(now) {
@@ -395,6 +402,7 @@
 	}
 	r.inflight++
 	r.Tries++
+	r.sent, r.sentAt = true, now
 }
 
 // Outcome is what became of a try.
--- a/internal/apiary/edge.go
+++ b/internal/apiary/edge.go
@@ -45,7 +45,8 @@
 
 func (w *world) wake(b *bee) {
 	w.begins(&b.node)
-	b.brain = forage.New(forage.Settings{Zone: w.zone(b.i), Zones: w.zones(), RetryRatio: 0.2, RetrySlack: 60, Seed: w.r.Uint64()})
+	b.brain = forage.New(forage.Settings{Zone: w.zone(b.i), Zones: w.zones(), RetryRatio: 0.2, RetrySlack: 60,
+		ColdTimes: coldTimes, ColdSlack: coldSlack, Seed: w.r.Uint64()})
 	b.comb, b.stream, b.version, b.seq, b.at, b.seeds = nil, 0, 0, 0, 0, w.seeds(false)
 	life := b.life
 	var follow, send func()
--- a/internal/forager/forager.go
+++ b/internal/forager/forager.go
@@ -76,7 +76,8 @@
 	if set.Front == "" || set.Ready == "" {
 		return nil, merry.New("settings: network_settings.listen_addresses: a forager needs front and readiness")
 	}
-	brain := forage.New(forage.Settings{Zone: set.Zone, Zones: len(set.Zones), RetryRatio: set.Bounds.RetryRatio, RetrySlack: set.Bounds.RetrySlack, Seed: rand.Uint64()})
+	brain := forage.New(forage.Settings{Zone: set.Zone, Zones: len(set.Zones), RetryRatio: set.Bounds.RetryRatio, RetrySlack: set.Bounds.RetrySlack,
+		ColdTimes: set.Bounds.ColdOverage, ColdSlack: set.Bounds.ColdSlack, Seed: rand.Uint64()})
 	return &Forager{set: set, log: logger, start: time.Now(), replicas: replica.NewPool(), brain: brain,
 		counts: map[string]int{}, failed: make(chan error, 4), gone: make(chan string, 64), fell: make(chan falls.Word, 64),
 		lines: rate.NewLimiter(linesRate, linesBurst), bodies: bodies{most: int64(float64(set.MemoryMB<<20) * bodyPart)}}, nil
