Chain: a register that one is told counts in the view of its commit, never in one's own

A head that came back and was told before it heard of the newer view acknowledged an order of its old view by the others' higher number, though nobody else held it.

Change: the word carries the view in which its sender saw the commit.

--- a/hive/chain/chain.go
+++ b/hive/chain/chain.go
@@ -154,7 +154,7 @@
 const (
 	Pass Kind = iota + 1
 	Done      // from the tail: committed
-	Told      // the committed register whole, to one that lacks it
+	Told      // the committed register whole, to one that lacks it, and the view in which its commit was seen
 )
 
 // Message is what members say to one another.
@@ -321,8 +321,9 @@
 			}
 		}
 	case Told:
+		// Never as a commit of this machine's own view, which may be an older one: what was entered here would count as committed.
 		if m.Reg != nil {
-			e.commit(*m.Reg, e.at)
+			e.commit(*m.Reg, max(m.N, e.at))
 		}
 	}
 	return e.flush()
@@ -342,7 +343,7 @@
 	if e.known && (!known || seq < e.committed.Seq) && id != e.id && (!ok || t.seq < e.committed.Seq || now-t.at >= tellAgain) {
 		e.told[id] = told{e.committed.Seq, now}
 		reg := e.committed
-		e.out = append(e.out, Send{id, Message{Kind: Told, From: e.id, Reg: &reg}, false})
+		e.out = append(e.out, Send{id, Message{Kind: Told, From: e.id, N: e.at, Reg: &reg}, false})
 	}
 	return e.flush()
 }
--- a/hive/core/core_test.go
+++ b/hive/core/core_test.go
@@ -752,3 +752,33 @@
 		}
 	}
 }
+
+// TestToldBeforeDecided guards against an order that is acknowledged by a register of a newer view: a head that was cut off took an
+// order in its old view, was told the others' register before it heard of their view, and counted that as its own commit.
+// Found by the apiary.
+func TestToldBeforeDecided(t *testing.T) {
+	for after := time.Duration(0); after < 400*time.Millisecond; after += 9 * time.Millisecond {
+		n := newNet(t, "a", "b", "c")
+		n.pass(3 * time.Second)
+		n.cutOff("a", true)
+		n.pass(1300 * time.Millisecond)
+		for i := range 20 {
+			n.order("b", fmt.Sprint("b", i), config(uint64(i+1), fmt.Sprint(i)))
+			n.pass(20 * time.Millisecond)
+		}
+		n.delay = func(_, to string, m Message) time.Duration {
+			if to == "a" && m.View != nil && m.View.Kind == view.Decided {
+				return 300 * time.Millisecond
+			}
+			return time.Millisecond
+		}
+		n.cutOff("a", false)
+		n.pass(after)
+		n.order("a", "old head's", chain.Order{Zone: "z", Out: true})
+		n.pass(2 * time.Second)
+		r, _ := n.boxes["b"].core.Register()
+		if n.answers["old head's"].Status == http.StatusOK && !r.Out["z"] {
+			t.Fatalf("%v after the cut: an order is acknowledged that the others do not hold", after)
+		}
+	}
+}
