Apiary: cuts at other moments of the replicas' beats in the figures

Cause: replicas beat in step, so no beat fell into the second after the cut and the figure was empty.

--- a/internal/apiary/days_test.go
+++ b/internal/apiary/days_test.go
@@ -258,7 +258,8 @@
 				r := play(seed, Schedule{Lasts: 18 * time.Second, Troubles: []Trouble{{At: 8*time.Second + jitter, Kind: "gone", Role: role}, {At: 9*time.Second + jitter, Kind: "spare"}}})
 				mended, taken = append(mended, r.Mended...), append(taken, r.TakenIn...)
 			}
-			for _, kind := range []string{"cut", "island", "deaf", "mute", "freeze", "still", "stopped"} {
+			for i, kind := range []string{"cut", "island", "deaf", "mute", "freeze", "still", "stopped"} {
+				jitter := time.Duration((int(seed)*7+i)*230%1500) * time.Millisecond // beats of replicas are in step
 				s := Schedule{Lasts: 32 * time.Second, Foragers: 3, Replicas: 6, Troubles: []Trouble{{At: 8*time.Second + jitter, For: 20 * time.Second, Kind: kind, On: int(seed) % 3, Meet: true}}}
 				for _, from := range []time.Duration{8 * time.Second, 28 * time.Second} {
 					for i := range 18 { // fewer than may wait at a comb
