--- a/internal/apiary/machine.go
+++ b/internal/apiary/machine.go
@@ -34,6 +34,13 @@
 	calls   map[uint64]func(comb.Answer)
 	callers map[uint64]*call // operators' calls that wait here
 	streams map[uint64]*bee
+	seeds   []string
+	wall    time.Duration // by which its time of day is off
+	spare   bool          // came at a new address
+	gone    bool
+	leaving bool
+	goneAt  time.Duration
+	caught  bool
 	sent    int // messages in the second at hand
 	second  time.Duration
 }
@@ -42,7 +49,8 @@
 // write is awaited before anything is listened on.
 func (w *world) start(m *machine, first bool) {
 	w.begins(&m.node)
-	m.seen, m.brain = 0, nil
+	w.event()
+	m.seen, m.brain, m.caught = 0, nil, first
 	m.calls, m.callers, m.streams = map[uint64]func(comb.Answer){}, map[uint64]*call{}, map[uint64]*bee{}
 	store, err := cell.Open(m.disk)
 	if err != nil {
@@ -50,7 +58,6 @@
 		return
 	}
 	m.store = store
-	w.carryOut(m, nil) // files that were set aside
 	var k core.Kept
 	if raw, ok := store.Get(keptKey); ok {
 		if k, err = core.Decode(raw); err != nil {
@@ -58,13 +65,13 @@
 			return
 		}
 	}
-	var seeds []string
-	for _, o := range w.combs[:w.s.Seeds] {
-		seeds = append(seeds, o.addr)
-	}
+	seeds := w.seeds(first)
 	if k.Disk == "" && !first {
 		m.wiped++
 	}
+	if w.s.Fault == ClaimsForgotten {
+		k.Register.Claims = nil
+	}
 	k.Begin(m.addr, seeds, first || w.s.Fault == Amnesia, fmt.Sprintf("w%d", m.wiped))
 	m.brain = comb.New(w.local(&m.node), comb.Settings{Zone: w.zone(m.i), Control: m.addr, Zones: []string{"a", "b", "c"}, Regions: map[string]string{"a": "r0", "b": "r1", "c": "r2"}, Seeds: seeds, LinkMbps: 1000,
 		DrainDeadline: drainIn, Heartbeat: beatEvery, Seed: w.r.Uint64()}, view.Member{ID: k.Disk, Addr: m.addr, Zone: w.zone(m.i), Call: m.addr}, k)
@@ -92,11 +99,15 @@
 			w.tock(m, m.life)
 		})
 	}
-	begin()
+	w.carryOut(m, begin) // once files that were set aside are renamed: two at the disk at once would take each other's operations
 }
 
 func (w *world) tock(m *machine, life int) {
-	w.run(&m.node, life, func() { w.step(m, comb.Event{}) })
+	if m.frozen && w.s.Tolerance > 0 {
+		m.ticks = func() { w.step(m, comb.Event{}) }
+	} else {
+		w.run(&m.node, life, func() { w.step(m, comb.Event{}) })
+	}
 	if m.up && m.life == life {
 		late := time.Duration(w.r.IntN(5)) * time.Millisecond
 		if w.r.IntN(200) == 0 {
@@ -164,7 +175,13 @@
 	if w.s.Fault == NoViewNumber && e.Message != nil && e.Message.Core != nil && e.Message.Core.Chain != nil {
 		e = anyView(m, e)
 	}
+	if e.Message != nil && e.Message.Core != nil {
+		e = w.planted(m, e)
+	}
 	views, seq := m.brain.Core().View().N, m.seen
+	if w.s.Tolerance > 0 {
+		e.Wall = w.wallClock(m)
+	}
 	a := m.brain.Step(w.local(&m.node), e)
 	if len(a.Write) > keptMost || len(m.calls) > callsMost {
 		w.broken("%s holds %d bytes to be kept and %d calls", m.name, len(a.Write), len(m.calls))
@@ -212,6 +229,10 @@
 			w.carry(&m.node, &b.node, 0, 0, func() { w.lost(b, n) })
 		}
 	}
+	if a.Ended {
+		w.say("%s has left", m.name)
+		w.kill(m, "kill", -1)
+	}
 }
 
 // anyView is a fault: a pass, or the tail's word that it is committed, counts whatever view it is of.
@@ -228,6 +249,7 @@
 }
 
 func (w *world) viewed(m *machine, v view.View) {
+	w.timed(v)
 	for _, t := range w.onView {
 		w.onView, w.trouble = nil, w.now+t.For+restart
 		w.after(time.Duration(w.r.Int64N(int64(6*time.Millisecond))), func() { t.Kind = "all"; w.strike(t) })
@@ -257,6 +279,7 @@
 		w.broken("%s went back from %d to %d within a life", m.name, m.seen, r.Seq)
 	}
 	m.seen = r.Seq
+	w.observe(m, r)
 	w.granted(m, r)
 	if _, ok := w.committed[r.Version]; !ok {
 		w.committed[r.Version] = w.now
@@ -296,9 +319,14 @@
 			w.carry(&m.node, &b.node, 0, 0, func() { w.lost(b, n) })
 		}
 	}
+	w.event()
+	if back < 0 {
+		m.gone, m.goneAt = true, w.now
+		return
+	}
 	w.after(back, func() {
 		delete(w.down, m.i)
-		if !m.up {
+		if !m.up && !m.gone {
 			w.start(m, false)
 		}
 	})
@@ -325,6 +353,10 @@
 	done     bool
 	deadline time.Duration
 	asked    time.Duration // the try at hand
+	had      []*machine    // called already
+	next     *machine      // a redirect's
+	lost     bool          // an answer was lost on its way
+	try      int           // of Result.Tries
 	op       int           // of a write
 	ended    time.Duration
 }
@@ -344,6 +376,9 @@
 	c := &call{n: n, act: a, began: w.now, deadline: w.now + 5*time.Second, floor: w.acked}
 	switch a.Kind {
 	case "put":
+		if a.Body > 0 {
+			n = a.Body
+		}
 		c.version, c.body = a.Version, configuration(a.Version, n)
 		w.versions[c.body] = c.version
 		c.op = len(w.res.Ops)
@@ -364,6 +399,7 @@
 
 // again sends a call to some machine, once more.
 func (w *world) again(c *call) {
+	w.givenUp(c)
 	if c.done || w.now > c.deadline || w.quiet {
 		if !c.done && !w.quiet && c.began > w.trouble+beatable && c.tries > 0 {
 			w.broken("call %d, made at %.2f s when all had been calm, was not answered", c.n, c.began.Seconds())
@@ -372,13 +408,14 @@
 	}
 	c.tries++
 	c.asked = w.now
-	m := w.combs[w.r.IntN(len(w.combs))]
-	if !m.up || m.frozen || m.brain == nil {
+	m := w.called(c)
+	if !m.up || m.frozen && w.s.Tolerance == 0 || m.brain == nil {
 		w.after(200*time.Millisecond, func() { w.again(c) })
 		return
 	}
 	w.tokens++
 	e := comb.Event{Token: w.tokens}
+	w.tried(c)
 	switch c.act.Kind {
 	case "read":
 		c.floor = max(c.floor, w.acked)
@@ -391,9 +428,24 @@
 		e.Order = &chain.Order{Zone: w.zone(c.act.On), Out: c.act.Kind == "evacuate"}
 	}
 	m.callers[e.Token] = c
-	m.calls[e.Token] = func(a comb.Answer) { w.answered(m, c, a) }
-	w.step(m, e)
 	tries := c.tries
+	m.calls[e.Token] = func(a comb.Answer) {
+		if w.s.Tolerance == 0 || c.tries == tries && !w.loses(m, c, a) {
+			w.answered(m, c, a)
+		}
+	}
+	if w.s.Tolerance > 0 { // it may lie in the socket of one that is frozen
+		w.run(&m.node, m.life, func() {
+			if w.s.Fault == LateCalls && w.now-m.wokeAt < time.Second {
+				life := m.life
+				w.after(time.Second, func() { w.run(&m.node, life, func() { w.step(m, e) }) })
+				return
+			}
+			w.step(m, e)
+		})
+	} else {
+		w.step(m, e)
+	}
 	w.after(time.Second, func() { // silence: another machine is asked
 		if !c.done && c.tries == tries {
 			w.again(c)
@@ -408,6 +460,7 @@
 	switch a.Status {
 	case http.StatusOK, http.StatusNotFound, http.StatusConflict:
 	default:
+		w.unclear(c, a)
 		tries := c.tries
 		w.after(100*time.Millisecond, func() {
 			if c.tries == tries {
@@ -418,6 +471,7 @@
 	}
 	c.done, c.ended = true, w.now
 	w.res.Calls++
+	w.answers(m, c, a)
 	if c.act.Kind == "read" {
 		version := uint64(0)
 		if a.Status == http.StatusOK {
@@ -466,6 +520,9 @@
 
 // lonely tells whether a machine has reached no other for seconds.
 func (w *world) lonely(m *machine) bool {
+	if w.s.Tolerance > 0 {
+		return m.cutOff() && w.now-m.cutAt > contact
+	}
 	at, ok := w.down[m.i]
 	if !ok || w.now-at <= 3*time.Second || m.frozen {
 		return false
@@ -482,6 +539,9 @@
 func (w *world) lasts(c *call) {
 	n := 0
 	for _, m := range w.combs {
+		if m.gone {
+			continue
+		}
 		store, err := cell.Open(m.disk.after())
 		if err != nil {
 			continue
@@ -494,7 +554,11 @@
 		}
 		store.Close()
 	}
-	if most := (w.s.Machines - 1) / 2; n <= min(most, (w.s.Seeds-1)/2) {
+	most := min((w.s.Machines-1)/2, (w.s.Seeds-1)/2)
+	if w.hard.formed {
+		most = w.s.Tolerance
+	}
+	if n <= most {
 		w.broken("call %d was acknowledged with only %d disks that hold it", c.n, n)
 	}
 }
--- a/internal/stand/upstream/upstream.go
+++ b/internal/stand/upstream/upstream.go
@@ -30,6 +30,7 @@
 	Late       Behaviour = "late"       // sends an answer of another request first
 	Fails      Behaviour = "fails"      // runs it, 500
 	Closes     Behaviour = "closes"     // answers, and closes the connection without a word
+	Unproven   Behaviour = "unproven"   // runs it, 503, and does not say whether it ran
 	NoIdentity Behaviour = "noidentity" // runs it, and the answer names no attempt
 )
 
@@ -38,13 +39,15 @@
 	ID   string
 	Took time.Duration // of its work
 
-	ln    net.Listener
-	mu    sync.Mutex
-	next  []Behaviour
-	ran   map[string]int // by attempt
-	seen  []*http.Request
-	conns map[net.Conn]bool
-	opens int
+	ln     net.Listener
+	before func(attempt string)
+	take   func(net.Conn)
+	mu     sync.Mutex
+	next   []Behaviour
+	ran    map[string]int // by attempt
+	seen   []*http.Request
+	conns  map[net.Conn]bool
+	opens  int
 }
 
 // Start listens on loopback.
@@ -68,6 +71,19 @@
 	r.next = next
 }
 
+// Before has f called before each answer; Take has it serve the connections that come from now on.
+func (r *Replica) Before(f func(attempt string)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.before = f
+}
+
+func (r *Replica) Take(f func(net.Conn)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.take = f
+}
+
 // Ran is how often attempts ran, by their ids.
 func (r *Replica) Ran() map[string]int {
 	r.mu.Lock()
@@ -112,8 +128,17 @@
 		r.mu.Lock()
 		r.conns[c] = true
 		r.opens++
+		take := r.take
 		r.mu.Unlock()
-		go r.serve(c)
+		if take == nil {
+			take = r.serve
+		}
+		go func() {
+			take(c)
+			r.mu.Lock()
+			delete(r.conns, c)
+			r.mu.Unlock()
+		}()
 	}
 }
 
@@ -145,10 +170,14 @@
 			b = Other
 		}
 		r.seen = append(r.seen, q)
+		before := r.before
 		if b != Sheds && b != Other {
 			r.ran[id]++
 		}
 		r.mu.Unlock()
+		if before != nil {
+			before(id)
+		}
 		if r.Took > 0 {
 			time.Sleep(r.Took)
 		}
@@ -181,6 +210,8 @@
 			io.WriteString(c, whole+answer(200, "X-Attempt-Id: other\r\nX-Response-Seal: s\r\n", "another's"))
 		case Late:
 			io.WriteString(c, answer(200, "X-Attempt-Id: other\r\nX-Response-Seal: s\r\n", "another's")+whole)
+		case Unproven:
+			io.WriteString(c, answer(503, echo, ""))
 		case Fails:
 			io.WriteString(c, answer(500, echo, "failed\n"))
 		case Closes:
