--- a/cmd/zinclab/scale.go
+++ b/cmd/zinclab/scale.go
@@ -49,6 +49,7 @@
 	f.DurationVar(&p.Settle, "settle", 10*time.Second, "from the last join until it counts as steady")
 	f.DurationVar(&p.Steady, "steady", 12*time.Second, "time that is measured")
 	f.DurationVar(&p.Beat, "beat", 1500*time.Millisecond, "between two beats of a replica")
+	f.Float64Var(&p.Joins, "joins", 0, "foragers that begin a second; 0: all at once")
 	f.IntVar(&p.Changes, "changes", 3, "configurations that are given")
 	f.DurationVar(&p.Most, "most", 20*time.Minute, "time that all may take")
 	return c
--- a/internal/scalerun/run.go
+++ b/internal/scalerun/run.go
@@ -38,6 +38,7 @@
 	Steady   time.Duration
 	Beat     time.Duration // of replicas
 	Changes  int
+	Joins    float64       // foragers that begin a second; 0: all at once
 	Most     time.Duration // of the whole run
 	Keep     string        // folder for logs and settings; empty: one that is removed
 	Progress io.Writer
@@ -225,6 +226,10 @@
 		seeds = append(seeds, r.inner(i))
 	}
 	at := time.Now()
+	first, err := r.busy()
+	if err != nil {
+		return err
+	}
 	share := &known{}
 	perSecond := r.Target.Requests / float64(max(r.Target.Fleet().Foragers, 1))
 	for i := range max(r.fleet.Foragers-r.Real, 1) {
@@ -233,6 +238,11 @@
 			Requests: Requests{PerSecond: perSecond, Chance: rand.Float64}}
 		f.begin(r.Combs)
 		r.foragers = append(r.foragers, f)
+		if r.Joins > 0 {
+			if err := r.wait(ctx, time.Duration(float64(time.Second)/r.Joins)); err != nil {
+				return err
+			}
+		}
 		all.Go(func() { f.Run(ctx, innerLast) })
 	}
 	for i := range r.Real {
@@ -244,12 +254,18 @@
 		}
 		r.real = append(r.real, p)
 	}
-	if err := r.until(ctx, "every forager holds a whole state", func() bool {
+	hold := func() (n int) {
 		for _, f := range r.foragers {
-			if comb, _ := f.Standing(); comb == "" {
-				return false
+			if comb, _ := f.Standing(); comb != "" {
+				n++
 			}
 		}
+		return n
+	}
+	err = r.until(ctx, "every forager holds a whole state", func() bool {
+		if hold() < len(r.foragers) {
+			return false
+		}
 		for _, p := range r.real {
 			resp, err := http.Get(fmt.Sprintf("http://127.%d.251.%s:18542/api/readiness", r.net, strings.TrimPrefix(p.name, "forager-")))
 			if err != nil {
@@ -260,8 +276,16 @@
 			}
 		}
 		return true
-	}); err != nil {
-		return err
+	})
+	if last, e := r.busy(); e == nil {
+		r.row("comb", "joining: processor", "s", (last-first).Seconds()/float64(r.Combs))
+	}
+	r.row("forager", "joining: streams begun, each", "", float64(r.fout.Now()["hello"].Messages)/float64(len(r.foragers)))
+	if err != nil {
+		return merry.Appendf(err, "%d of %d hold one", hold(), len(r.foragers))
+	}
+	if r.Joins > 0 {
+		return nil
 	}
 	var took []float64
 	for _, f := range r.foragers {
@@ -272,6 +296,18 @@
 	return nil
 }
 
+// busy is the processor time that the combs have used.
+func (r *run) busy() (d time.Duration, err error) {
+	for _, p := range r.combs {
+		u, err := p.use()
+		if err != nil {
+			return 0, err
+		}
+		d += u.CPU
+	}
+	return d, nil
+}
+
 // until waits for something, and ends where a process has ended or memory is short.
 func (r *run) until(ctx context.Context, what string, f func() bool) error {
 	for end := time.Now().Add(patience); !f(); {
--- a/internal/scalerun/target.go
+++ b/internal/scalerun/target.go
@@ -74,15 +74,28 @@
 	}
 }
 
-// WriteTable writes series as a table: each size, the power with its spread, what it leads to at size `to`, and the bound. What a
-// power can't be fitted to is not measured.
+// WriteTable writes series as tables, one for all that begin at the same size: each size, the power with its spread, what it leads to
+// at size `to`, and the bound. What a power can't be fitted to is not measured.
 func WriteTable(w io.Writer, all []Series, to float64, bounds []Bound) {
-	var xs []float64
-	for _, s := range all {
-		if len(s.X) > len(xs) {
-			xs = s.X
+	for len(all) > 0 {
+		var same, others []Series
+		var xs []float64
+		for _, s := range all {
+			if s.X[0] != all[0].X[0] {
+				others = append(others, s)
+				continue
+			}
+			same = append(same, s)
+			if len(s.X) > len(xs) {
+				xs = s.X
+			}
 		}
+		writeTable(w, same, xs, to, bounds)
+		all = others
 	}
+}
+
+func writeTable(w io.Writer, all []Series, xs []float64, to float64, bounds []Bound) {
 	fmt.Fprint(w, "| what | unit |")
 	for _, x := range xs {
 		fmt.Fprintf(w, " %s |", Number(x))
@@ -122,4 +135,5 @@
 		}
 		fmt.Fprintf(w, " %.2f%s | %s | %s | %s |\n", p.Exponent, spread, Number(at), bound, verdict)
 	}
+	fmt.Fprintln(w)
 }
