--- a/hive/framing/framing.go
+++ b/hive/framing/framing.go
@@ -153,15 +153,17 @@
 		s.note("no_colon")
 		return ""
 	}
-	switch value = bytes.Trim(value, " \t"); {
-	case bytes.EqualFold(name, []byte("Content-Length")):
+	switch {
+	case len(name) == len("Content-Length") && bytes.EqualFold(name, []byte("Content-Length")):
+		value = bytes.Trim(value, " \t")
 		n, err := strconv.ParseInt(string(value), 10, 64)
 		if err != nil || n < 0 || value[0] == '+' || len(value) > lengthMost {
 			s.note("length")
 		}
 		s.left = n
 		s.lengths++
-	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+	case len(name) == len("Transfer-Encoding") && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		value = bytes.Trim(value, " \t")
 		if s.chunked || !bytes.EqualFold(value, []byte("chunked")) {
 			s.note("transfer_encoding")
 		}
--- a/internal/forager/client.go
+++ b/internal/forager/client.go
@@ -115,7 +115,7 @@
 		}
 		c.begun.Store(true)
 		good, cause := c.scan.Feed(b[:n])
-		if c.rests.Swap(false) {
+		if c.rests.Swap(false) && !c.known { // behind an earlier request the server sets it itself
 			if limits := c.f.config.Load(); limits != nil && limits.Limits.Header > 0 {
 				c.Conn.SetReadDeadline(time.Now().Add(limits.Limits.Header))
 			}
@@ -147,8 +147,11 @@
 
 // SetReadDeadline gives a resting connection the time of a rest, and one on which a head comes that of a head.
 func (c *client) SetReadDeadline(t time.Time) error {
-	if limits := c.f.config.Load(); !c.busy && limits != nil && time.Until(t) > 0 {
-		switch now := time.Now(); {
+	if c.busy || t.IsZero() {
+		return c.Conn.SetReadDeadline(t)
+	}
+	if limits, now := c.f.config.Load(), time.Now(); limits != nil && t.After(now) {
+		switch {
 		case c.rests.Load() && limits.Limits.Idle > 0:
 			c.since, t = now, now.Add(limits.Limits.Idle)
 		case limits.Limits.Header > 0:
--- a/internal/forager/front.go
+++ b/internal/forager/front.go
@@ -38,6 +38,7 @@
 }
 
 func finish(w http.ResponseWriter, status int) {
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeMost))
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 }
@@ -47,7 +48,6 @@
 	defer serving(r)()
 	began := time.Now()
 	control := http.NewResponseController(w)
-	control.SetWriteDeadline(began.Add(noDeadline + writeMost)) // the one of the request before still stands
 	if f.stopping.Load() || f.draining.Load() {
 		w.Header().Set("Connection", "close")
 		if f.draining.Load() && f.refuses() { // read and not sent: it passes over whole to another governor
@@ -89,7 +89,10 @@
 		most = time.Duration(ms * float64(time.Millisecond))
 	}
 	// A client that sends or reads too slowly loses its connection; it may not hold one beyond its own deadline.
-	control.SetReadDeadline(began.Add(most))
+	bodied := r.Body != nil && r.Body != http.NoBody
+	if bodied {
+		control.SetReadDeadline(began.Add(most))
+	}
 	control.SetWriteDeadline(began.Add(most + writeMost))
 	body, err := f.readBody(r, c.Limits.BodyBytes)
 	defer f.bodies.release(body)
@@ -119,7 +122,9 @@
 		f.count("body_broken")
 		panic(http.ErrAbortHandler) // the rest never came: nobody waits for an answer
 	}
-	control.SetReadDeadline(time.Time{})
+	if bodied {
+		control.SetReadDeadline(time.Time{})
+	}
 	f.forward(w, r, uri, route, body, began.Add(most-min(lastMoment, most/10)))
 }
 
