--- a/hive/config/config.go
+++ b/hive/config/config.go
@@ -5,8 +5,11 @@
 package config
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -53,6 +56,9 @@
 	Limits   Limits
 	hosts    map[string][]Route
 	Routes   int
+
+	indexed sync.Once
+	to      map[string][]Route // by service, once asked for: foragers do not ask
 }
 
 // Latest is how far a target may stand above its route's timeout.
@@ -227,18 +233,20 @@
 	return routes[best], true
 }
 
-// RoutesTo lists the routes that may send to a service.
-func (c *Config) RoutesTo(service string) (to []Route) {
-	for _, routes := range c.hosts {
-		for _, r := range routes {
-			for _, s := range r.Shares {
-				if s.Service == service {
-					to = append(to, r)
+// RoutesTo lists the routes that may send to a service, in the order of their hosts. It is asked for each service when a comb
+// takes a configuration, so the routes are gone through once for all.
+func (c *Config) RoutesTo(service string) []Route {
+	c.indexed.Do(func() {
+		c.to = map[string][]Route{}
+		for _, host := range slices.Sorted(maps.Keys(c.hosts)) {
+			for _, r := range c.hosts[host] {
+				for _, s := range r.Shares {
+					c.to[s.Service] = append(c.to[s.Service], r)
 				}
 			}
 		}
-	}
-	return to
+	})
+	return c.to[service]
 }
 
 // Pick chooses a service of the route by its shares; chance is from 0 up to 1.
--- a/hive/registry/registry.go
+++ b/hive/registry/registry.go
@@ -95,10 +95,12 @@
 		r.ids = slices.Insert(r.ids, i, l.ID)
 		r.news(e)
 		urgent = l.Draining || l.Gone
-		for _, id := range r.ids { // an address is one replica's at a time: who had it before has ended
-			if o := r.lives[id]; o != e && direct && o.Addr == l.Addr && !o.Gone {
-				o.Gone, o.endedAt, urgent = true, now, true
-				r.news(o)
+		if direct {
+			for _, id := range r.ids { // an address is one replica's at a time: who had it before has ended
+				if o := r.lives[id]; o != e && o.Addr == l.Addr && !o.Gone {
+					o.Gone, o.endedAt, urgent = true, now, true
+					r.news(o)
+				}
 			}
 		}
 		return true, urgent
--- a/internal/combd/combd.go
+++ b/internal/combd/combd.go
@@ -295,18 +295,6 @@
 	}
 }
 
-// call has the brain answer a caller.
-func (c *Comb) call(e comb.Event) comb.Answer {
-	done := make(chan comb.Answer, 1)
-	c.post(func() {
-		c.token++
-		e.Token = c.token
-		c.waiting[e.Token] = done
-		c.step(e)
-	})
-	return <-done
-}
-
 func (c *Comb) to(addr string, m *link.Msg) {
 	b, err := link.Frame(m)
 	if err != nil {
