Links between combs carry an epoch of their two ends

Cause, left by the review of the request path: a word of an earlier connection, which lay in its socket, could be taken after the first of a newer one.

Change: a hello tells its life and when in it the connection was dialled; a peer's newer connection ends the one before, what that one still brings is passed over, and one that was dialled earlier is refused.

--- a/hive/words/words.go
+++ b/hive/words/words.go
@@ -13,6 +13,9 @@
 type Hello struct {
 	Member  view.Member `cbor:"1,keyasint"` // a comb's; of a forager only Addr and Zone
 	Forager string      `cbor:"2,keyasint,omitempty"`
+
+	Life uint64 `cbor:"3,keyasint,omitempty"` // of a comb: drawn at each start
+	Dial uint64 `cbor:"4,keyasint,omitempty"` // when in that life the connection was dialled, in nanoseconds
 }
 
 // Enter asks the head to take an order; Entered tells what must be committed for it to hold. Echo is the head's own clock
--- a/internal/combd/combd.go
+++ b/internal/combd/combd.go
@@ -55,7 +55,8 @@
 
 	brain *comb.Comb
 	peers map[string]*link.Peer // by address
-	hello []byte
+	hello words.Hello
+	ends  link.Ends // of other combs' connections
 
 	token   uint64
 	waiting map[uint64]chan comb.Answer
@@ -111,10 +112,7 @@
 	self := view.Member{ID: k.Disk, Addr: c.addr(), Zone: c.set.Zone, Call: c.set.Control}
 	c.brain = comb.New(c.now(), comb.Settings{Zone: c.set.Zone, Control: c.set.Control, Zones: slices.Sorted(maps.Keys(c.set.Zones)), Seeds: seeds,
 		LinkMbps: c.set.LinkMbps, DrainDeadline: c.set.Bounds.DrainDeadline, Heartbeat: c.set.Heartbeat, Seed: mrand.Uint64(), Regions: c.set.Zones}, self, k)
-	c.hello, err = link.Frame(&link.Msg{Hello: &words.Hello{Member: self}})
-	if err != nil {
-		return err
-	}
+	c.hello = words.Hello{Member: self, Life: mrand.Uint64()}
 	raw, err := c.brain.Kept()
 	if err != nil {
 		return err
@@ -339,6 +337,12 @@
 		return
 	}
 	from := first.Hello.Member
+	c.post(func() {
+		if !c.ends.Begin(first.Hello, conn) {
+			conn.Close()
+		}
+	})
+	defer c.post(func() { c.ends.End(from.Addr, conn) })
 	for {
 		conn.SetReadDeadline(time.Now().Add(5 * time.Second))
 		m, err := link.Read(conn)
@@ -346,6 +350,9 @@
 			return
 		}
 		c.post(func() {
+			if !c.ends.Holds(from.Addr, conn) {
+				return // of an earlier connection
+			}
 			c.step(comb.Event{From: &from, Message: &comb.Message{Core: m.Core, Lives: m.Lives, Fleet: m.Fleet, Fell: m.Fell}})
 		})
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -162,8 +162,11 @@
 	once  sync.Once
 }
 
-// To starts sending to an address; each connection begins with hello.
-func To(addr string, hello []byte) *Peer {
+// began is where the times of dialling count from.
+var began = time.Now()
+
+// To starts sending to an address; each connection begins with hello, which is told when it was dialled.
+func To(addr string, hello words.Hello) *Peer {
 	p := &Peer{queue: make(chan []byte, queueMost), stop: make(chan struct{})}
 	go p.run(addr, hello)
 	return p
@@ -180,14 +183,17 @@
 // Stop ends the peer.
 func (p *Peer) Stop() { p.once.Do(func() { close(p.stop) }) }
 
-func (p *Peer) run(addr string, hello []byte) {
+func (p *Peer) run(addr string, hello words.Hello) {
 	d := Dialer(dialMost, userTimeout)
 	pause := pauseLeast
 	for {
+		hello.Dial = uint64(time.Since(began))
 		conn, err := d.Dial("tcp", addr)
 		if err == nil {
 			pause = pauseLeast
-			p.pump(conn, hello)
+			if first, err := Frame(&Msg{Hello: &hello}); err == nil {
+				p.pump(conn, first)
+			}
 			conn.Close()
 		}
 		wait := time.NewTimer(pause)
