--- a/internal/apiary/families.go
+++ b/internal/apiary/families.go
@@ -7,7 +7,7 @@
 )
 
 // Families are kinds of days with a Tolerance, each for one way in which a core may fail its callers.
-var Families = []string{"cuts", "replaced", "twins", "long", "first"}
+var Families = []string{"cuts", "replaced", "twins", "storms", "long", "first"}
 
 // tolerances is how many machines may be lost at once, by how many there are.
 var tolerances = map[int]int{3: 1, 5: 2, 7: 2}
@@ -93,6 +93,8 @@
 		d.replaced()
 	case "twins":
 		d.twins()
+	case "storms":
+		d.storms()
 	case "long":
 		d.long()
 	case "first":
@@ -222,6 +224,37 @@
 	}
 }
 
+// storms has nothing but orders and questions, thick about the moments at which a machine is struck and is back.
+func (d *drawer) storms() {
+	s := &d.s
+	s.Lasts, s.Foragers, s.Replicas = 24*second, 0, 0
+	s.Loss, s.Reorder, s.Late = 0.01*float64(d.IntN(3)), 0.02*float64(d.IntN(3)), 80*time.Millisecond
+	thick := func(from time.Duration) {
+		for range 14 {
+			at := d.between(from-100*time.Millisecond, from+1200*time.Millisecond)
+			a := Act{At: at, Kind: "put", Version: version(at) + uint64(d.IntN(4)), To: 1 + d.IntN(s.Machines), Lost: d.IntN(6) == 0, Back: d.IntN(2) == 0}
+			switch d.IntN(4) {
+			case 0:
+				a.Kind, a.On = d.of("evacuate", "restore"), d.IntN(2)
+			case 1:
+				a.Kind = "read"
+			}
+			d.act(a)
+		}
+	}
+	for at := d.between(7*second, 8*second); at < 21*second; at += d.between(2*second, 5*second) {
+		t := d.role(Trouble{At: at, For: d.between(20*time.Millisecond, 2500*time.Millisecond), Kind: d.of("kill", "kill", "power", "wipe", "freeze", "still", "stopped", "cut", "island", "deaf", "mute", "stall", "full", "refuse")})
+		if d.IntN(5) == 0 {
+			d.all(at, "all", "allpower", "wipepower")
+		} else if d.strike(t); d.IntN(3) == 0 { // and another, where that may be, as the view changes
+			t = d.role(Trouble{At: at + time.Millisecond, For: d.between(20*time.Millisecond, 2500*time.Millisecond), Kind: d.of("kill", "power", "wipe", "freeze", "cut", "mute"), When: "viewed"})
+			d.strike(t)
+		}
+		thick(at)
+		thick(at + t.For)
+	}
+}
+
 // version is a number that rises with time.
 func version(at time.Duration) uint64 { return 10 * uint64(at/(100*time.Millisecond)) }
 
