--- a/internal/apiary/hard.go
+++ b/internal/apiary/hard.go
@@ -16,6 +16,7 @@
 	watchEvery = 50 * time.Millisecond
 	seedLag    = 5 * time.Second        // a machine that is gone stands in lists of addresses for so long
 	grace      = 6 * time.Second        // from SIGTERM to SIGKILL
+	formIn     = 5 * time.Second        // seven from three seeds, one after the other: 3.9 s, and up to 4.5 s where links lose messages
 	diskMost   = 64 << 10               // bytes of files on a disk, on days with a Tolerance
 	waitsMost  = 6 * time.Second        // of a trouble that waits for a moment
 	claims     = 60                     // changes for which it is known which body was acknowledged under a number
@@ -359,7 +360,7 @@
 		return
 	}
 	h.formed = h.formed || w.calm(catchUp) && w.now > catchUp+restart
-	if !w.calm(catchUp) || !h.seen {
+	if !w.calm(catchUp) || !h.seen || w.now < formIn {
 		return
 	}
 	well, out, voting := 0, 0, 0
