Apiary: a claim that was not seen counts from before its call

Cause: long, 3 machines: a number was taken amid a burst of registers that were passed over, and counted from the newest of them; the second body came when it was the 65th before, which is more than the 64 that are remembered: a false alarm.

--- a/internal/apiary/hard.go
+++ b/internal/apiary/hard.go
@@ -40,7 +40,7 @@
 	ticks     int
 }
 
-// claim is a configuration that was acknowledged, and the number with which it was committed, or at most that.
+// claim is a configuration that was acknowledged, and the number with which it was committed, or the newest before it.
 type claim struct {
 	body string
 	top  uint64
@@ -245,7 +245,7 @@
 		return
 	}
 	if had, ok := w.hard.held[c.version]; !ok {
-		top := w.hard.top
+		top := last(w.hard.tops, c.began) // it may have been taken among others, and not been seen
 		if seq := w.hard.committed[c.body]; seq > 0 {
 			top = seq // it may have been taken long before it was acknowledged
 		}
