Store: the lock of a process that was killed is waited for for 3 s

Cause: a process that is killed leaves its lock behind for a moment, while its memory is torn down; on a busy machine that takes more than the 0.2 s that a start waited, so that it met "another process has it open". Seen in TestKilled in six of seven runs at a load of 25 to 47 on twelve cores, in none of three at a load of 15.

Ruled out: a fork of the test's that holds the file (none runs beside it; nothing here was changed lately).

Change: 3 s, which only a file that is locked costs.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -30,7 +30,7 @@
 
 const (
 	fileName = "state.db"
-	lockWait = 200 * time.Millisecond
+	lockWait = 3 * time.Second // a killed process's lock outlives it while its memory is torn down, on a busy machine
 	sumBytes = 8
 )
 
