--- a/hive/chain/chain.go
+++ b/hive/chain/chain.go
@@ -10,6 +10,7 @@
 package chain
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -38,7 +39,7 @@
 	Notes map[string]Note `cbor:"5,keyasint,omitempty"`
 
 	// Taken names the orders lately taken, newest last: one that is entered again, after a view change or late, changes
-	// nothing. Claims are the numbers that operators were lately confirmed under, with what they sent, newest last. Both
+	// nothing. Claims are the highest numbers that operators were confirmed under, with what they sent. Both
 	// are bounded, and part of what is passed and kept.
 	Taken  []uint64 `cbor:"6,keyasint,omitempty"`
 	Claims []Claim  `cbor:"7,keyasint,omitempty"`
@@ -50,9 +51,11 @@
 	Sum     uint64 `cbor:"2,keyasint"`
 }
 
+func byVersion(a, b Claim) int { return cmp.Compare(a.Version, b.Version) }
+
 const (
 	takenMost  = 64 // orders are entered again for half a second; eight at once may be under way
-	claimsMost = 64 // configurations; an older number that comes again cannot be told from a new one
+	claimsMost = 64 // the highest numbers; a lower one that comes again cannot be told from a new one
 )
 
 // Note is one of them. Whoever changes it names the revision that it saw: of two at once one is taken.
@@ -139,7 +142,11 @@
 		if o.Version > r.Version {
 			r.Version, r.Body = o.Version, o.Body
 		} // else it was overtaken: its number is claimed all the same, so that nobody else is confirmed under it
-		r.Claims = append(slices.Clone(r.Claims[max(len(r.Claims)-claimsMost+1, 0):]), Claim{o.Version, xxhash.Sum64(o.Body)})
+		r.Claims = append(slices.Clone(r.Claims), Claim{o.Version, xxhash.Sum64(o.Body)})
+		if len(r.Claims) > claimsMost { // the lowest goes: of many numbers that were overtaken, none pushes out the newest
+			lowest := slices.MinFunc(r.Claims, byVersion).Version
+			r.Claims = slices.DeleteFunc(r.Claims, func(c Claim) bool { return c.Version == lowest })
+		}
 	}
 	if o.ID != 0 {
 		r.Taken = append(slices.Clone(r.Taken[max(len(r.Taken)-takenMost+1, 0):]), o.ID)
--- a/hive/core/core_test.go
+++ b/hive/core/core_test.go
@@ -449,6 +449,15 @@
 	if len(r.Taken) > 64 || len(r.Claims) > 64 {
 		t.Errorf("%d orders and %d numbers are remembered after 500 changes", len(r.Taken), len(r.Claims))
 	}
+	// Guards a number that many lower ones, which come after it and change nothing, would push out: found by the apiary.
+	high := chain.Register{}.Apply(config(9000, "one"))
+	for i := range uint64(200) {
+		high = high.Apply(config(8000+i, fmt.Sprint(i)))
+	}
+	high = high.Apply(config(9001, "next"))
+	if !high.Conflicts(config(9000, "two")) || high.Conflicts(config(9000, "one")) || len(high.Claims) > 64 {
+		t.Errorf("the highest number is forgotten after 200 lower ones")
+	}
 }
 
 // TestLateOrder guards against an order that takes effect after its caller was let go: held up on its way to the head, it undid
