--- a/hive/core/core.go
+++ b/hive/core/core.go
@@ -191,11 +191,31 @@
 // that a majority holds on disk what this one holds, and no caller waits here any more.
 func (c *Core) Leave() { c.view.Leave() }
 
-// Left tells whether nothing rests on this machine any more, or nobody is there to take it over.
+// Left tells whether nothing rests on this machine any more, or nobody is there to take it over. The others must be able to go
+// on without it: a majority of the voters in the chain, each in contact now, have said that they hold what is committed
+// here. Where its seat makes the number of voters even, it waits until that has been dropped.
 func (c *Core) Left(now time.Duration) bool {
 	v, id := c.view.View(), c.view.Self().ID
-	free := v.Place(id) < 0 && (!v.In(id) || c.chain.CommittedIn() == v.N)
-	return c.view.Leaving() && len(c.orders)+len(c.reads) == 0 && (free || c.view.Forsaken(now))
+	if !c.view.Leaving() || len(c.orders)+len(c.reads) > 0 {
+		return false
+	}
+	if c.view.Forsaken(now) {
+		return true
+	}
+	// Its seat must be somebody's, or one that nobody is there to take: a learner is about to, and an even roster drops it. That goes
+	// for the seat of a disk that this machine had before, too.
+	seat := slices.ContainsFunc(v.Roster, func(m view.Member) bool { return m.Addr == c.view.Self().Addr })
+	if v.Place(id) >= 0 || v.In(id) && !c.view.Vouches(v.N) || seat && (c.chain.CommittedIn() != v.N || len(v.Roster)%2 == 0 || len(v.Learners) > 0) {
+		return false
+	}
+	r, _ := c.chain.Committed()
+	hold := 0
+	for _, m := range v.Roster {
+		if v.Place(m.ID) >= 0 && c.view.Contact(now, m.ID) && c.told[m.ID] >= r.Seq {
+			hold++
+		}
+	}
+	return hold >= v.Majority()
 }
 
 // Lost has all contact with the others made anew, where this machine's clock may have stood still with it.
@@ -281,6 +301,9 @@
 	if c.chain.Settled() {
 		c.view.SetSettled(c.chain.CommittedIn())
 	}
+	if c.gen == c.saved {
+		c.view.SetFilled(c.chain.SyncedIn())
+	}
 	c.viewed(now, c.view.Tick(now))
 	c.chained(c.chain.Tick(now))
 	return c.flush(now)
@@ -298,7 +321,7 @@
 		c.viewed(now, c.view.Receive(now, *m.View))
 		if k := m.Committed; k != nil {
 			c.told[from.ID] = k.Seq
-			c.chained(c.chain.Lacks(from.ID, k.Seq, k.Known))
+			c.chained(c.chain.Lacks(now, from.ID, k.Seq, k.Known))
 		}
 	case m.Chain != nil:
 		c.chained(c.chain.Receive(now, *m.Chain))
@@ -349,10 +372,10 @@
 	case !c.view.InTouch(now):
 		c.out.Answers = append(c.out.Answers, Answer{Token: c.token, Status: http.StatusServiceUnavailable})
 	case v.Place(c.view.Self().ID) < 0:
-		a := Answer{Token: c.token, Status: http.StatusServiceUnavailable}
-		for _, p := range c.view.Peers(now) {
-			if p.ID == v.Chain[len(v.Chain)-1] && p.Call != "" {
-				a.Status, a.Where = http.StatusTemporaryRedirect, p.Call
+		a, tail := Answer{Token: c.token, Status: http.StatusServiceUnavailable}, ""
+		for _, p := range c.view.Peers(now) { // the last that votes: it holds all that is committed
+			if p.Call != "" && v.In(p.ID) && v.Place(p.ID) >= 0 && (a.Where == "" || v.Place(p.ID) > v.Place(tail)) {
+				a.Status, a.Where, tail = http.StatusTemporaryRedirect, p.Call, p.ID
 			}
 		}
 		c.out.Answers = append(c.out.Answers, a)
--- a/hive/core/core_test.go
+++ b/hive/core/core_test.go
@@ -26,6 +26,7 @@
 	began time.Duration
 	up    bool
 	still bool
+	full  bool          // its disk takes nothing
 	lag   time.Duration // its clock stood still for so long
 	held  []func()
 	life  int
@@ -127,6 +128,10 @@
 		life := b.life
 		n.after(time.Millisecond, func() {
 			n.run(b, life, func() {
+				if b.full {
+					n.do(b, b.core.Written(n.local(b), "no space"))
+					return
+				}
 				b.disk = a.Write
 				n.do(b, b.core.Written(n.local(b), ""))
 			})
@@ -533,3 +538,166 @@
 		}
 	}
 }
+
+// TestFullGivesWay guards against a member whose disk takes nothing, but that is heard: it kept its seat beside a successor, and
+// the next loss left nobody to agree.
+func TestFullGivesWay(t *testing.T) {
+	n := newNet(t, "a", "b", "c")
+	n.pass(3 * time.Second)
+	n.boxes["c"].full = true
+	n.order("a", "first", config(1, "one"))
+	n.pass(2 * time.Second)
+	n.start("d", false)
+	n.pass(4 * time.Second)
+	n.boxes["b"].up = false
+	n.pass(3 * time.Second)
+	n.order("a", "second", config(2, "two"))
+	n.pass(time.Second)
+	n.wants("second", http.StatusOK)
+	n.boxes["c"].full = false
+	n.start("b", false)
+	n.pass(6 * time.Second)
+	if v := n.voters("a"); !slices.Equal(v, []string{"a", "b", "c", "d"}) {
+		t.Errorf("all are well; the voters are %v", v)
+	}
+}
+
+// TestVotedOut has a machine that was voted out while it was off come back: by its old view it is a voter and reaches a majority,
+// but it must learn better before it takes anything.
+func TestVotedOut(t *testing.T) {
+	n := newNet(t, "a", "b", "c")
+	n.start("d", false)
+	n.pass(5 * time.Second)
+	if v := n.voters("a"); len(v) != 4 {
+		t.Fatalf("the voters are %v", v)
+	}
+	n.boxes["d"].up = false
+	n.pass(4 * time.Second)
+	if v := n.voters("a"); len(v) != 3 {
+		t.Fatalf("the voters are %v", v)
+	}
+	d := n.start("d", false)
+	for range 3000 {
+		n.pass(time.Millisecond)
+		if d.core.InTouch(n.local(d)) && !n.boxes["a"].core.View().In(d.core.Self().ID) {
+			t.Fatalf("in touch %v after its start, by view %d; the others are in %d", n.now-d.began, d.core.View().N, n.boxes["a"].core.View().N)
+		}
+	}
+	if !d.core.InTouch(n.local(d)) {
+		t.Error("not taken in again within 3 s")
+	}
+}
+
+// TestNotBeforeAMajority pins what is not promised: where a majority's disks were lost, by the first second's loss of power too,
+// nothing forms by itself; the rest answers that it cannot.
+func TestNotBeforeAMajority(t *testing.T) {
+	for lost := 1; lost <= 3; lost++ {
+		n := newNet(t, "a", "b", "c")
+		n.pass(40 * time.Millisecond)
+		for i, addr := range n.seeds {
+			n.boxes[addr].up = false
+			if i < lost {
+				n.boxes[addr].disk = nil
+			}
+		}
+		for _, addr := range n.seeds {
+			n.start(addr, false)
+		}
+		n.pass(5 * time.Second)
+		n.order("b", "order", config(1, "one"))
+		n.pass(time.Second)
+		want := http.StatusServiceUnavailable
+		if lost == 1 {
+			want = http.StatusOK
+		}
+		n.wants("order", want)
+	}
+}
+
+// TestOneLinkCut guards against views that follow each other without end: only the link between two neighbours of the chain is cut,
+// one of them drops the other, and who hears both takes it in again, so that the chain is broken for part of the time.
+func TestOneLinkCut(t *testing.T) {
+	for _, two := range [][2]string{{"a", "b"}, {"b", "c"}, {"a", "c"}} {
+		n := newNet(t, "a", "b", "c")
+		n.pass(3 * time.Second)
+		n.cut[two], n.cut[[2]string{two[1], two[0]}] = true, true
+		n.pass(3 * time.Second)
+		before, taken := n.boxes["a"].core.View(), 0
+		for i := range 20 {
+			what := fmt.Sprint("order ", i)
+			n.order(before.Chain[i%2][:1], what, config(uint64(i+1), what))
+			if n.pass(time.Second); n.answers[what].Status == http.StatusOK {
+				taken++
+			}
+		}
+		if views := n.boxes["a"].core.View().N - before.N; views > 0 || taken < 20 {
+			t.Errorf("the link %v is cut: %d views in 20 s, %d of 20 orders taken", two, views, taken)
+		}
+	}
+}
+
+// TestLeaverOfFour guards against a leaver that ends while it still makes the voters an even number: the next loss left two of
+// four. Found by hive/model.
+func TestLeaverOfFour(t *testing.T) {
+	n := newNet(t, "a", "b", "c")
+	n.start("d", false)
+	n.pass(5 * time.Second)
+	a := n.boxes["a"]
+	a.core.Leave()
+	for range 600 {
+		if n.pass(10 * time.Millisecond); a.core.Left(n.local(a)) {
+			break
+		}
+	}
+	a.up, n.boxes["b"].up = false, false
+	n.pass(3 * time.Second)
+	n.order("c", "order", config(1, "one"))
+	n.pass(time.Second)
+	n.wants("order", http.StatusOK)
+}
+
+// TestOutOfUnsettled guards against views that follow each other before the head has passed: those who came in the last one were
+// marked as fresh again, and where the head was lost nobody could lead, though all held everything. Found by hive/model.
+func TestOutOfUnsettled(t *testing.T) {
+	for at := time.Duration(0); at < 1200*time.Millisecond; at += 7 * time.Millisecond {
+		n := newNet(t, "a", "b", "c")
+		n.pass(3 * time.Second)
+		n.order("a", "first", config(1, "one"))
+		n.pass(time.Second)
+		n.boxes["b"].up, n.boxes["c"].up = false, false
+		n.pass(time.Second)
+		n.start("b", false)
+		n.start("c", false)
+		n.start("d", false)
+		n.pass(at)
+		n.boxes["a"].up = false
+		n.pass(6 * time.Second)
+		n.order("b", "second", config(2, "two"))
+		n.pass(time.Second)
+		n.wants("second", http.StatusOK)
+		if t.Failed() {
+			t.Fatalf("a lost after %v", at)
+		}
+	}
+}
+
+// TestLongCut guards against machines that forget each other: two that are no seeds and did not hear each other for as long as a
+// stranger is remembered never greeted each other again, and one stayed out for good. Found by the apiary.
+func TestLongCut(t *testing.T) {
+	for _, span := range []time.Duration{10 * time.Second, 21 * time.Second, 60 * time.Second} {
+		n := newNet(t, "a", "b", "c")
+		n.start("d", false)
+		n.start("e", false)
+		n.pass(6 * time.Second)
+		n.cutOff("e", true)
+		n.pass(span)
+		n.cutOff("e", false)
+		n.pass(3 * time.Second)
+		n.order("e", "order", config(1, "one"))
+		n.pass(time.Second)
+		n.wants("order", http.StatusOK)
+		if e := n.boxes["e"].core; e.View().Place(e.Self().ID) < 0 {
+			t.Errorf("cut off for %v: not in the chain 4 s after", span)
+		}
+	}
+}
