--- a/internal/apiary/hard.go
+++ b/internal/apiary/hard.go
@@ -16,6 +16,7 @@
 	watchEvery = 50 * time.Millisecond
 	seedLag    = 5 * time.Second        // a machine that is gone stands in lists of addresses for so long
 	grace      = 6 * time.Second        // from SIGTERM to SIGKILL
+	formIn     = 5 * time.Second        // seven from three seeds, one after the other: 3.9 s, and up to 4.5 s where links lose messages
 	diskMost   = 64 << 10               // bytes of files on a disk, on days with a Tolerance
 	waitsMost  = 6 * time.Second        // of a trouble that waits for a moment
 	claims     = 60                     // changes for which it is known which body was acknowledged under a number
@@ -39,7 +40,7 @@
 	ticks     int
 }
 
-// claim is a configuration that was acknowledged, and the number with which it was committed, or at most that.
+// claim is a configuration that was acknowledged, and the number with which it was committed, or the newest before it.
 type claim struct {
 	body string
 	top  uint64
@@ -244,7 +245,7 @@
 		return
 	}
 	if had, ok := w.hard.held[c.version]; !ok {
-		top := w.hard.top
+		top := last(w.hard.tops, c.began) // it may have been taken among others, and not been seen
 		if seq := w.hard.committed[c.body]; seq > 0 {
 			top = seq // it may have been taken long before it was acknowledged
 		}
@@ -359,7 +360,7 @@
 		return
 	}
 	h.formed = h.formed || w.calm(catchUp) && w.now > catchUp+restart
-	if !w.calm(catchUp) || !h.seen {
+	if !w.calm(catchUp) || !h.seen || w.now < formIn {
 		return
 	}
 	well, out, voting := 0, 0, 0
