Foragers without a comb spare only replicas of services that turn cold

Cause: the part limit for foragers that hear no comb was taken by the bound's slack alone where a service names no cold_per_s, so that two seconds after the last comb a fleet of such replicas was all but refused. The new check in TestApart fails without it.

--- a/hive/forage/forage.go
+++ b/hive/forage/forage.go
@@ -183,7 +183,7 @@
 	}
 	by := map[string]time.Duration{}
 	for name, svc := range f.config.Services {
-		if bears := apartPart * (svc.ColdPerSecond*f.set.ColdTimes + f.set.ColdSlack); bears > 0 {
+		if bears := apartPart * (svc.ColdPerSecond*f.set.ColdTimes + f.set.ColdSlack); svc.ColdPerSecond > 0 && bears > 0 {
 			by[name] = time.Duration(float64(max(f.foragers, fewest)) / bears * float64(time.Second))
 		}
 	}
--- a/hive/forage/forage_test.go
+++ b/hive/forage/forage_test.go
@@ -1,6 +1,7 @@
 package forage
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -121,6 +122,20 @@
 			}
 			return n
 		}
+		// Guards a fleet whose combs are all gone: where replicas are never cold there is nothing to spare, and all is served on.
+		Convey("where replicas bear any rate it goes on as it likes", func() {
+			f := New(Settings{Zone: "a", Zones: 1, ColdTimes: 1.5, ColdSlack: 5, Seed: 1})
+			f.Take(s, &words.State{Whole: true, Seq: 1, Version: 1, Body: []byte(strings.Replace(string(body), `,"cold_per_s":4`, "", 1)), Lives: lives, Foragers: 10,
+				Lines: []words.Line{{Replica: "i1", Weight: 50}, {Replica: "i2", Weight: 50}}})
+			n := 0
+			for now := 5 * s; now < 6*s; now += 10 * time.Millisecond {
+				if p := f.Pick(now, Ask{Service: "svc"}); p.ID != "" {
+					f.End(now, End{N: p.N})
+					n++
+				}
+			}
+			So(n, ShouldEqual, 100)
+		})
 		Convey("it sends as it likes while it hears a comb, and for two seconds more", func() {
 			So(sent(s, 3*s), ShouldEqual, 200)
 		})
