Sight: figures of both daemons, a record for each failed request, a reason for each refused call

Cause: a failed request could not be explained afterwards, and neither daemon told figures: counters came in a log line every 10 s, a refused call left nothing. Change: telemetry serves figures and the newest 256 failures on the port that the deploy file names; retry says why it refuses; counters of the request path are one atomic add; Pool.Opened, which was read by nobody, is a method. BenchmarkForward fails with -count 3, before as after (it binds its port again): not mended here.

--- a/controlplane/controller/actions.go
+++ b/controlplane/controller/actions.go
@@ -31,8 +31,15 @@
 	Status  int    `cbor:"2,keyasint"`
 	Body    []byte `cbor:"3,keyasint,omitempty"`
 	Address string `cbor:"4,keyasint,omitempty"` // where to call instead, or where a replica is to send its further heartbeats
+	Reason  string `cbor:"-"`                    // of a refusal, for the log
 }
 
+// Reasons of refusals that are not errors of the coordinator.
+const (
+	reasonStalled  = "this member has stalled, the call may be older than it seems"
+	reasonNoQuorum = "no contact with a quorum of the control plane"
+)
+
 // LogEvent is a line for the log.
 type LogEvent struct {
 	Warning bool       `cbor:"1,keyasint,omitempty"`
--- a/controlplane/controller/controller.go
+++ b/controlplane/controller/controller.go
@@ -131,7 +131,7 @@
 func (c *Controller) Step(now time.Duration, event Event) Actions {
 	c.detectStall(now, event.WallClock)
 	if c.rejectsCalls(now) && (event.Heartbeat != nil || event.Command != nil || event.MaintenanceCommand != nil) {
-		c.respond(Response{Token: event.Token, Status: http.StatusServiceUnavailable})
+		c.respond(Response{Token: event.Token, Status: http.StatusServiceUnavailable, Reason: reasonStalled})
 		return c.takeActions()
 	}
 	switch {
--- /dev/null
+++ b/controlplane/controller/figures.go
@@ -0,0 +1,50 @@
+package controller
+
+import (
+	"time"
+
+	"zincloft.example/zincloft/controlplane/registry"
+)
+
+// Figures are what a member tells of itself for monitoring.
+type Figures struct {
+	HasQuorumContact  bool
+	DiskHealthy       bool
+	ViewNumber        uint64
+	ChainPosition     int // from 0, the head; -1: not in the chain
+	Voters            int
+	CommittedSequence uint64
+	ConfigVersion     uint64
+	EvacuatedZones    int
+	GatewayStreams    int
+	Instances         int // registered, of which some drain and some are timed out
+	DrainingInstances int
+	TimedOutInstances int
+}
+
+// Figures reads the member's figures.
+func (c *Controller) Figures(now time.Duration) Figures {
+	view := c.coordinator.View()
+	register, _ := c.coordinator.Register()
+	figures := Figures{
+		HasQuorumContact:  c.coordinator.HasQuorumContact(now),
+		DiskHealthy:       !c.coordinator.DiskUnhealthy(),
+		ViewNumber:        view.Number,
+		ChainPosition:     view.Position(c.coordinator.Self().ID),
+		Voters:            len(view.Voters),
+		CommittedSequence: register.Sequence,
+		ConfigVersion:     register.Version,
+		EvacuatedZones:    len(register.EvacuatedZones),
+		GatewayStreams:    len(c.streams),
+	}
+	c.registry.Each(now, func(instance registry.Instance) {
+		figures.Instances++
+		if instance.Draining {
+			figures.DrainingInstances++
+		}
+		if instance.HeartbeatTimedOut {
+			figures.TimedOutInstances++
+		}
+	})
+	return figures
+}
--- a/controlplane/controller/instances.go
+++ b/controlplane/controller/instances.go
@@ -10,7 +10,7 @@
 // handleHeartbeat takes a heartbeat that a replica sent to this member.
 func (c *Controller) handleHeartbeat(now time.Duration, token uint64, heartbeat registry.Instance) {
 	if !c.coordinator.HasQuorumContact(now) {
-		c.respond(Response{Token: token, Status: http.StatusServiceUnavailable})
+		c.respond(Response{Token: token, Status: http.StatusServiceUnavailable, Reason: reasonNoQuorum})
 		return
 	}
 	if change := c.registry.Heartbeat(now, heartbeat); change.Changed {
@@ -42,7 +42,7 @@
 // handleDeregister ends an instance at its own request.
 func (c *Controller) handleDeregister(now time.Duration, token uint64, id string) {
 	if !c.coordinator.HasQuorumContact(now) {
-		c.respond(Response{Token: token, Status: http.StatusServiceUnavailable})
+		c.respond(Response{Token: token, Status: http.StatusServiceUnavailable, Reason: reasonNoQuorum})
 		return
 	}
 	c.deregister(now, id, "itself")
--- a/controlplane/controller/replication.go
+++ b/controlplane/controller/replication.go
@@ -72,7 +72,7 @@
 	}
 	if token, ok := c.callTokens[response.RequestID]; ok {
 		delete(c.callTokens, response.RequestID)
-		c.respond(Response{Token: token, Status: response.Status(), Body: response.Body, Address: response.RedirectTo()})
+		c.respond(Response{Token: token, Status: response.Status(), Body: response.Body, Address: response.RedirectTo(), Reason: response.Reason()})
 		return
 	}
 	if proposal, ok := c.maintenance.proposals[response.RequestID]; ok {
--- a/controlplane/coordinator/coordinator.go
+++ b/controlplane/coordinator/coordinator.go
@@ -92,6 +92,9 @@
 	return c.membership.HasQuorumContact(now)
 }
 
+// DiskUnhealthy reports whether this member's disk fails to take writes.
+func (c *Coordinator) DiskUnhealthy() bool { return c.persistence.diskUnhealthy }
+
 // Peers lists the other members, by ID.
 func (c *Coordinator) Peers(now time.Duration) []membership.Member { return c.membership.Peers(now) }
 
--- a/controlplane/coordinator/message.go
+++ b/controlplane/coordinator/message.go
@@ -42,7 +42,7 @@
 	// DiskHealth, if not empty, is what the disk's health has changed to: DiskHealthy, or what is wrong with it.
 	DiskHealth string
 
-	// StandstillDetected reports that this machine was suspended together with its clock.
+	// ClockStallDetected reports that this machine was suspended together with its clock.
 	ClockStallDetected bool
 }
 
@@ -107,6 +107,14 @@
 	}
 }
 
+// Reason is the text of the error, or empty.
+func (r Response) Reason() string {
+	if r.Err == nil {
+		return ""
+	}
+	return r.Err.Error()
+}
+
 // RedirectTo is the API address to which the caller is redirected. It is empty if the response is no redirection.
 func (r Response) RedirectTo() string {
 	var redirect *RedirectError
--- a/dataplane/retry/retry.go
+++ b/dataplane/retry/retry.go
@@ -58,26 +58,39 @@
 	return delay, latencyTarget > 0 && EnoughTime(timeLeft-delay, latencyTarget)
 }
 
-// ShouldRetry tells whether the request may be sent to another replica after an attempt. Attempts that reach a replica must
-// be covered by a Budget besides, which is asked last so that nothing is withdrawn from it in vain.
-func ShouldRetry(execution Execution, state State) bool {
-	if !EnoughTime(state.TimeLeft, state.LatencyTarget) || state.ConnectFailures > MaxConnectFailures {
-		return false
-	}
-	if state.Attempts >= state.MaxAttempts {
-		return false
-	}
-	switch execution {
-	case NotExecuted:
-		return true
-	case MayHaveExecuted:
-		return state.Idempotent
-	case Answered:
-		return state.Idempotent && state.ServerError
+// Refusal says why a request is not sent again. It is a value of logs; empty: it may be sent.
+type Refusal string
+
+// The refusals.
+const (
+	RefusedNoTime          Refusal = "too_little_time"
+	RefusedConnectFailures Refusal = "connect_failures"  // MaxConnectFailures is exceeded
+	RefusedAttempts        Refusal = "attempts_spent"    // the route allows no more
+	RefusedMayHaveExecuted Refusal = "may_have_executed" // and the request is not idempotent
+	RefusedAnswered        Refusal = "answered"
+)
+
+// RefusalOf tells why the request is not sent to another replica after an attempt; empty: it may be. Attempts that reach a
+// replica must be covered by a Budget besides, which is asked last so that nothing is withdrawn from it in vain.
+func RefusalOf(execution Execution, state State) Refusal {
+	switch {
+	case !EnoughTime(state.TimeLeft, state.LatencyTarget):
+		return RefusedNoTime
+	case state.ConnectFailures > MaxConnectFailures:
+		return RefusedConnectFailures
+	case state.Attempts >= state.MaxAttempts:
+		return RefusedAttempts
+	case execution == MayHaveExecuted && !state.Idempotent:
+		return RefusedMayHaveExecuted
+	case execution == Answered && (!state.Idempotent || !state.ServerError):
+		return RefusedAnswered
 	}
-	return false
+	return ""
 }
 
+// ShouldRetry tells whether RefusalOf finds nothing against another attempt.
+func ShouldRetry(execution Execution, state State) bool { return RefusalOf(execution, state) == "" }
+
 // FinalStatus is the status that a client gets when no response of a replica can be passed on. 503 promises that the
 // request was not executed and never will be; 502 and 504 promise nothing.
 func FinalStatus(execution Execution, deadlineExceeded bool) int {
--- a/dataplane/router/router.go
+++ b/dataplane/router/router.go
@@ -51,6 +51,7 @@
 	gateways            int                   // known over all members; 0: not known yet
 	hasTable            bool                  // a full update was applied
 	lastUpdateAt        time.Duration
+	updateCount         uint64        // updates applied so far
 	streaming           bool          // a stream is held that began with a full update
 	silenceBeforeStream time.Duration // how long no member was heard before the stream at hand
 	hasWarmupRates      bool          // some warm-up rate has not expired yet
@@ -99,6 +100,12 @@
 // Sequence returns the number of the replicated register in force.
 func (r *Router) Sequence() uint64 { return r.sequence }
 
+// UpdateCount returns how many updates were applied: the number of the one in force.
+func (r *Router) UpdateCount() uint64 { return r.updateCount }
+
+// LastUpdateAt returns when the last update was applied.
+func (r *Router) LastUpdateAt() time.Duration { return r.lastUpdateAt }
+
 // Config returns the configuration in force; nil: none yet.
 func (r *Router) Config() *gatewayconfig.Config { return r.config }
 
--- a/dataplane/router/update.go
+++ b/dataplane/router/update.go
@@ -31,6 +31,7 @@
 		return UpdateResult{Late: true}
 	}
 	r.lastUpdateAt = now
+	r.updateCount++
 	result.Config, result.ConfigError = r.applyConfig(update)
 	result.FullTable = update.Full
 	r.hasTable = r.hasTable || update.Full
--- /dev/null
+++ b/internal/controlserver/callrecord_test.go
@@ -0,0 +1,92 @@
+package controlserver
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"zincloft.example/zincloft/internal/nodesettings"
+	"zincloft.example/zincloft/internal/program"
+)
+
+// safeBuffer is a log that several goroutines write.
+type safeBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *safeBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+// TestRefusedCallIsExplained guards what operators see: a refused call has a log line with its reason, and calls and the member's state are
+// among the figures that the metrics port serves.
+func TestRefusedCallIsExplained(t *testing.T) {
+	server := newIdleServer(t)
+	var logs safeBuffer
+	server.logger = program.NewLogger(&logs, "controlplane")
+	server.settings.Metrics = nodesettings.MetricsEndpoint{Port: uint16(unusedAddrs(t, 1)[0].Port), Path: "/metrics"}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(ctx, make(chan os.Signal)) }()
+	first := fmt.Sprintf(emptyConfiguration, 7)
+	for deadline := time.Now().Add(10 * time.Second); serveCall(ctx, server, "call=configuration.replace", first).Code != http.StatusOK; {
+		if time.Now().After(deadline) {
+			t.Fatal("the server does not answer")
+		}
+	}
+	if code := serveCall(ctx, server, "call=configuration.replace", first+" ").Code; code != http.StatusConflict {
+		t.Fatalf("other content under a version that is taken: %d", code)
+	}
+	for _, part := range []string{"event=call_refused", "call=configuration.replace", "status=409", `reason="another configuration holds this version"`} {
+		if !strings.Contains(logs.String(), part) {
+			t.Errorf("%q is missing in the log:\n%s", part, logs.String())
+		}
+	}
+	figures := readFigures(ctx, t, fmt.Sprintf("http://127.0.0.1:%d/metrics", server.settings.Metrics.Port))
+	for _, part := range []string{
+		`zincloft_controlplane_calls_total{call="configuration.replace",status="409"} 1`, "zincloft_controlplane_config_version 7",
+		"zincloft_controlplane_quorum_contact 1", "zincloft_controlplane_responsive 1", `zincloft_invariant_violations_total{name="view_number_monotonic"} 0`,
+	} {
+		if !strings.Contains(figures, part) {
+			t.Errorf("%q is missing in the figures:\n%s", part, figures)
+		}
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+func readFigures(ctx context.Context, t *testing.T, url string) string {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(body)
+}
--- a/internal/controlserver/calls.go
+++ b/internal/controlserver/calls.go
@@ -41,11 +41,15 @@
 	}
 	router := chi.NewRouter()
 	router.Post("/api/rpc", func(w http.ResponseWriter, r *http.Request) {
-		if call := calls[r.URL.Query().Get("call")]; call != nil {
-			call(w, r)
+		name := r.URL.Query().Get("call")
+		call := calls[name]
+		if call == nil {
+			s.writeResult(w, http.StatusNotFound, "call: is missing or unknown")
 			return
 		}
-		s.writeResult(w, http.StatusNotFound, "call: is missing or unknown")
+		recorder := &callRecorder{ResponseWriter: w, call: name, target: target(r), startedAt: time.Now()}
+		call(recorder, r)
+		s.recordCall(recorder)
 	})
 	return router
 }
--- /dev/null
+++ b/internal/controlserver/figures.go
@@ -0,0 +1,61 @@
+package controlserver
+
+import (
+	"io"
+	"time"
+
+	metrics "github.com/VictoriaMetrics/metrics"
+
+	"zincloft.example/zincloft/internal/telemetry"
+)
+
+// figuresTimeout bounds how long the reader of the figures waits for the goroutine of Run, which has them.
+const figuresTimeout = time.Second
+
+// newFigures makes the member's set of figures.
+func (s *Server) newFigures() *metrics.Set {
+	set := telemetry.NewFigures()
+	set.RegisterMetricsWriter(s.writeFigures)
+	return set
+}
+
+// writeFigures writes what the controller knows. Where the goroutine of Run doesn't answer in time, only that is written: a member that is
+// stuck is to be seen as such.
+func (s *Server) writeFigures(w io.Writer) {
+	type reading struct {
+		name  string
+		value float64
+	}
+	done := make(chan []reading, 1)
+	read := func() {
+		figures := s.controller.Figures(s.now())
+		done <- []reading{
+			{"zincloft_controlplane_quorum_contact", telemetry.Figure(figures.HasQuorumContact)},
+			{"zincloft_controlplane_disk_healthy", telemetry.Figure(figures.DiskHealthy)},
+			{"zincloft_controlplane_view_number", float64(figures.ViewNumber)},
+			{"zincloft_controlplane_chain_position", float64(figures.ChainPosition)},
+			{"zincloft_controlplane_voters", float64(figures.Voters)},
+			{"zincloft_controlplane_committed_sequence", float64(figures.CommittedSequence)},
+			{"zincloft_controlplane_config_version", float64(figures.ConfigVersion)},
+			{"zincloft_controlplane_evacuated_zones", float64(figures.EvacuatedZones)},
+			{"zincloft_controlplane_gateway_streams", float64(figures.GatewayStreams)},
+			{"zincloft_controlplane_instances", float64(figures.Instances)},
+			{"zincloft_controlplane_instances_draining", float64(figures.DrainingInstances)},
+			{"zincloft_controlplane_instances_timed_out", float64(figures.TimedOutInstances)},
+			{"zincloft_controlplane_pending_calls", float64(len(s.pendingCalls))},
+		}
+	}
+	select {
+	case s.tasks <- read:
+	case <-time.After(figuresTimeout):
+	}
+	select {
+	case readings := <-done:
+		metrics.WriteGaugeFloat64(w, "zincloft_controlplane_responsive", 1)
+		for _, reading := range readings {
+			metrics.WriteGaugeFloat64(w, reading.name, reading.value)
+		}
+	case <-time.After(figuresTimeout):
+		metrics.WriteGaugeFloat64(w, "zincloft_controlplane_responsive", 0)
+	}
+}
--- a/internal/controlserver/instancecalls.go
+++ b/internal/controlserver/instancecalls.go
@@ -46,6 +46,7 @@
 		return
 	}
 	response := s.call(r, controller.Event{Heartbeat: &heartbeat})
+	noteReason(w, response.Reason)
 	if response.Status != http.StatusOK {
 		s.writeResult(w, response.Status, noQuorumText)
 		return
@@ -88,7 +89,9 @@
 		s.writeResult(w, http.StatusBadRequest, "of: is missing")
 		return
 	}
-	if response := s.call(r, controller.Event{Deregister: id}); response.Status != http.StatusOK {
+	response := s.call(r, controller.Event{Deregister: id})
+	noteReason(w, response.Reason)
+	if response.Status != http.StatusOK {
 		s.writeResult(w, response.Status, noQuorumText)
 		return
 	}
--- a/internal/controlserver/operatorcalls.go
+++ b/internal/controlserver/operatorcalls.go
@@ -36,14 +36,17 @@
 }
 
 // propose has a command for the replicated register committed and answers the call with the outcome: 200, 409 where another configuration
-// has its version, or 503. Such an answer has no error text, and nothing is logged for it.
+// has its version, or 503. Such an answer has no error text; the log says why.
 func (s *Server) propose(w http.ResponseWriter, r *http.Request, command chainreplication.Command) {
-	s.writeResult(w, s.call(r, controller.Event{Command: &command}).Status, "")
+	response := s.call(r, controller.Event{Command: &command})
+	noteReason(w, response.Reason)
+	s.writeResult(w, response.Status, "")
 }
 
 // handleDescribeConfiguration answers with the committed configuration, or redirects to a member that has it.
 func (s *Server) handleDescribeConfiguration(w http.ResponseWriter, r *http.Request) {
 	response := s.call(r, controller.Event{ReadConfiguration: true})
+	noteReason(w, response.Reason)
 	switch response.Status {
 	case http.StatusTemporaryRedirect:
 		w.Header().Set("Location", "http://"+response.Address+"/api/rpc?call=configuration.describe")
--- a/internal/controlserver/server.go
+++ b/internal/controlserver/server.go
@@ -15,14 +15,17 @@
 	"runtime/debug"
 	"time"
 
+	metrics "github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
 	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
 
 	"zincloft.example/zincloft/controlplane/controller"
 	"zincloft.example/zincloft/internal/gossip"
 	"zincloft.example/zincloft/internal/nodesettings"
 	"zincloft.example/zincloft/internal/peertransport"
 	"zincloft.example/zincloft/internal/statestore"
+	"zincloft.example/zincloft/internal/telemetry"
 	"zincloft.example/zincloft/messages"
 	"zincloft.example/zincloft/peersampling"
 )
@@ -54,6 +57,9 @@
 	controller  *controller.Controller
 	stopped     bool
 
+	figures        *metrics.Set
+	callLogLimiter *rate.Limiter
+
 	// The other members.
 	hello           messages.Hello
 	peers           map[string]*peertransport.Peer // by address
@@ -76,7 +82,7 @@
 	if settings.DataDir == "" {
 		return nil, merry.New("settings: self_settings.data_directory: a control-plane member needs a disk")
 	}
-	return &Server{
+	s := &Server{
 		settings:     settings,
 		logger:       logger,
 		startedAt:    time.Now(),
@@ -86,7 +92,11 @@
 		lastSentAt:   map[string]time.Duration{},
 		pendingCalls: map[uint64]chan controller.Response{},
 		streams:      map[uint64]*peertransport.Conn{},
-	}, nil
+
+		callLogLimiter: rate.NewLimiter(callLogRate, callLogBurst),
+	}
+	s.figures = s.newFigures()
+	return s, nil
 }
 
 // now is the time since the start, by the monotonic clock.
@@ -122,6 +132,9 @@
 	if s.gossip, err = gossip.Start(ctx, self, s.settings.SeedPeerAddresses()); err != nil {
 		return err
 	}
+	if err := telemetry.Serve(ctx, s.settings.IP, s.settings.Metrics, telemetry.Source{Figures: s.figures}); err != nil {
+		return err
+	}
 	s.step(controller.Event{Start: true})
 	if err := s.runUntilStopped(ctx, hup); err != nil {
 		return err
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,24 +12,25 @@
 	"zincloft.example/zincloft/internal/replica"
 )
 
-const (
-	maxLoggedIDBytes = 64      // of an attempt's identity, which the client chose
-	maxReportedLoad  = 1 << 20 // requests or slots; more is not believed
-)
+// maxReportedLoad bounds the requests and slots that a replica reports; more is not believed.
+const maxReportedLoad = 1 << 20
 
 // attemptEnd is the end of one attempt.
 type attemptEnd struct {
 	replica.Outcome
-	latency time.Duration
+	endpoint pickedEndpoint
+	sentAt   time.Time
+	latency  time.Duration
 }
 
 // runAttempt sends a request to the chosen endpoint, has the router know the outcome and sends it to ends.
-func (g *Gateway) runAttempt(choice router.PickResult, request *replica.Request, ends chan<- attemptEnd) {
+func (g *Gateway) runAttempt(choice pickedEndpoint, request *replica.Request, ends chan<- attemptEnd) {
+	g.figures.attempts.Inc()
 	sentAt := time.Now()
 	outcome := g.pool.Do(choice.EndpointID, choice.Addr, request)
 	canceled := request.Cancel != nil && request.Cancel.Err() != nil
-	g.recordAttempt(choice, request.AttemptID, outcome, time.Since(sentAt), canceled)
-	ends <- attemptEnd{outcome, time.Since(sentAt)}
+	g.recordAttempt(choice.PickResult, request.AttemptID, outcome, time.Since(sentAt), canceled)
+	ends <- attemptEnd{Outcome: outcome, endpoint: choice, sentAt: sentAt, latency: time.Since(sentAt)}
 }
 
 // recordAttempt has the router and the log know an attempt's outcome, and queues what the control plane must hear at once.
--- /dev/null
+++ b/internal/gateway/failures_test.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"zincloft.example/zincloft/internal/replica"
+	"zincloft.example/zincloft/internal/standin/upstream"
+)
+
+// TestFailedRequestIsExplained asks what is kept of requests that failed: whom they were sent to, what came of it and why there was
+// no further attempt.
+func TestFailedRequestIsExplained(t *testing.T) {
+	Convey("Given an unsafe route and a replica that executes a request and closes", t, func() {
+		f := newFixture("unsafe", 1)
+		f.replicas[0].SetBehaviours(upstream.ClosesWithoutResponse)
+		So(f.do("POST", "/x/order", "body").Code, ShouldEqual, http.StatusBadGateway)
+		kept := f.gateway.failures.newest()
+		So(kept, ShouldHaveLength, 1)
+		failed := kept[0]
+		So(failed.AttemptID, ShouldNotBeBlank)
+		So(failed.Route, ShouldEqual, "r")
+		So(failed.Status, ShouldEqual, http.StatusBadGateway)
+		So(failed.EndedBy, ShouldEqual, endedByGateway)
+		So(failed.Reason, ShouldEqual, "may_have_executed")
+		So(failed.ConfigVersion, ShouldEqual, 1)
+		So(failed.Attempts, ShouldHaveLength, 1)
+		attempt := failed.Attempts[0]
+		So(attempt.Endpoint, ShouldEqual, "i0")
+		So(attempt.Address, ShouldEqual, f.replicas[0].Addr())
+		So(attempt.Execution, ShouldEqual, "may_have_executed")
+		So(attempt.Cause, ShouldEqual, replica.CauseClosed)
+		So(attempt.TableUpdate, ShouldEqual, 1)
+		So(attempt.Deadline, ShouldBeGreaterThan, 0)
+	})
+	Convey("A request that no route takes and one that is served leave a record and none", t, func() {
+		f := newFixture("safe", 1)
+		So(f.do("GET", "/elsewhere", "").Code, ShouldEqual, http.StatusNotFound)
+		So(f.do("GET", "/x/1", "").Code, ShouldEqual, http.StatusOK)
+		kept := f.gateway.failures.newest()
+		So(kept, ShouldHaveLength, 1)
+		So(kept[0].Reason, ShouldEqual, string(countNoRoute))
+		var figures strings.Builder
+		f.gateway.figures.set.WritePrometheus(&figures)
+		So(figures.String(), ShouldContainSubstring, `zincloft_gateway_requests_total{outcome="answered"} 1`)
+		So(figures.String(), ShouldContainSubstring, `zincloft_gateway_requests_total{outcome="rejected"} 1`)
+		So(figures.String(), ShouldContainSubstring, `zincloft_invariant_violations_total{name="unsafe_request_executed_once"} 0`)
+		So(figures.String(), ShouldContainSubstring, "zincloft_gateway_config_version 1")
+	})
+}
+
+func TestFailureLogKeepsTheNewest(t *testing.T) {
+	var kept failureLog
+	for i := range maxKeptFailures + 3 {
+		kept.add(FailedRequest{AttemptID: fmt.Sprint(i)})
+	}
+	newest := kept.newest()
+	if len(newest) != maxKeptFailures || newest[0].AttemptID != fmt.Sprint(maxKeptFailures+2) || newest[maxKeptFailures-1].AttemptID != "3" {
+		t.Errorf("%d kept, from %s to %s", len(newest), newest[0].AttemptID, newest[len(newest)-1].AttemptID)
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -29,6 +29,11 @@
 	progress   retry.State
 	atReplicas time.Duration // the time of the ended attempts, summed
 
+	arrivedAt     time.Time
+	configVersion uint64
+	failedEnds    []attemptEnd // attempts that ended without a response to pass on, to explain the request if it fails
+	reason        string       // why no further attempt was made
+
 	// strongest is the outcome so far that says most about execution: that a later attempt was not executed says nothing
 	// of an earlier one.
 	strongest replica.Outcome
@@ -67,7 +72,7 @@
 	defer func() { g.endRequest(f.route.Idempotent, time.Since(startedAt), f.atReplicas) }()
 	defer f.discard()
 	if rejected := f.firstAttempt(r.Context()); rejected.isRejection() {
-		g.reject(w, r, rejected)
+		f.reject(w, r, rejected)
 		return
 	}
 	for f.pending > 0 {
@@ -79,11 +84,14 @@
 			f.record(end)
 			switch f.decide(r.Context(), end.Outcome) {
 			case passResponse:
-				writeResponse(w, r, end.Response)
+				f.pass(w, r, end.Response)
 				return
 			case attemptAgain:
-				f.attempt(f.choose(false))
+				if !f.attempt(f.choose(false)) {
+					f.reason = reasonNoEndpoint
+				}
 			case abortConnection:
+				f.fail(0, endedByClient)
 				panic(http.ErrAbortHandler)
 			case awaitPending:
 			}
@@ -110,9 +118,11 @@
 			Service:         service,
 			WaitForDeadline: !route.Idempotent,
 		},
-		ends:      make(chan attemptEnd, route.MaxAttempts+retry.MaxConnectFailures+1),
-		progress:  retry.State{Idempotent: route.Idempotent, MaxAttempts: route.MaxAttempts, LatencyTarget: route.LatencyTarget},
-		strongest: replica.Outcome{Execution: retry.NotExecuted},
+		ends:          make(chan attemptEnd, route.MaxAttempts+retry.MaxConnectFailures+1),
+		progress:      retry.State{Idempotent: route.Idempotent, MaxAttempts: route.MaxAttempts, LatencyTarget: route.LatencyTarget},
+		strongest:     replica.Outcome{Execution: retry.NotExecuted},
+		arrivedAt:     request.arrivedAt,
+		configVersion: request.configVersion,
 	}
 }
 
@@ -134,7 +144,7 @@
 }
 
 // choose picks an endpoint that the request has not been at; where onlyIdle is set, one with free slots.
-func (f *forwarding) choose(onlyIdle bool) router.PickResult {
+func (f *forwarding) choose(onlyIdle bool) pickedEndpoint {
 	return f.gateway.pick(router.PickRequest{
 		Service:   f.service,
 		Attempted: f.attempted,
@@ -149,7 +159,7 @@
 }
 
 // attempt sends the request to the chosen endpoint, on a goroutine of its own. It tells whether there was one.
-func (f *forwarding) attempt(choice router.PickResult) bool {
+func (f *forwarding) attempt(choice pickedEndpoint) bool {
 	if choice.EndpointID == "" {
 		return false
 	}
@@ -181,6 +191,9 @@
 	}
 	f.progress.TimeLeft = f.timeLeft()
 	f.progress.ServerError = end.Response != nil && end.Response.Status >= http.StatusInternalServerError
+	if end.Execution != retry.Answered || f.progress.ServerError {
+		f.failedEnds = append(f.failedEnds, end)
+	}
 	weaker := end.Outcome
 	if end.Execution >= f.strongest.Execution {
 		f.strongest, weaker = end.Outcome, f.strongest
@@ -195,33 +208,50 @@
 		return passResponse
 	}
 	if client.Err() != nil {
+		f.reason = string(countClientGone)
 		if f.route.Idempotent {
 			return abortConnection
 		}
 		return awaitPending // what has not been executed is not sent again, as nobody waits for it
 	}
-	if !retry.ShouldRetry(outcome.Execution, f.progress) || f.pending > 0 {
+	refusal := retry.RefusalOf(outcome.Execution, f.progress)
+	f.reason = string(refusal)
+	if refusal != "" || f.pending > 0 {
 		return awaitPending
 	}
 	if !outcome.NotSent && !f.gateway.tryRetry(f.service) {
+		f.reason = string(countRetryBudgetExhausted)
 		f.gateway.count(countRetryBudgetExhausted)
 		return awaitPending
 	}
 	return attemptAgain
 }
 
+// pass passes a replica's response on. A long one whose rest fails to come ends the client's connection.
+func (f *forwarding) pass(w http.ResponseWriter, r *http.Request, response *replica.Response) {
+	if err := writeResponse(w, r, response); err != nil {
+		f.reason = string(replica.CauseTruncated)
+		f.fail(0, endedByReplica)
+		panic(http.ErrAbortHandler)
+	}
+	f.gateway.figures.answered.Inc()
+}
+
 // answer ends a request whose attempts have all ended without a successful response.
 func (f *forwarding) answer(w http.ResponseWriter, r *http.Request) {
 	if f.strongest.Execution == retry.Answered {
-		writeResponse(w, r, f.strongest.Response)
+		f.fail(f.strongest.Response.Status, endedByReplica)
+		f.pass(w, r, f.strongest.Response)
 		return
 	}
 	status := retry.FinalStatus(f.strongest.Execution, f.strongest.DeadlineExceeded)
 	if status == http.StatusServiceUnavailable {
-		f.gateway.reject(w, r, rejection{status: status, retryAfter: defaultRetryAfter})
+		f.reject(w, r, rejection{status: status, retryAfter: defaultRetryAfter})
 		return
 	}
+	f.gateway.figures.failed.Inc()
 	f.gateway.count(countFinalPrefix + counter(strconv.Itoa(status)))
+	f.fail(status, f.endedBy(r))
 	writeEmptyResponse(w, status)
 }
 
--- /dev/null
+++ b/internal/gateway/forwardfailure.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// reasonNoEndpoint says that a further attempt was allowed, and no endpoint could take it.
+const reasonNoEndpoint = "no_endpoint"
+
+// reject answers a request that no replica has executed, and records why.
+func (f *forwarding) reject(w http.ResponseWriter, r *http.Request, rejected rejection) {
+	if reason := rejected.reason(); reason != "" {
+		f.reason = reason
+	}
+	if rejected.aborts {
+		f.fail(rejected.status, endedByClient)
+	} else {
+		f.fail(rejected.status, endedByGateway)
+	}
+	f.gateway.writeRejection(w, r, rejected)
+}
+
+// endedBy tells who ended a request that no response could be passed on for.
+func (f *forwarding) endedBy(r *http.Request) endedBy {
+	switch {
+	case r.Context().Err() != nil:
+		return endedByClient
+	case f.strongest.DeadlineExceeded:
+		return endedByDeadline
+	}
+	return endedByGateway
+}
+
+// fail records that the request ends without success, with a status; 0: its connection is closed.
+func (f *forwarding) fail(status int, by endedBy) {
+	f.gateway.recordFailure(FailedRequest{
+		At:            time.Now(),
+		AttemptID:     f.request.AttemptID,
+		Route:         f.route.Name,
+		Service:       f.service,
+		Idempotent:    f.route.Idempotent,
+		Status:        status,
+		EndedBy:       by,
+		Reason:        f.reason,
+		Timeout:       f.request.Deadline.Sub(f.arrivedAt),
+		Duration:      time.Since(f.arrivedAt),
+		ConfigVersion: f.configVersion,
+		Attempts:      f.attemptRecords(),
+	})
+}
+
+// attemptRecords lists the attempts that failed, then those that have not ended.
+func (f *forwarding) attemptRecords() []AttemptRecord {
+	records := make([]AttemptRecord, 0, len(f.attempted))
+	ended := make([]string, 0, len(f.failedEnds))
+	for _, end := range f.failedEnds {
+		ended = append(ended, end.endpoint.EndpointID)
+		records = append(records, f.attemptRecord(end))
+	}
+	for _, endpoint := range f.attempted {
+		if !slices.Contains(ended, endpoint) {
+			records = append(records, AttemptRecord{Endpoint: endpoint, Execution: executionPending})
+		}
+	}
+	return records
+}
+
+func (f *forwarding) attemptRecord(end attemptEnd) AttemptRecord {
+	record := AttemptRecord{
+		Endpoint:    end.endpoint.EndpointID,
+		Address:     end.endpoint.Addr,
+		TableUpdate: end.endpoint.tableUpdate,
+		SentAfter:   end.sentAt.Sub(f.arrivedAt),
+		Duration:    end.latency,
+		Deadline:    f.request.Deadline.Sub(end.sentAt),
+		Execution:   end.Execution.String(),
+		Cause:       end.Cause,
+		ConnID:      end.ConnID,
+		ConnUse:     end.ConnUse,
+	}
+	if end.Response != nil {
+		record.Status = end.Response.Status
+	}
+	return record
+}
+
+func formatUint(n uint64) string { return strconv.FormatUint(n, 10) }
+
+func formatMillis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) + "ms" }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"zincloft.example/zincloft/internal/gossip"
 	"zincloft.example/zincloft/internal/nodesettings"
 	"zincloft.example/zincloft/internal/replica"
+	"zincloft.example/zincloft/internal/telemetry"
 )
 
 const (
@@ -65,9 +66,12 @@
 
 	logLimiter *rate.Limiter // bounds log lines that clients and replicas cause
 
-	mu       sync.Mutex // guards what follows, and settings.Seeds
-	router   *router.Router
-	counters map[counter]int
+	figures  *gatewayFigures
+	counters *eventCounters
+	failures failureLog
+
+	mu     sync.Mutex // guards what follows, and settings.Seeds
+	router *router.Router
 }
 
 // New makes a gateway from its settings. It opens no socket; ErrMissingListener is returned where an address is missing.
@@ -75,7 +79,8 @@
 	if settings.FrontAddress == "" || settings.ReadinessAddress == "" {
 		return nil, ErrMissingListener
 	}
-	return &Gateway{
+	set := telemetry.NewFigures()
+	g := &Gateway{
 		settings:     settings,
 		logger:       logger,
 		startedAt:    time.Now(),
@@ -94,18 +99,26 @@
 			WarmupSlack:   settings.Bounds.WarmupSlack,
 			Seed:          rand.Uint64(),
 		}),
-		counters: map[counter]int{},
-	}, nil
+		counters: newEventCounters(set),
+	}
+	g.figures = newGatewayFigures(set, g)
+	return g, nil
 }
 
 // now is the router's clock: the time since the gateway was made.
 func (g *Gateway) now() time.Duration { return time.Since(g.startedAt) }
 
+// pickedEndpoint is the endpoint of an attempt, and the control plane's update that it was picked by.
+type pickedEndpoint struct {
+	router.PickResult
+	tableUpdate uint64
+}
+
 // pick chooses the endpoint of an attempt.
-func (g *Gateway) pick(request router.PickRequest) router.PickResult {
+func (g *Gateway) pick(request router.PickRequest) pickedEndpoint {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.router.Pick(g.now(), request)
+	return pickedEndpoint{g.router.Pick(g.now(), request), g.router.UpdateCount()}
 }
 
 // startRequest counts a client's request. It must be followed by endRequest.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -23,10 +23,12 @@
 
 // clientRequest is a request that was routed and whose body is complete.
 type clientRequest struct {
-	target   string // path and query
-	route    gatewayconfig.Route
-	body     []byte
-	deadline time.Time // by which the client's response must leave
+	target        string // path and query
+	route         gatewayconfig.Route
+	configVersion uint64 // by which the route was found
+	body          []byte
+	arrivedAt     time.Time
+	deadline      time.Time // by which the client's response must leave
 }
 
 // handleRequest takes one request of a client through its steps: admit it to this gateway, route it, read its body,
@@ -40,7 +42,7 @@
 	}
 	config := g.config.Load()
 	if config == nil {
-		g.reject(w, r, rejection{status: http.StatusServiceUnavailable, retryAfter: notReadyRetryAfter})
+		g.reject(w, r, rejection{status: http.StatusServiceUnavailable, counter: countNoConfig, retryAfter: notReadyRetryAfter})
 		return
 	}
 	request, rejected := routeRequest(config, r)
@@ -55,7 +57,7 @@
 		g.reject(w, r, bodyRejection(err))
 		return
 	}
-	request.body = body
+	request.body, request.arrivedAt = body, arrivedAt
 	request.deadline = arrivedAt.Add(timeout - min(responseTravelTime, timeout/responseTravelPart))
 	g.forward(w, r, request)
 }
@@ -87,7 +89,7 @@
 	if !ok {
 		return request, rejection{status: http.StatusNotFound, counter: countNoRoute}
 	}
-	return clientRequest{target: target, route: route}, rejection{}
+	return clientRequest{target: target, route: route, configVersion: config.Version}, rejection{}
 }
 
 // requestTarget returns the path and query that a request asks for, also of one in absolute form (RFC 9112, 3.2.2), and
--- a/internal/gateway/hostile_test.go
+++ b/internal/gateway/hostile_test.go
@@ -179,9 +179,7 @@
 			t.Errorf("%s was answered %d and executed", id, x.Status)
 		}
 	}
-	f.mu.Lock()
-	counts := fmt.Sprint(f.counters)
-	f.mu.Unlock()
+	counts := f.counters.String()
 	behaviours := ledger.Behaviours()
 	identities := len(results)
 	results = nil
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -18,6 +18,7 @@
 	"zincloft.example/zincloft/gatewayconfig"
 	"zincloft.example/zincloft/internal/gossip"
 	"zincloft.example/zincloft/internal/nodesettings"
+	"zincloft.example/zincloft/internal/telemetry"
 	"zincloft.example/zincloft/peersampling"
 )
 
@@ -43,6 +44,10 @@
 	// The control stream outlives ctx: while the process shuts down, drains still count.
 	streamContext, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	source := telemetry.Source{Figures: g.figures.set, Failures: func() any { return g.failures.newest() }}
+	if err := telemetry.Serve(streamContext, g.settings.IP, g.settings.Metrics, source); err != nil {
+		return err
+	}
 	if err := g.startGossip(streamContext); err != nil {
 		return err
 	}
@@ -140,11 +145,16 @@
 
 // handleReadiness answers 200 where the gateway can serve any request, else 503.
 func (g *Gateway) handleReadiness(w http.ResponseWriter, _ *http.Request) {
-	if g.stopping.Load() || g.draining.Load() || g.config.Load() == nil || !g.hasTable.Load() {
+	if !g.isReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// isReady tells whether the gateway can serve any request.
+func (g *Gateway) isReady() bool {
+	return !g.stopping.Load() && !g.draining.Load() && g.config.Load() != nil && g.hasTable.Load()
+}
+
 // shutdown ends in order: readiness falls first, connections are closed with their next answer, and requests in flight
 // end last, all within the grace period.
 func (g *Gateway) shutdown() {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -24,8 +24,37 @@
 
 func (r rejection) isRejection() bool { return r.status != 0 || r.aborts }
 
-// reject carries out a rejection. It panics with http.ErrAbortHandler where there is no response to give.
+// reason is what a failed request's record says of a rejection.
+func (r rejection) reason() string {
+	if r.badRequest != "" {
+		return string(r.badRequest)
+	}
+	return string(r.counter)
+}
+
+// reject carries out the rejection of a request that was not forwarded. It panics with http.ErrAbortHandler where there is no
+// response to give.
 func (g *Gateway) reject(w http.ResponseWriter, r *http.Request, rejected rejection) {
+	failed := FailedRequest{
+		At:        time.Now(),
+		AttemptID: r.Header.Get("X-Attempt-Id"),
+		Status:    rejected.status,
+		EndedBy:   endedByGateway,
+		Reason:    rejected.reason(),
+	}
+	if rejected.aborts {
+		failed.EndedBy = endedByClient
+	}
+	if config := g.config.Load(); config != nil {
+		failed.ConfigVersion = config.Version
+	}
+	g.recordFailure(failed)
+	g.writeRejection(w, r, rejected)
+}
+
+// writeRejection counts a rejection and answers with it, or ends the connection.
+func (g *Gateway) writeRejection(w http.ResponseWriter, r *http.Request, rejected rejection) {
+	g.figures.rejected.Inc()
 	if rejected.counter != "" {
 		g.count(rejected.counter)
 	}
@@ -51,9 +80,9 @@
 	w.WriteHeader(status)
 }
 
-// writeResponse passes a replica's response on to the client. It panics with http.ErrAbortHandler where the rest of a long
-// response fails to come: a truncated response must not appear complete.
-func writeResponse(w http.ResponseWriter, r *http.Request, response *replica.Response) {
+// writeResponse passes a replica's response on to the client. An error means that the rest of a long response failed to come:
+// the connection must end then, as a truncated response must not appear complete.
+func writeResponse(w http.ResponseWriter, r *http.Request, response *replica.Response) error {
 	header := w.Header()
 	for name, values := range replica.EndToEndHeaders(response.Header) {
 		header[name] = values
@@ -70,8 +99,7 @@
 	w.WriteHeader(response.Status)
 	_, _ = w.Write(response.Body) // a client that is gone gets nothing, and the request's end is the same
 	if response.CopyRest != nil {
-		if err := response.CopyRest(w); err != nil {
-			panic(http.ErrAbortHandler)
-		}
+		return response.CopyRest(w)
 	}
+	return nil
 }
--- a/internal/nodesettings/settings.go
+++ b/internal/nodesettings/settings.go
@@ -42,6 +42,8 @@
 	FaultTolerance    FaultTolerance
 	ActiveContracts   []string // parts of the rules that are in force
 	Bounds            Bounds
+
+	Metrics MetricsEndpoint // of the command line, not of the file
 }
 
 // SeedPeerAddresses lists where the seeds listen for other processes of the gateway: at their IP addresses, on the first
--- a/internal/program/main.go
+++ b/internal/program/main.go
@@ -51,7 +51,11 @@
 	if err != nil {
 		exit(exitUsage, err)
 	}
+	if settings.Metrics, err = nodesettings.ParseMetricsEndpoint(arguments.metrics); err != nil {
+		exit(exitUsage, err)
+	}
 	logger := NewLogger(os.Stderr, name)
+	reportViolations(logger)
 	daemon, err := build(settings, logger)
 	if err != nil {
 		exit(exitUsage, err)
@@ -75,6 +79,7 @@
 
 type arguments struct {
 	settingsPath string
+	metrics      string // PORT/PATH; empty: no figures are served
 	checkOnly    bool
 }
 
@@ -84,6 +89,7 @@
 	parser.Description = description
 	parser.Version = Version
 	parser.String(&parsed.settingsPath, "s", "settings", "path of the settings file; "+nodesettings.PathVariable+" names it too")
+	parser.String(&parsed.metrics, "m", "metrics", "PORT/PATH at which the program serves its own figures, such as 9464/metrics")
 	check := flaggy.NewSubcommand("check")
 	check.Description = "check the settings and exit"
 	run := flaggy.NewSubcommand("run")
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -26,12 +26,19 @@
 	mu         sync.Mutex
 	idle       map[string][]*conn   // by instance, the newest last
 	idleLimits map[string]idleLimit // by service
-	Opened     int64                // connections opened so far
+	opened     int64                // connections opened so far
 }
 
 // NewPool makes an empty pool.
 func NewPool() *Pool { return &Pool{idle: map[string][]*conn{}, idleLimits: map[string]idleLimit{}} }
 
+// OpenedCount is how many connections were opened so far.
+func (p *Pool) OpenedCount() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
 // Do sends a request to the replica at addr and waits for its response, until the request's deadline or cancellation.
 func (p *Pool) Do(instanceID, addr string, request *Request) Outcome {
 	if cause := notSendable(request); cause != "" {
@@ -127,8 +134,8 @@
 		return nil, err
 	}
 	p.mu.Lock()
-	p.Opened++
-	id := uint64(p.Opened)
+	p.opened++
+	id := uint64(p.opened)
 	p.mu.Unlock()
 	return &conn{Conn: netConn, tcp: tcp, raw: raw, id: id, reader: bufio.NewReaderSize(netConn, readBufferBytes), maxIdle: defaultMaxIdle}, nil
 }
--- /dev/null
+++ b/invariant/invariant_test.go
@@ -0,0 +1,50 @@
+package invariant
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestViolationPanicsWithoutReporter(t *testing.T) {
+	defer func() {
+		if message, _ := recover().(string); !strings.Contains(message, "config_version_monotonic") || !strings.Contains(message, "3 after 4") {
+			t.Errorf("panicked with %q", message)
+		}
+	}()
+	NotBelow(ConfigVersionMonotonic, 3, 4)
+	t.Error("a violation passed unnoticed")
+}
+
+func TestReporterCountsAndServesOn(t *testing.T) {
+	var reported []Violation
+	SetReporter(func(violation Violation) { reported = append(reported, violation) })
+	defer SetReporter(nil)
+	before, total := Count(AttemptsWithinLimit), Total()
+	Check(AttemptsWithinLimit, true, func() string { t.Error("evidence was made without a violation"); return "" })
+	Check(AttemptsWithinLimit, false, func() string { return "3 of 2" })
+	NotBelow(AttemptsWithinLimit, 4, 4)
+	if Count(AttemptsWithinLimit) != before+1 || Total() != total+1 {
+		t.Errorf("counted %d, want one", Count(AttemptsWithinLimit)-before)
+	}
+	if len(reported) != 1 || reported[0].Evidence != "3 of 2" {
+		t.Errorf("reported %v", reported)
+	}
+}
+
+func TestEachStatementIsComplete(t *testing.T) {
+	seen := map[string]bool{}
+	for name, statement := range Statements {
+		if statement.Name == "" || statement.Holds == "" || statement.Breaks == "" || seen[statement.Name] {
+			t.Errorf("statement %d is incomplete or repeated: %+v", name, statement)
+		}
+		seen[statement.Name] = true
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	value := uint64(0)
+	for b.Loop() {
+		value++
+		Check(AttemptsWithinLimit, value > 0, func() string { return "never" })
+	}
+}
