--- a/controlplane/chainreplication/replica.go
+++ b/controlplane/chainreplication/replica.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/invariant"
 )
 
 const (
@@ -241,6 +242,10 @@
 	if !replica.hasCommitted || register.Sequence > replica.committed.Sequence || viewNumber != replica.committedView {
 		replica.committedChanged = true
 	}
+	if replica.hasCommitted {
+		invariant.NotBelow(invariant.CommittedSequenceMonotonic, register.Sequence, replica.committed.Sequence)
+		invariant.NotBelow(invariant.CommittedVersionMonotonic, register.Version, replica.committed.Version)
+	}
 	replica.committed, replica.hasCommitted, replica.committedView = register, true, viewNumber
 }
 
--- a/controlplane/controller/warmup.go
+++ b/controlplane/controller/warmup.go
@@ -1,12 +1,14 @@
 package controller
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"zincloft.example/zincloft/controlplane/registry"
 	"zincloft.example/zincloft/dataplane/router"
+	"zincloft.example/zincloft/invariant"
 )
 
 // warmupRateShare is the part of a service's warm-up rate that is given out; the rest is a reserve.
@@ -34,7 +36,13 @@
 		if rates[stream] == nil {
 			rates[stream] = map[string]float32{}
 		}
-		rates[stream][instance.ID] = float32(c.config.Services[instance.Service].WarmupRate * share)
+		bearable := c.config.Services[instance.Service].WarmupRate
+		rate := float32(bearable * share)
+		_, granted := rates[stream][instance.ID]
+		invariant.Check(invariant.WarmupGrantsWithinBudget, !granted && float64(rate)*float64(len(view.Voters)) <= bearable, func() string {
+			return fmt.Sprintf("%s bears %g requests a second, %d members grant %g each", instance.ID, bearable, len(view.Voters), rate)
+		})
+		rates[stream][instance.ID] = rate
 	})
 	return rates
 }
--- a/controlplane/coordinator/coordinator.go
+++ b/controlplane/coordinator/coordinator.go
@@ -27,6 +27,8 @@
 	lastRequestID uint64
 	incarnation   uint64 // of this process; part of its commands' IDs
 
+	acknowledgedVersion uint64 // highest configuration version that this process has acknowledged; for the invariant only
+
 	peerCommitted map[string]uint64 // newest committed sequence that each peer reported, by member ID
 	loopback      []Message         // from this member to itself, handled before the current call returns
 	actions       Actions           // gathered for the current call
--- a/controlplane/coordinator/proposal.go
+++ b/controlplane/coordinator/proposal.go
@@ -10,6 +10,7 @@
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/invariant"
 	"zincloft.example/zincloft/messages"
 )
 
@@ -106,6 +107,11 @@
 }
 
 func (c *Coordinator) finishProposal(id uint64, err error) {
+	if command := c.proposals[id].command; err == nil && command.Version > 0 {
+		committed, _ := c.chain.Committed()
+		invariant.NotBelow(invariant.AcknowledgedIsCommitted, committed.Version, command.Version)
+		c.acknowledgedVersion = max(c.acknowledgedVersion, command.Version)
+	}
 	c.actions.Responses = append(c.actions.Responses, Response{RequestID: id, Err: err})
 	delete(c.proposals, id)
 }
--- a/controlplane/coordinator/read.go
+++ b/controlplane/coordinator/read.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/invariant"
 	"zincloft.example/zincloft/messages"
 )
 
@@ -70,6 +71,7 @@
 		case step.view.Number != read.viewNumber:
 			c.finishRead(Response{RequestID: id, Err: ErrViewChanged})
 		case len(read.confirmations) >= step.view.Quorum() && step.isCommittedInView(read.viewNumber, read.sequence):
+			invariant.NotBelow(invariant.ReadCoversAcknowledged, step.committed.Version, c.acknowledgedVersion)
 			response := Response{RequestID: id, Body: step.committed.Body}
 			if len(response.Body) == 0 {
 				response.Err = ErrNoConfiguration
--- a/controlplane/membership/consensus.go
+++ b/controlplane/membership/consensus.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"zincloft.example/zincloft/invariant"
 )
 
 // This file is single-decree Paxos among the voters of view n, whose decision is view n+1. The state of the agreement
@@ -208,6 +210,8 @@
 	if view.Number <= node.state.View.Number {
 		return
 	}
+	node.highestInstalled = max(node.highestInstalled, view.Number)
+	invariant.NotBelow(invariant.ViewNumberMonotonic, view.Number, node.highestInstalled)
 	node.state = DurableState{View: view}
 	node.proposal.active, node.highestRound = false, 0
 	node.changeWantedSince = 0
--- a/controlplane/membership/node.go
+++ b/controlplane/membership/node.go
@@ -65,6 +65,8 @@
 	outbound      []Outbound
 	stateChanged  bool
 	viewInstalled bool
+
+	highestInstalled uint64 // number of any view that was installed by this process; for the invariant only
 }
 
 // New creates a node from the state that was saved. Seeds are addresses that are sent heartbeats until a member is heard
--- a/controlplane/registry/merge.go
+++ b/controlplane/registry/merge.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"zincloft.example/zincloft/invariant"
 )
 
 const (
@@ -86,6 +88,7 @@
 	startedDraining := known.startDraining(report)
 	refreshed := known.replaceStale(report)
 	advanced := report.Sequence > known.Sequence && known.advance(report, r.heartbeatTimeout)
+	invariant.Check(invariant.DeregistrationFinal, known.Draining || !report.Draining, func() string { return known.ID + " drains by a report and not in the registry" })
 	change := Change{Changed: startedDraining || refreshed || advanced, Urgent: startedDraining}
 	if change.Changed {
 		r.markChanged(known)
--- a/dataplane/loadbalancer/pick.go
+++ b/dataplane/loadbalancer/pick.go
@@ -77,7 +77,7 @@
 
 // isAvailable tells whether an endpoint may be sent a request at all.
 func (b *Balancer) isAvailable(now time.Duration, endpoint *Endpoint) bool {
-	if endpoint.Draining || b.evacuatedZones[endpoint.Zone] {
+	if !b.AcceptsRequests(endpoint) {
 		return false
 	}
 	if limit, ok := b.maxInFlight[endpoint.Service]; ok && endpoint.inFlight >= limit {
@@ -86,6 +86,11 @@
 	return !endpoint.hasSent || now-endpoint.lastSentAt >= b.minSendIntervals[endpoint.Service]
 }
 
+// AcceptsRequests tells whether an endpoint neither drains nor is in a zone that is evacuated.
+func (b *Balancer) AcceptsRequests(endpoint *Endpoint) bool {
+	return !endpoint.Draining && !b.evacuatedZones[endpoint.Zone]
+}
+
 // isDegraded tells whether an endpoint is a last choice.
 func (e *Endpoint) isDegraded(now time.Duration) bool {
 	return e.HeartbeatTimedOut || now < e.ejectedUntil || e.Weight <= 0 || e.failureRate > maxFailureRate || e.pairEjected
--- a/dataplane/router/attempt.go
+++ b/dataplane/router/attempt.go
@@ -7,6 +7,7 @@
 	"zincloft.example/zincloft/dataplane/admission"
 	"zincloft.example/zincloft/dataplane/loadbalancer"
 	"zincloft.example/zincloft/dataplane/outlier"
+	"zincloft.example/zincloft/invariant"
 )
 
 const (
@@ -68,6 +69,9 @@
 	if endpoint == nil {
 		return PickResult{RetryAfter: controller.Reject(request.Admission, r.random())}
 	}
+	invariant.Check(invariant.EndpointAcceptsRequests, r.balancer.AcceptsRequests(endpoint), func() string {
+		return endpoint.ID + " in zone " + endpoint.Zone + " drains or is evacuated"
+	})
 	controller.RecordAdmission()
 	r.lastAttemptID++
 	r.attempts[r.lastAttemptID] = attempt{endpoint, request.Service, endpoint.Utilization(now)}
--- a/dataplane/router/update.go
+++ b/dataplane/router/update.go
@@ -5,6 +5,7 @@
 
 	"zincloft.example/zincloft/dataplane/loadbalancer"
 	"zincloft.example/zincloft/gatewayconfig"
+	"zincloft.example/zincloft/invariant"
 	"zincloft.example/zincloft/messages"
 )
 
@@ -59,6 +60,9 @@
 	if err != nil {
 		return nil, err.Error()
 	}
+	if r.config != nil {
+		invariant.NotBelow(invariant.ConfigVersionMonotonic, config.Version, r.config.Version)
+	}
 	r.config = config
 	return config, ""
 }
--- a/internal/gateway/controlstream.go
+++ b/internal/gateway/controlstream.go
@@ -8,6 +8,7 @@
 
 	"zincloft.example/zincloft/controlplane/membership"
 	"zincloft.example/zincloft/internal/peertransport"
+	"zincloft.example/zincloft/invariant"
 	"zincloft.example/zincloft/messages"
 	"zincloft.example/zincloft/peersampling"
 )
@@ -163,7 +164,9 @@
 		g.pool.CloseIdle(endpoint)
 	}
 	if config := result.Config; config != nil {
-		g.config.Store(config)
+		if previous := g.config.Swap(config); previous != nil {
+			invariant.NotBelow(invariant.ConfigVersionMonotonic, config.Version, previous.Version)
+		}
 		g.logger.Info().Str("event", "config_applied").Uint64("version", config.Version).Int("routes", config.RouteCount).Msg("")
 		g.openFront(config)
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -163,6 +163,7 @@
 	if choice.EndpointID == "" {
 		return false
 	}
+	f.checkBeforeAttempt()
 	f.attempted = append(f.attempted, choice.EndpointID)
 	f.pending++
 	f.progress.Attempts++
@@ -229,6 +230,7 @@
 
 // pass passes a replica's response on. A long one whose rest fails to come ends the client's connection.
 func (f *forwarding) pass(w http.ResponseWriter, r *http.Request, response *replica.Response) {
+	f.checkResponse(response)
 	if err := writeResponse(w, r, response); err != nil {
 		f.reason = string(replica.CauseTruncated)
 		f.fail(0, endedByReplica)
--- a/internal/gateway/forwardfailure.go
+++ b/internal/gateway/forwardfailure.go
@@ -12,6 +12,7 @@
 
 // reject answers a request that no replica has executed, and records why.
 func (f *forwarding) reject(w http.ResponseWriter, r *http.Request, rejected rejection) {
+	f.checkRejection(rejected.status)
 	if reason := rejected.reason(); reason != "" {
 		f.reason = reason
 	}
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/maintenance"
+	"zincloft.example/zincloft/invariant"
 )
 
 // Bounds that the invariants rest on, and what the simulated processes take.
@@ -104,12 +105,26 @@
 	for len(c.queue) > 0 && c.now < end+runGrace && len(c.result.Violations) == 0 {
 		next := c.queue.pop()
 		c.now = next.at
-		next.do()
+		c.carryOut(next.do)
 	}
 	history.end(c)
 	return c.result
 }
 
+// carryOut carries out an event. An invariant that the decision code itself finds violated is a violation as any other.
+func (c *cluster) carryOut(event func()) {
+	defer func() {
+		switch panicked := recover().(type) {
+		case nil:
+		case invariant.Violation:
+			c.violationf("%s", panicked)
+		default:
+			panic(panicked)
+		}
+	}()
+	event()
+}
+
 func newCluster(schedule Schedule, history *historyChecksum) *cluster {
 	c := &cluster{
 		schedule:            schedule,
--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -1,7 +1,7 @@
 // Package invariant counts violations of what must hold in a running process, whatever faults it meets.
 //
 // A check stands beside the state that it protects and costs a comparison. What a violation leads to is the process's choice: the
-// daemons count and log it and serve on (SetReporter); without a reporter, as in tests, the first violation panics. The package
+// daemons count and log it and serve on (SetReporter); without a reporter, as in tests, the first violation panics with it. The package
 // does no I/O and is safe for concurrent use.
 package invariant
 
@@ -55,7 +55,7 @@
 	counts[violation.Name].Add(1)
 	report := reporter.Load()
 	if report == nil {
-		panic(violation.String())
+		panic(violation)
 	}
 	(*report)(violation)
 }
--- a/invariant/invariant_test.go
+++ b/invariant/invariant_test.go
@@ -1,14 +1,16 @@
 package invariant
 
 import (
+	"os"
 	"strings"
 	"testing"
 )
 
 func TestViolationPanicsWithoutReporter(t *testing.T) {
 	defer func() {
-		if message, _ := recover().(string); !strings.Contains(message, "config_version_monotonic") || !strings.Contains(message, "3 after 4") {
-			t.Errorf("panicked with %q", message)
+		violation, _ := recover().(Violation)
+		if text := violation.String(); !strings.Contains(text, "config_version_monotonic") || !strings.Contains(text, "3 after 4") {
+			t.Errorf("panicked with %q", text)
 		}
 	}()
 	NotBelow(ConfigVersionMonotonic, 3, 4)
@@ -31,9 +33,16 @@
 	}
 }
 
-func TestEachStatementIsComplete(t *testing.T) {
+func TestEachStatementIsCompleteAndDocumented(t *testing.T) {
+	page, err := os.ReadFile("../docs/design/invariants.md")
+	if err != nil {
+		t.Fatal(err)
+	}
 	seen := map[string]bool{}
 	for name, statement := range Statements {
+		if !strings.Contains(string(page), "`"+statement.Name+"`") {
+			t.Errorf("docs/design/invariants.md does not name %s", statement.Name)
+		}
 		if statement.Name == "" || statement.Holds == "" || statement.Breaks == "" || seen[statement.Name] {
 			t.Errorf("statement %d is incomplete or repeated: %+v", name, statement)
 		}
