--- a/controlplane/controller/cluster_test.go
+++ b/controlplane/controller/cluster_test.go
@@ -25,11 +25,13 @@
 	closedStreams map[uint64]bool
 	writes        [3][][]byte // by member: every state it wrote
 	lastToken     uint64
+	responses     map[uint64]Response // by token
+	diskFull      map[int]bool        // by member: its writes fail
 }
 
 // newCluster starts a cluster and gives it a configuration.
 func newCluster() *cluster {
-	c := &cluster{isolated: map[int]bool{}, updates: map[uint64]*messages.StateUpdate{}, closedStreams: map[uint64]bool{}}
+	c := &cluster{isolated: map[int]bool{}, updates: map[uint64]*messages.StateUpdate{}, closedStreams: map[uint64]bool{}, responses: map[uint64]Response{}, diskFull: map[int]bool{}}
 	for i := range 3 {
 		c.addrs = append(c.addrs, fmt.Sprintf("10.0.0.%d:1", i+1))
 	}
@@ -73,7 +75,12 @@
 	for _, stream := range actions.CloseStreams {
 		c.closedStreams[stream] = true
 	}
-	if actions.Write != nil {
+	for _, response := range actions.Responses {
+		c.responses[response.Token] = response
+	}
+	if actions.Write != nil && c.diskFull[member] {
+		c.step(member, Event{WriteResult: &WriteResult{Error: "no space"}})
+	} else if actions.Write != nil {
 		c.writes[member] = append(c.writes[member], actions.Write)
 		c.step(member, Event{WriteResult: &WriteResult{}})
 	}
