Requests between members are numbered over all incarnations of their sender

A member that was killed after forwarding an order, and restarted while the head's disk was slow, took the head's late answer for one to the order that it had forwarded since, and acknowledged what nobody had. The same for voters' confirmations of a read. Ruled out: dropping answers by connection (the head answers on a connection of its own, which may be new), an epoch in each message (the number can carry it). Change: a process numbers its requests from its incarnation on, 53 random bits. Looked for the same cause: command identities and changes of records name the incarnation, clock readings and connections too, ballots are on disk, chain messages go by view and sequence after the save, streams and attempts never leave their process.

--- a/controlplane/coordinator/coordinator.go
+++ b/controlplane/coordinator/coordinator.go
@@ -24,8 +24,8 @@
 
 	proposals     map[uint64]*pendingProposal // by request ID
 	reads         map[uint64]*pendingRead     // by request ID
-	lastRequestID uint64
-	incarnation   uint64 // of this process; part of its commands' IDs
+	lastRequestID uint64 // begins with the incarnation, so that no two processes use the same number
+	incarnation   uint64 // of this process; drawn at random at each start, part of its commands' IDs
 
 	acknowledgedVersion uint64 // highest configuration version that this process has acknowledged; for the invariant only
 
@@ -46,6 +46,9 @@
 		peerCommitted: map[string]uint64{},
 	}
 	c.incarnation = uint64(random() * (1 << 53))
+	// Requests are numbered from the incarnation on: an answer to a request of a former process, which waited for a disk or in a
+	// frozen machine, is then no answer to any of this one's.
+	c.lastRequestID = c.incarnation
 	return c
 }
 
--- a/messages/controlplane.go
+++ b/messages/controlplane.go
@@ -8,7 +8,7 @@
 
 // ProposeRequest asks the head of the chain to take a command. Any member sends it on behalf of its caller.
 type ProposeRequest struct {
-	// RequestID pairs the response with the request. It is unique within the sender's incarnation.
+	// RequestID pairs the response with the request. It is unique over all incarnations of the sender.
 	RequestID uint64                   `cbor:"1,keyasint"`
 	Command   chainreplication.Command `cbor:"2,keyasint"`
 
