An acknowledged drain or deregistration is on a quorum's disks

The broadcast to the others and the list on disk came later. Where the member was cut off within the second in which it still counted a quorum, was killed, or all lost power, the end was forgotten; a replica that deregisters sends no heartbeat that would repeat it, and got requests until its last heartbeat timed out, 3.2 to 4.3 s after its acknowledgement. Ruled out: the chain (its register would grow with every replica), gateways' confirmations (one that is cut off holds up all), gateways' memory of removed endpoints (it is there, and a gateway that was restarted has none). Change: the member has the end on its disk and asks the others for the same, again every 0.2 s; it answers 200 once a quorum of voters has confirmed, 503 within 0.9 s otherwise. Looked elsewhere: evacuations and windows are in the register; nothing else is acknowledged for good. Kept histories written anew, as acknowledgements come later; two fields are new on the wire (samples .later). TestSamplesAreListed knows such samples now, as package compatibility describes them.

--- a/controlplane/controller/controller.go
+++ b/controlplane/controller/controller.go
@@ -54,6 +54,10 @@
 
 	callTokens map[uint64]uint64 // the tokens of calls, by the coordinator's request
 
+	// Ends of instances that replicas have told: calls that wait for a quorum, by the coordinator's request, and what a quorum has on disk.
+	endingCalls       map[uint64]*endingCall
+	replicatedEndings map[ending]bool
+
 	// Streams to gateways, in the order in which they joined. A gateway waits in pendingJoins for a read to begin, then in confirmingJoins
 	// until the read that confirmRequest names has been answered (0: none is under way).
 	streams         []*gatewayStream
@@ -91,6 +95,8 @@
 		outliers:          outlier.New(),
 		maintenance:       newMaintenanceTracker(),
 		callTokens:        map[uint64]uint64{},
+		endingCalls:       map[uint64]*endingCall{},
+		replicatedEndings: map[ending]bool{},
 		connectedPeers:    map[string]bool{},
 		peerGatewayCounts: map[string]int{},
 		isolated:          true,
--- a/controlplane/controller/events.go
+++ b/controlplane/controller/events.go
@@ -54,4 +54,7 @@
 	Instances   []registry.Instance      `cbor:"2,keyasint,omitempty"`
 	Fleet       *messages.GatewaySummary `cbor:"3,keyasint,omitempty"`
 	Ejections   []outlier.Ejection       `cbor:"4,keyasint,omitempty"`
+
+	// PersistRequest, if not 0, is the sender's request to have Instances on disk; it is confirmed by coordinator.Message.HintsPersisted.
+	PersistRequest uint64 `cbor:"5,keyasint,omitempty"`
 }
--- a/controlplane/controller/gossip.go
+++ b/controlplane/controller/gossip.go
@@ -39,6 +39,9 @@
 		c.publishEjection(ejection)
 	}
 	c.mergeInstances(now, message.Instances)
+	if message.PersistRequest != 0 {
+		c.applyCoordinatorActions(now, c.coordinator.PersistHints(now, from, message.PersistRequest))
+	}
 }
 
 // broadcastInstances sends instances to the other members at once.
--- a/controlplane/controller/instances.go
+++ b/controlplane/controller/instances.go
@@ -22,7 +22,12 @@
 		}
 		c.publish(now, change.Urgent)
 	}
-	c.respond(Response{Token: token, Status: http.StatusOK, Address: c.heartbeatTarget(now, heartbeat.Zone)})
+	address := c.heartbeatTarget(now, heartbeat.Zone)
+	if heartbeat.Draining {
+		c.acknowledgeEnding(now, endingCall{ending: ending{id: heartbeat.ID}, instance: heartbeat, token: token, address: address})
+		return
+	}
+	c.respond(Response{Token: token, Status: http.StatusOK, Address: address})
 }
 
 // heartbeatTarget is where a replica is to send its further heartbeats: a member in its own zone, as traffic between zones costs. It is empty
@@ -46,7 +51,11 @@
 		return
 	}
 	c.deregister(now, id, "itself")
-	c.respond(Response{Token: token, Status: http.StatusOK})
+	c.acknowledgeEnding(now, endingCall{
+		ending:   ending{id: id, deregistered: true},
+		instance: registry.Instance{ID: id, Deregistered: true},
+		token:    token,
+	})
 }
 
 // deregister ends an instance, at its own request or on a gateway's proof, and notifies all members and gateways at once.
--- a/controlplane/controller/replication.go
+++ b/controlplane/controller/replication.go
@@ -64,12 +64,18 @@
 	}
 }
 
-// dispatchResponse hands the coordinator's response to whoever has asked for it: joining gateways, a caller or a proposal of this member.
+// dispatchResponse hands the coordinator's response to whoever has asked for it: joining gateways, a replica that ends, another caller or a
+// proposal of this member.
 func (c *Controller) dispatchResponse(now time.Duration, response coordinator.Response) {
 	if response.RequestID == c.confirmRequest {
 		c.completeJoins(now, response.Err)
 		return
 	}
+	if call, ok := c.endingCalls[response.RequestID]; ok {
+		delete(c.endingCalls, response.RequestID)
+		c.finishEnding(call, response)
+		return
+	}
 	if token, ok := c.callTokens[response.RequestID]; ok {
 		delete(c.callTokens, response.RequestID)
 		c.respond(Response{Token: token, Status: response.Status(), Body: response.Body, Address: response.RedirectTo(), Reason: response.Reason()})
--- a/controlplane/controller/tick.go
+++ b/controlplane/controller/tick.go
@@ -53,6 +53,7 @@
 	if now-c.lastOutlierSweepAt > outlierSweepInterval {
 		c.lastOutlierSweepAt = now
 		c.outliers.Expire(now)
+		c.forgetEndings()
 	}
 	c.applyCoordinatorActions(now, c.coordinator.Tick(now))
 	c.updateContact(now)
@@ -67,6 +68,7 @@
 		}
 	}
 	c.gossip(now)
+	c.resendEndings(now)
 	c.advanceMaintenance(now)
 	c.weights.Tick(now)
 	c.publish(now, false)
--- a/controlplane/coordinator/coordinator.go
+++ b/controlplane/coordinator/coordinator.go
@@ -22,10 +22,11 @@
 	chain       *chainreplication.Replica
 	persistence persistence
 
-	proposals     map[uint64]*pendingProposal // by request ID
-	reads         map[uint64]*pendingRead     // by request ID
-	lastRequestID uint64 // begins with the incarnation, so that no two processes use the same number
-	incarnation   uint64 // of this process; drawn at random at each start, part of its commands' IDs
+	proposals     map[uint64]*pendingProposal    // by request ID
+	reads         map[uint64]*pendingRead        // by request ID
+	replications  map[uint64]*pendingReplication // by request ID
+	lastRequestID uint64                         // begins with the incarnation, so that no two processes use the same number
+	incarnation   uint64                         // of this process; drawn at random at each start, part of its commands' IDs
 
 	acknowledgedVersion uint64 // highest configuration version that this process has acknowledged; for the invariant only
 
@@ -43,6 +44,7 @@
 		persistence:   persistence{hints: hints, hintsRevision: hints.Revision()},
 		proposals:     map[uint64]*pendingProposal{},
 		reads:         map[uint64]*pendingRead{},
+		replications:  map[uint64]*pendingReplication{},
 		peerCommitted: map[string]uint64{},
 	}
 	c.incarnation = uint64(random() * (1 << 53))
--- a/controlplane/coordinator/dispatch.go
+++ b/controlplane/coordinator/dispatch.go
@@ -28,6 +28,8 @@
 		c.handleConfirmViewRequest(from, message.ConfirmViewRequest)
 	case message.ConfirmViewResponse != nil:
 		c.handleConfirmViewResponse(from, message.ConfirmViewResponse)
+	case message.HintsPersisted != nil:
+		c.handleHintsPersisted(from, message.HintsPersisted)
 	}
 }
 
@@ -152,6 +154,7 @@
 	step.committed, step.hasCommitted = c.chain.Committed()
 	proposed := c.advanceProposals(now, step)
 	c.advanceReads(now, step)
+	c.advanceReplications(now, step)
 	for _, ready := range proposed {
 		c.applyChainReady(ready)
 	}
--- a/controlplane/coordinator/leave.go
+++ b/controlplane/coordinator/leave.go
@@ -14,7 +14,7 @@
 // must be able to go on without it: a quorum of the voters, each in the chain and in contact now, was synced in this view and
 // has what is committed here. While this member's seat makes the number of voters even, it waits until that seat is dropped.
 func (c *Coordinator) LeaveComplete(now time.Duration) bool {
-	if !c.membership.IsLeaving() || len(c.proposals)+len(c.reads) > 0 {
+	if !c.membership.IsLeaving() || len(c.proposals)+len(c.reads)+len(c.replications) > 0 {
 		return false
 	}
 	if c.membership.HasNoSuccessor(now) {
--- a/controlplane/coordinator/message.go
+++ b/controlplane/coordinator/message.go
@@ -12,13 +12,14 @@
 // Message is what members send to one another about the replicated register. Exactly one field is set, except that a
 // heartbeat in View is accompanied by CommitStatus.
 type Message struct {
-	View                *membership.Message        `cbor:"1,keyasint,omitempty"`
-	Chain               *chainreplication.Message  `cbor:"2,keyasint,omitempty"`
-	ProposeRequest      *messages.ProposeRequest   `cbor:"3,keyasint,omitempty"`
-	ProposeResponse     *messages.ProposeResponse  `cbor:"4,keyasint,omitempty"`
-	ConfirmViewRequest  *messages.ViewConfirmation `cbor:"5,keyasint,omitempty"`
-	ConfirmViewResponse *messages.ViewConfirmation `cbor:"6,keyasint,omitempty"`
-	CommitStatus        *messages.CommitStatus     `cbor:"7,keyasint,omitempty"`
+	View                *membership.Message         `cbor:"1,keyasint,omitempty"`
+	Chain               *chainreplication.Message   `cbor:"2,keyasint,omitempty"`
+	ProposeRequest      *messages.ProposeRequest    `cbor:"3,keyasint,omitempty"`
+	ProposeResponse     *messages.ProposeResponse   `cbor:"4,keyasint,omitempty"`
+	ConfirmViewRequest  *messages.ViewConfirmation  `cbor:"5,keyasint,omitempty"`
+	ConfirmViewResponse *messages.ViewConfirmation  `cbor:"6,keyasint,omitempty"`
+	CommitStatus        *messages.CommitStatus      `cbor:"7,keyasint,omitempty"`
+	HintsPersisted      *messages.HintsConfirmation `cbor:"8,keyasint,omitempty"`
 }
 
 // Actions are what the caller of the Coordinator has to do after a call.
@@ -26,7 +27,7 @@
 	// Messages are to be sent, in this order. They may be lost.
 	Messages []Outbound
 
-	// Responses end proposals and reads of this member's callers.
+	// Responses end proposals, reads and replications of this member's callers.
 	Responses []Response
 
 	// StateToPersist, if not nil, is to be brought to stable storage; then StatePersisted is to be called. No second write is
@@ -83,10 +84,10 @@
 // Unwrap makes errors.Is find ErrNotInChain.
 func (e *RedirectError) Unwrap() error { return ErrNotInChain }
 
-// Response ends a proposal or a read.
+// Response ends a proposal, a read or a replication of hints.
 type Response struct {
 	RequestID uint64
-	Err       error  // nil: the proposal is committed, or Body answers the read
+	Err       error  // nil: the proposal is committed, the hints are on a quorum's disks, or Body answers the read
 	Body      []byte // the committed configuration
 }
 
--- a/controlplane/registry/registry.go
+++ b/controlplane/registry/registry.go
@@ -81,6 +81,9 @@
 	return Instance{}, false
 }
 
+// Remembers reports whether an instance is registered, or was deregistered not long ago.
+func (r *Registry) Remembers(id string) bool { return r.records[id] != nil }
+
 // Each calls visit for every registered instance, in the order of their IDs.
 func (r *Registry) Each(now time.Duration, visit func(Instance)) {
 	for _, id := range r.sortedIDs {
--- a/internal/compatibility/encoding_test.go
+++ b/internal/compatibility/encoding_test.go
@@ -121,7 +121,10 @@
 
 // laterFields are fields that were added to a type after its samples had been recorded: "package.Type.Field" for each. The
 // samples of before leave them at zero, as programs of before do; a further sample, NAME.later, has all fields set.
-var laterFields = fieldSet{}
+var laterFields = fieldSet{
+	"coordinator.Message.HintsPersisted": true,
+	"peertransport.Frame.PersistRequest": true,
+}
 
 // TestEncodings compares the encodings of filled and of zero values with the kept ones, and the decoded ones with the
 // values.
@@ -203,6 +206,9 @@
 	listed := map[string]bool{}
 	for _, s := range samples {
 		listed[s.name], listed[s.name+".zero"] = true, true
+		if _, omitted := filled(s.of, laterFields); omitted {
+			listed[s.name+".later"] = true
+		}
 	}
 	files, err := filepath.Glob("testdata/*/*")
 	if err != nil {
--- a/internal/controlserver/peers.go
+++ b/internal/controlserver/peers.go
@@ -67,6 +67,7 @@
 		Instances:      message.Instances,
 		GatewaySummary: message.Fleet,
 		Ejections:      message.Ejections,
+		PersistRequest: message.PersistRequest,
 	}
 }
 
@@ -76,6 +77,8 @@
 		Instances:   frame.Instances,
 		Fleet:       frame.GatewaySummary,
 		Ejections:   frame.Ejections,
+
+		PersistRequest: frame.PersistRequest,
 	}
 }
 
--- a/internal/peertransport/frame.go
+++ b/internal/peertransport/frame.go
@@ -44,6 +44,9 @@
 
 	GatewaySummary *messages.GatewaySummary `cbor:"6,keyasint,omitempty"`
 	Ejections      []outlier.Ejection       `cbor:"7,keyasint,omitempty"`
+
+	// PersistRequest goes from member to member beside Instances.
+	PersistRequest uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 var decodeMode = func() cbor.DecMode {
--- a/messages/controlplane.go
+++ b/messages/controlplane.go
@@ -47,6 +47,11 @@
 	Confirmed bool `cbor:"3,keyasint,omitempty"`
 }
 
+// HintsConfirmation tells a member that the change which it sent with a request is on the sender's disk.
+type HintsConfirmation struct {
+	RequestID uint64 `cbor:"1,keyasint"`
+}
+
 // CommitStatus is what a member knows to be committed. It accompanies each heartbeat between members.
 type CommitStatus struct {
 	// Sequence is that of the newest register known to be committed.
