Callers that hold connections no longer end a control-plane member

Callers that opened some hundred and said nothing used up the descriptors; accept on the peers' port failed, and that error ended the process; the file of the state could not be opened either, so the member left the chain. At the users' size 47,000 replicas keep more connections than three or five members may have. Ruled out: a limit that lets new callers wait (a second of silence, and the idle ones stay for thirty), a shorter idle time (replicas beat every 1.5 s on kept connections). Change: callers hold six tenths of the descriptors at most; where there is no room, connections that have been without a call for longest are closed, and a new one where all came within a tenth of a second. Accepting peers goes on after an error. Looked elsewhere: the gateway's front has a bound (LimitListener), its readiness port and the figures' ports have none: open. The test committed before failed for want of descriptors at the callers' side too, which no mend could change: its callers now have room of their own, it still fails on the code as it was, and asks for twenty orders and a new caller besides.

--- a/internal/controlserver/connections_test.go
+++ b/internal/controlserver/connections_test.go
@@ -12,15 +12,17 @@
 )
 
 // TestSilentCallersDoNotEndTheMember guards against a member that ends, or loses its disk, because callers hold connections and say
-// nothing: they used up the process's descriptors, accepting failed, and that error ended the process.
+// nothing: they used up the process's descriptors, accepting failed, and that error ended the process. The callers' own ends are in this
+// process too, so its limit leaves room for them.
 func TestSilentCallersDoNotEndTheMember(t *testing.T) {
-	const descriptors = 300 // of the process, lowered for this test
-	var before syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
-		t.Fatal(err)
-	}
+	const (
+		memberDescriptors = 100 // by its settings
+		callers           = 130
+		orders            = 20
+	)
 	server := newIdleServer(t)
-	server.settings.FileDescriptors = descriptors / 3 // the callers' ends are in this process too
+	server.settings.FileDescriptors = memberDescriptors
+	server.callerConns = newCallerConns(memberDescriptors)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- server.Run(ctx, make(chan os.Signal)) }()
@@ -32,27 +34,20 @@
 			t.Fatal("the server does not answer")
 		}
 	}
-	lowered := before
-	lowered.Cur = descriptors
-	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &lowered); err != nil {
-		t.Fatal(err)
-	}
-	defer func() {
-		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
-			t.Error(err)
-		}
-	}()
-	for range descriptors {
+	limitDescriptors(t, openDescriptors(t)+callers+memberDescriptors)
+	for range callers {
 		conn, err := new(net.Dialer).DialContext(ctx, "tcp", server.settings.ControlAddress)
 		if err != nil {
-			break // no descriptor is left in this process
+			t.Fatal(err)
 		}
-		defer func() { _ = conn.Close() }()
+		defer func() { _ = conn.Close() }() // the server may have closed it
 	}
-	time.Sleep(300 * time.Millisecond)
-	if status := configuration(2); status != http.StatusOK {
-		t.Errorf("a configuration is answered %d while callers hold connections", status)
+	for version := range orders {
+		if status := configuration(2 + version); status != http.StatusOK {
+			t.Fatalf("order %d is answered %d while callers hold connections", version, status)
+		}
 	}
+	awaitNewCaller(ctx, t, server.settings.ControlAddress)
 	select {
 	case err := <-ended:
 		t.Fatalf("the member ended: %v", err)
@@ -63,3 +58,52 @@
 		t.Error(err)
 	}
 }
+
+// awaitNewCaller has a caller that keeps no connection call again and again, as callers do, until it is answered: within a second, once the
+// silent ones are old enough to be closed in its favour.
+func awaitNewCaller(ctx context.Context, t *testing.T, address string) {
+	t.Helper()
+	transport := &http.Transport{DisableKeepAlives: true}
+	for deadline := time.Now().Add(time.Second); ; {
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/api/rpc?call=core.describe", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := transport.RoundTrip(request)
+		if err == nil {
+			_ = response.Body.Close() // it is not read
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("a new caller is not served: %v", err)
+		}
+	}
+}
+
+func openDescriptors(t *testing.T) int {
+	t.Helper()
+	entries, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(entries)
+}
+
+// limitDescriptors lowers the process's limit until the test ends.
+func limitDescriptors(t *testing.T, limit int) {
+	t.Helper()
+	var before syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
+		t.Fatal(err)
+	}
+	lowered := before
+	lowered.Cur = uint64(limit)
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &lowered); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/controlserver/peers.go
+++ b/internal/controlserver/peers.go
@@ -1,7 +1,6 @@
 package controlserver
 
 import (
-	"errors"
 	"net"
 	"time"
 
@@ -100,18 +99,10 @@
 
 // acceptConnections takes the connections of other members and of gateways until the listener is closed.
 func (s *Server) acceptConnections(listener net.Listener) {
-	for {
-		conn, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			s.serveErrors <- err
-			return
-		}
+	s.acceptPeers(listener, func(conn net.Conn) {
 		s.limitUnacked(conn)
 		go s.serveConnection(conn)
-	}
+	})
 }
 
 // limitUnacked sets unackedTimeout. Where the system refuses, the connection is served without.
--- a/internal/controlserver/server.go
+++ b/internal/controlserver/server.go
@@ -59,6 +59,7 @@
 
 	figures        *metrics.Set
 	callLogLimiter *rate.Limiter
+	callerConns    *callerConns
 
 	// The other members.
 	hello           messages.Hello
@@ -94,6 +95,7 @@
 		streams:      map[uint64]*peertransport.Conn{},
 
 		callLogLimiter: rate.NewLimiter(callLogRate, callLogBurst),
+		callerConns:    newCallerConns(settings.FileDescriptors),
 	}
 	s.figures = s.newFigures()
 	return s, nil
@@ -150,6 +152,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleConnectionTimeout,
 		ErrorLog:          s.logger.Std("", 0),
+		ConnState:         s.callerConns.connState,
 	}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
