--- /dev/null
+++ b/internal/gateway/start_test.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"zincloft.example/zincloft/internal/nodesettings"
+	"zincloft.example/zincloft/internal/program"
+)
+
+const settingsOfCutOffGateway = `
+self_settings: {node_name: f1, zone: a, ip_address: 127.0.0.1, limits: {memory_mb: 64}}
+network_settings: {listen_addresses: {front: %q, readiness: %q}, internal_port_range: [%d, %d], seed_nodes: ["127.0.0.1:3"], zones: {a: r}}
+rule_terms: {bounds: {grace_period: 100ms}}
+`
+
+// freeAddress is an address on loopback that nobody listened at a moment ago.
+func freeAddress(t *testing.T) *net.TCPAddr {
+	t.Helper()
+	listener := listen(t)
+	defer closeQuietly(listener)
+	return listener.Addr().(*net.TCPAddr)
+}
+
+// TestGatewayWithoutConfigurationRejects guards against silence: a gateway that was started while it reaches no control-plane member
+// accepted connections in the kernel and read nothing, so that its clients waited, with an unsafe request until its deadline. It must
+// tell them within the second that they wait for a request to be read.
+func TestGatewayWithoutConfigurationRejects(t *testing.T) {
+	front, internal := freeAddress(t).String(), min(freeAddress(t).Port, 65000)
+	parsed, err := nodesettings.Parse(fmt.Appendf(nil, settingsOfCutOffGateway, front, freeAddress(t).String(), internal, internal+9))
+	if err != nil {
+		t.Fatal(err)
+	}
+	gateway, err := New(parsed, program.NewLogger(io.Discard, "gateway"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- gateway.Run(ctx, make(chan os.Signal)) }()
+	var conn net.Conn
+	if !until(func() bool {
+		conn, err = new(net.Dialer).DialContext(ctx, "tcp", front)
+		return err == nil
+	}) {
+		t.Fatal(err)
+	}
+	defer closeQuietly(conn)
+	send(t, conn, "POST /x/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 1\r\nContent-Length: 2\r\n\r\nab")
+	readWithin(t, conn, time.Second)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Errorf("no answer: %v", err)
+	} else {
+		closeQuietly(response.Body)
+		if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+			t.Errorf("answered %d, Retry-After %q", response.StatusCode, response.Header.Get("Retry-After"))
+		}
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
