A gateway without a configuration answers 503 half a second after its start

Clients that came meanwhile waited for an answer that nobody was to give, with an unsafe request until their deadline. Ruled out: listening only with a configuration (a refused connection promises nothing and every restart would show it), serving at once (a configuration comes within a tenth of a second as a rule, and waiting for it is worth more than a refusal). Change: the server begins with the first configuration or 0.5 s after the start. The server is stored atomically: it was written by the stream's goroutine and read by the one that shuts down. Looked elsewhere: the control port opens only once the disk is read; peers' port likewise.

--- a/internal/gateway/controlstream.go
+++ b/internal/gateway/controlstream.go
@@ -168,7 +168,7 @@
 			invariant.NotBelow(invariant.ConfigVersionMonotonic, config.Version, previous.Version)
 		}
 		g.logger.Info().Str("event", "config_applied").Uint64("version", config.Version).Int("routes", config.RouteCount).Msg("")
-		g.openFront(config)
+		g.openFront(config.Limits)
 	}
 	if result.FullTable {
 		g.hasTable.Store(true)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -141,7 +141,7 @@
 		update.Instances = append(update.Instances, instanceOf(replica))
 	}
 	gateway.applyUpdate(update)
-	t.Cleanup(func() { closeQuietly(gateway.server) })
+	t.Cleanup(func() { closeQuietly(gateway.server.Load()) })
 	return gateway.frontListener.Addr().String(), gateway, log
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,7 +52,7 @@
 
 	frontOnce     sync.Once // guards the start of server
 	frontListener net.Listener
-	server        *http.Server // nil until the first configuration
+	server        atomic.Pointer[http.Server] // nil until clients are served
 	serveErrors   chan error
 	unusedConns   unusedConns
 	bodyMemory    bodyMemory
--- a/internal/gateway/hostile_test.go
+++ b/internal/gateway/hostile_test.go
@@ -88,7 +88,7 @@
 		f.applyUpdate(st)
 	}
 	release(0)
-	defer closeQuietly(f.server)
+	defer closeQuietly(f.server.Load())
 
 	var began, violations atomic.Int64
 	var mu sync.Mutex
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -27,9 +27,10 @@
 	readinessReadHeaderTimeout = 3 * time.Second        // of the readiness server
 	exitReserve                = 300 * time.Millisecond // of the grace period, kept for the end of the process itself
 	closeUnusedInterval        = 20 * time.Millisecond
-	minServerHeaderBytes       = 64 << 10 // that the server reads of a head; the configuration in force allows less
-	clientDescriptorShare      = 0.7      // of the file descriptors, for clients' connections
-	gcMemoryShare              = 0.6      // of the memory limit, the garbage collector's goal
+	minServerHeaderBytes       = 64 << 10               // that the server reads of a head; the configuration in force allows less
+	unconfiguredDelay          = 500 * time.Millisecond // after the start, without a configuration: clients give up after a second
+	clientDescriptorShare      = 0.7                    // of the file descriptors, for clients' connections
+	gcMemoryShare              = 0.6                    // of the memory limit, the garbage collector's goal
 )
 
 // Run serves until ctx ends, then shuts down gracefully within the grace period. Each value on reload has the settings
@@ -52,6 +53,8 @@
 		return err
 	}
 	go g.followControlPlane(streamContext)
+	openUnconfigured := time.AfterFunc(unconfiguredDelay, func() { g.openFront(unconfiguredLimits) })
+	defer openUnconfigured.Stop()
 	g.logger.Info().Str("event", "started").Str("name", g.settings.Name).Str("zone", g.settings.Zone).Str("front", g.settings.FrontAddress).Msg("")
 	return g.loop(ctx, reload)
 }
@@ -116,27 +119,33 @@
 	}
 }
 
-// openFront starts to serve clients when the first configuration arrives. The server's own limits are those of that
-// configuration; later ones are applied by clientConn and handleRequest.
-func (g *Gateway) openFront(config *gatewayconfig.Config) {
+// unconfiguredLimits are the server's own limits where it begins without a configuration. A head may be as long as any
+// configuration is likely to allow; handleRequest holds it to the one in force.
+var unconfiguredLimits = gatewayconfig.Limits{MaxHeaderBytes: http.DefaultMaxHeaderBytes, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
+// openFront starts to serve clients: when the first configuration arrives, or after unconfiguredDelay without one, so that
+// clients which come all the same are told to go elsewhere. The server's own limits stay as they are; those of the
+// configuration in force are applied by clientConn and handleRequest.
+func (g *Gateway) openFront(limits gatewayconfig.Limits) {
 	g.frontOnce.Do(func() {
 		mux := chi.NewRouter()
 		mux.Handle("/*", http.HandlerFunc(g.handleRequest))
 		mux.NotFound(g.handleRequest)
 		mux.MethodNotAllowed(g.handleRequest)
-		g.server = &http.Server{
+		server := &http.Server{
 			Handler:           mux,
-			ReadHeaderTimeout: config.Limits.HeaderTimeout,
-			IdleTimeout:       config.Limits.IdleTimeout,
-			MaxHeaderBytes:    max(int(config.Limits.MaxHeaderBytes), minServerHeaderBytes),
+			ReadHeaderTimeout: limits.HeaderTimeout,
+			IdleTimeout:       limits.IdleTimeout,
+			MaxHeaderBytes:    max(int(limits.MaxHeaderBytes), minServerHeaderBytes),
 			ErrorLog:          g.logger.Std("", 0),
 			ConnContext:       withClientConn,
 			ConnState:         g.unusedConns.connState,
 		}
+		g.server.Store(server)
 		maxConns := int(float64(g.settings.FileDescriptors) * clientDescriptorShare)
 		listener := clientListener{netutil.LimitListener(g.frontListener, maxConns), g}
 		go func() {
-			if err := g.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				g.serveErrors <- err
 			}
 		}()
@@ -161,7 +170,7 @@
 	g.stopping.Store(true)
 	end := time.Now().Add(g.settings.Bounds.GracePeriod - exitReserve)
 	time.Sleep(min(router.ReadinessPropagation, g.settings.Bounds.GracePeriod/2))
-	if g.server == nil {
+	if g.server.Load() == nil {
 		return
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), end)
@@ -175,7 +184,7 @@
 // for connections that clients opened in advance and have not used yet, so those are closed here.
 func (g *Gateway) shutdownServer(ctx context.Context) error {
 	done := make(chan error, 1)
-	go func() { done <- g.server.Shutdown(ctx) }()
+	go func() { done <- g.server.Load().Shutdown(ctx) }()
 	ticker := time.NewTicker(closeUnusedInterval)
 	defer ticker.Stop()
 	for {
