--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -57,12 +57,11 @@
 	readWithin(t, conn, time.Second)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		t.Errorf("no answer: %v", err)
-	} else {
-		closeQuietly(response.Body)
-		if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
-			t.Errorf("answered %d, Retry-After %q", response.StatusCode, response.Header.Get("Retry-After"))
-		}
+		t.Fatalf("no answer: %v", err)
+	}
+	defer closeQuietly(response.Body)
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("answered %d, Retry-After %q", response.StatusCode, response.Header.Get("Retry-After"))
 	}
 	cancel()
 	if err := <-ended; err != nil {
