A gateway's share of the retry slack shrinks as more gateways are known

Ruled out: raising it again when the count falls, as halves of a control plane that is cut each see half of the gateways. Looked elsewhere: connection shares follow the count already; what a gateway out of touch may send is computed when it falls out of touch. What is left: each restart of a gateway begins with a full share, so n restarts in one window are n shares.

--- a/dataplane/retry/budget.go
+++ b/dataplane/retry/budget.go
@@ -13,6 +13,13 @@
 	return &Budget{ratio: ratio, burst: burst, tokens: burst}
 }
 
+// LimitBurst lowers the tokens that the budget may hold, as more gateways are known to share them. It never raises them: a count that
+// falls may only mean that some are out of sight.
+func (b *Budget) LimitBurst(burst float64) {
+	b.burst = min(b.burst, burst)
+	b.tokens = min(b.tokens, b.burst)
+}
+
 // Deposit counts a request of a client.
 func (b *Budget) Deposit() { b.tokens = min(b.tokens+b.ratio, b.burst) }
 
--- a/dataplane/router/request.go
+++ b/dataplane/router/request.go
@@ -50,9 +50,14 @@
 func (r *Router) retryBudget(service string) *retry.Budget {
 	budget := r.retryBudgets[service]
 	if budget == nil {
-		slack := r.settings.RetrySlack / float64(max(r.gateways, minGateways))
-		budget = retry.NewBudget(r.settings.RetryRatio/budgetDivisor, max(slack/budgetDivisor, 1))
+		budget = retry.NewBudget(r.settings.RetryRatio/budgetDivisor, r.retryBurst())
 		r.retryBudgets[service] = budget
 	}
 	return budget
 }
+
+// retryBurst is this gateway's share of the retry slack, by the number of gateways known.
+func (r *Router) retryBurst() float64 {
+	slack := r.settings.RetrySlack / float64(max(r.gateways, minGateways))
+	return max(slack/budgetDivisor, 1)
+}
