Simulation: an acknowledged drain is on more disks than may be lost at once

Change: the check beside the one of orders, and a planted bug of members that confirm and do not keep.

--- a/internal/simulation/invariant_acknowledgement.go
+++ b/internal/simulation/invariant_acknowledgement.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"zincloft.example/zincloft/controlplane/controller"
+	"zincloft.example/zincloft/controlplane/coordinator"
+	"zincloft.example/zincloft/controlplane/registry"
 )
 
 // checkCallAnswered: a call that is made when all has been calm for long is answered before its deadline. It is checked
@@ -67,20 +70,43 @@
 
 // checkDurability: what is acknowledged is on more disks than may be lost at once, whatever a loss of power takes away.
 func (c *cluster) checkDurability(call *operatorCall) {
-	copies := 0
+	copies := c.countDisks(func(state *coordinator.PersistentState) bool {
+		return call.action.Kind != PutConfig || state.Register.Version >= call.version
+	})
+	if copies <= c.toleratedDiskLosses() {
+		c.violationf("call %d was acknowledged with only %d disks that hold it", call.number, copies)
+	}
+}
+
+// checkDrainDurability: so is the acknowledged drain of a replica. It binds whatever becomes of the member that acknowledged it.
+func (c *cluster) checkDrainDurability(m *member, r *replica) {
+	copies := c.countDisks(func(state *coordinator.PersistentState) bool {
+		return slices.ContainsFunc(state.Instances, func(instance registry.Instance) bool {
+			return instance.ID == r.id && (instance.Draining || instance.Deregistered)
+		})
+	})
+	if copies <= c.toleratedDiskLosses() {
+		c.violationf("%s acknowledged the drain of %s with only %d disks that hold it", m.name, r.id, copies)
+	}
+}
+
+// countDisks counts the disks whose state, after a loss of power, holds something.
+func (c *cluster) countDisks(holds func(*coordinator.PersistentState) bool) (count int) {
 	for _, m := range c.members {
 		if m.gone {
 			continue
 		}
-		if state := m.disk.durableState(); state != nil && (call.action.Kind != PutConfig || state.Register.Version >= call.version) {
-			copies++
+		if state := m.disk.durableState(); state != nil && holds(state) {
+			count++
 		}
 	}
-	tolerated := min((c.schedule.Members-1)/2, (c.schedule.InitialMembers-1)/2)
+	return count
+}
+
+// toleratedDiskLosses is how many disks may be lost at once.
+func (c *cluster) toleratedDiskLosses() int {
 	if c.coreHistory.formed {
-		tolerated = c.schedule.Tolerance
-	}
-	if copies <= tolerated {
-		c.violationf("call %d was acknowledged with only %d disks that hold it", call.number, copies)
+		return c.schedule.Tolerance
 	}
+	return min((c.schedule.Members-1)/2, (c.schedule.InitialMembers-1)/2)
 }
--- a/internal/simulation/plantedbug.go
+++ b/internal/simulation/plantedbug.go
@@ -1,8 +1,11 @@
 package simulation
 
 import (
+	"slices"
+
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/controller"
+	"zincloft.example/zincloft/controlplane/registry"
 	"zincloft.example/zincloft/dataplane/router"
 	"zincloft.example/zincloft/messages"
 )
@@ -17,6 +20,7 @@
 	AcknowledgeBeforeSync PlantedBug = "a write is reported as done before the sync"
 	SkipFolderSync        PlantedBug = "a new file's folder is not synced"
 	AcceptStaleState      PlantedBug = "a gateway takes an older register"
+	ForgetDrains          PlantedBug = "what another member says of a drain is confirmed and not kept"
 	UndividedWarmupQuota  PlantedBug = "each member deals out all that a warming replica bears"
 )
 
@@ -36,6 +40,12 @@
 
 // plantInMessage alters a message between members as a member with the planted bug would have sent or read it.
 func (c *cluster) plantInMessage(m *member, event controller.Event) controller.Event {
+	if event.Message != nil && c.hasBug(ForgetDrains) {
+		message := *event.Message
+		message.Instances = slices.DeleteFunc(slices.Clone(message.Instances), func(instance registry.Instance) bool { return instance.Draining })
+		event.Message = &message
+		return event
+	}
 	if event.Message == nil || event.Message.Coordinator == nil {
 		return event
 	}
--- a/internal/simulation/plantedbug_test.go
+++ b/internal/simulation/plantedbug_test.go
@@ -8,7 +8,7 @@
 
 // TestPlantedBugsAreFound plants bugs on purpose: invariants that miss them are worth nothing.
 func TestPlantedBugsAreFound(t *testing.T) {
-	for _, bug := range []PlantedBug{IgnoreViewNumber, KeepVoteAfterWipe, AcknowledgeBeforeSync, SkipFolderSync, AcceptStaleState, UndividedWarmupQuota} {
+	for _, bug := range []PlantedBug{IgnoreViewNumber, KeepVoteAfterWipe, AcknowledgeBeforeSync, SkipFolderSync, AcceptStaleState, ForgetDrains, UndividedWarmupQuota} {
 		t.Run(string(bug), func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(400) {
--- a/internal/simulation/replica.go
+++ b/internal/simulation/replica.go
@@ -140,6 +140,7 @@
 	if r.drainAcknowledgedAt > 0 {
 		return
 	}
+	c.checkDrainDurability(m, r)
 	r.drainAcknowledgedAt = c.now
 	c.tracef("%s: the drain of %s is acknowledged", m.name, r.id)
 	c.after(drainDeadline+time.Second, func() { c.endReplica(r) })
