Tests of the soak's checker: each rule broken in a record that is sound otherwise

Cause: planted faults prove four of sixteen rules, at the price of builds and processes; the rest rested on reading. Change: a table with a record a rule, what excuses and what does not, generated schedules.

--- /dev/null
+++ b/internal/soak/check_test.go
@@ -0,0 +1,148 @@
+package soak
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+const second = time.Second
+
+// soundRecord is a calm run: a replica, a configuration, a request.
+func soundRecord() *Record {
+	return &Record{
+		Requests:   []Request{{ID: "r1", Gateway: "gateway-1", Kind: UnsafeRequest, SentAt: 10 * second, EndedAt: 10*second + 20*time.Millisecond, Status: 200, Body: "body of r1 from i-1\n"}},
+		Executions: []Execution{{RequestID: "r1", Instance: "i-1", At: 10*second + 10*time.Millisecond}},
+		Instances:  []*Instance{{ID: "i-1", Service: "orders", Zone: "c"}},
+		Operations: []Operation{
+			{Kind: PutOperation, Member: "member-1", Version: 5, Call: 1 * second, Return: 2 * second, Status: 200},
+			{Operator: operatorCount, Kind: ReadOperation, Member: "member-2", Version: 5, Call: 60 * second, Return: 61 * second, Status: 200},
+		},
+		Recovered: 50 * second,
+		EndedAt:   70 * second,
+	}
+}
+
+// probe is a probe that found no route.
+func probe(sentAt time.Duration, status int) Request {
+	return Request{ID: "p" + sentAt.String(), Gateway: "gateway-1", Kind: ProbeRequest, Version: 5, SentAt: sentAt, EndedAt: sentAt + 10*time.Millisecond, Status: status}
+}
+
+// TestCheckFindsEachRule breaks each rule in a record that is sound otherwise: exactly that rule must be found.
+func TestCheckFindsEachRule(t *testing.T) {
+	if violations := Check(soundRecord()); len(violations) > 0 {
+		t.Fatalf("the sound record: %v", violations)
+	}
+	for rule, breaks := range map[Rule]func(*Record){
+		RuleExecutedTwice: func(r *Record) {
+			r.Executions = append(r.Executions, Execution{RequestID: "r1", Instance: "i-1", At: 11 * second})
+		},
+		RuleRefusal: func(r *Record) { r.Requests[0].Status = 503 },
+		RuleMixed:   func(r *Record) { r.Requests[0].Body = "body of r2 from i-1\n" },
+		RuleUnasked: func(r *Record) {
+			r.Executions = append(r.Executions, Execution{RequestID: "r9", Instance: "i-1", At: second})
+		},
+		RuleUnanswered: func(r *Record) { r.Requests[0].EndedAt = 13 * second },
+		RuleRead: func(r *Record) {
+			r.Operations = append(r.Operations, Operation{Kind: ReadOperation, Member: "member-3", Version: 4, Call: 20 * second, Return: 21 * second, Status: 200})
+		},
+		RuleAltered: func(r *Record) { r.Operations[1].Altered = true },
+		RuleLost:    func(r *Record) { r.Operations[1].Status = 503 },
+		RuleStaleConfig: func(r *Record) {
+			r.Requests = append(r.Requests, probe(5*second, 404))
+		},
+		RuleDrain: func(r *Record) { r.Instances[0].AcknowledgedAt = 7 * second },
+		RuleEvacuation: func(r *Record) {
+			r.Operations = append(r.Operations, Operation{Kind: EvacuateOperation, Zone: "c", Call: 3 * second, Return: 4 * second, Status: 200})
+		},
+		RuleNoAck: func(r *Record) {
+			r.Operations = append(r.Operations,
+				Operation{Kind: PutOperation, Version: 6, Call: 30 * second, Return: 31 * second, Status: 503},
+				Operation{Kind: PutOperation, Version: 6, Call: 34 * second, Return: 36 * second, Status: 503})
+		},
+		RuleExit: func(r *Record) {
+			r.Processes = append(r.Processes, ProcessEvent{Process: "member-1", Event: ProcessEnded, At: 40 * second})
+		},
+		RuleFinding:  func(r *Record) { r.Findings = append(r.Findings, Finding{Process: "gateway-1", Text: "panic: "}) },
+		RuleRecovery: func(r *Record) { r.Recovered = 0 },
+	} {
+		record := soundRecord()
+		breaks(record)
+		violations := Check(record)
+		if len(violations) != 1 || violations[0].Rule != rule {
+			t.Errorf("%s: found %v", rule, violations)
+		}
+	}
+}
+
+// TestCheckFindsConfigurationThatWentBack needs faults about, in which an older configuration alone would be excused.
+func TestCheckFindsConfigurationThatWentBack(t *testing.T) {
+	record := soundRecord()
+	record.Faults = []FaultEvent{{Fault: Fault{Kind: CutMember}, BeganAt: 4 * second, EndedAt: 9 * second}}
+	served := probe(5*second, 200)
+	served.Body = "body of " + served.ID + " from i-1\n"
+	record.Executions = append(record.Executions, Execution{RequestID: served.ID, Instance: "i-1", At: 5 * second})
+	record.Requests = append(record.Requests, served, probe(6*second, 404))
+	violations := Check(record)
+	if len(violations) != 1 || violations[0].Rule != RuleConfigBack {
+		t.Errorf("found %v", violations)
+	}
+	record.Processes = []ProcessEvent{{Process: "gateway-1", Event: ProcessStarted, At: 5*second + 500*time.Millisecond}}
+	if violations := Check(record); len(violations) > 0 {
+		t.Errorf("another life of the gateway: %v", violations)
+	}
+}
+
+// TestFaultsExcuse lists what binds in touch only: a fault on the control plane, or a process that was started, excuses it for as long
+// as contact takes, and a misbehaving caller excuses nothing.
+func TestFaultsExcuse(t *testing.T) {
+	for _, test := range []struct {
+		kind  FaultKind
+		ended time.Duration
+		found bool
+	}{
+		{PauseMember, 8 * second, false},
+		{PauseMember, 6 * second, true},
+		{PauseGateway, 8 * second, false},
+		{HoardConnections, 8 * second, true},
+		{HostileClients, 8 * second, true},
+	} {
+		record := soundRecord()
+		record.Instances[0].AcknowledgedAt = 7 * second
+		record.Faults = []FaultEvent{{Fault: Fault{Kind: test.kind}, BeganAt: 5 * second, EndedAt: test.ended}}
+		found := slices.ContainsFunc(Check(record), func(violation Violation) bool { return violation.Rule == RuleDrain })
+		if found != test.found {
+			t.Errorf("%s until %v: found %v", test.kind, test.ended, found)
+		}
+	}
+}
+
+// TestGenerate guards that seeds repeat, that faults overlap and that no more disks are lost at once than may be.
+func TestGenerate(t *testing.T) {
+	for seed := range uint64(200) {
+		schedule := Generate(seed, 3)
+		if again := Generate(seed, 3); !slices.Equal(schedule.Faults, again.Faults) {
+			t.Fatalf("seed %d does not repeat", seed)
+		}
+		wipes := map[time.Duration]int{}
+		for _, fault := range schedule.Faults {
+			if fault.Kind.losesDisk() {
+				wipes[fault.At/episodeInterval]++
+			}
+		}
+		for episode, count := range wipes {
+			if count > 1 {
+				t.Errorf("seed %d, episode %d: %d disks are lost", seed, episode, count)
+			}
+		}
+	}
+	coverage := Coverage{}
+	coverage.Add([]FaultEvent{
+		{Fault: Fault{Kind: KillMember}, BeganAt: 0, EndedAt: 2 * second},
+		{Fault: Fault{Kind: CutMember}, BeganAt: second, EndedAt: 3 * second},
+		{Fault: Fault{Kind: PauseGateway}, BeganAt: 4 * second, EndedAt: 5 * second},
+	})
+	if len(coverage) != 1 || coverage[[2]FaultKind{CutMember, KillMember}] != 1 {
+		t.Errorf("coverage %v", coverage)
+	}
+}
