--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -56,13 +56,14 @@
 		b.Fatal(err)
 	}
 	f.frontOnce.Do(func() {})
-	f.applyUpdate(&messages.StateUpdate{Full: true, Sequence: 1, ConfigVersion: 1, Config: configured(1, "safe"),
-		Instances: []registry.Instance{{ID: up.ID, Service: "svc", Addr: up.Addr(), Zone: "a", Slots: 4}}})
+	update := &messages.StateUpdate{Full: true, Sequence: 1, ConfigVersion: 1, Config: configured(1, "safe"),
+		Instances: []registry.Instance{{ID: up.ID, Service: "svc", Addr: up.Addr(), Zone: "a", Slots: 4}}}
 	for _, x := range []struct {
 		name string
 		h    http.Handler
 	}{{"gateway", http.HandlerFunc(f.handleRequest)}, {"plain", plain(up.Addr())}, {"direct", nil}} {
 		b.Run(x.name, func(b *testing.B) {
+			f.applyUpdate(update) // two seconds without one, the gateway sends replicas less
 			ln := listen(b)
 			srv := &http.Server{Handler: x.h}
 			if x.name == "gateway" { // as in service: with what watches its clients' bytes
