--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -91,6 +91,7 @@
 					f.reason = reasonNoEndpoint
 				}
 			case abortConnection:
+				f.gateway.figures.failed.Inc()
 				f.fail(0, endedByClient)
 				panic(http.ErrAbortHandler)
 			case awaitPending:
@@ -233,6 +234,7 @@
 	f.checkResponse(response)
 	if err := writeResponse(w, r, response); err != nil {
 		f.reason = string(replica.CauseTruncated)
+		f.gateway.figures.failed.Inc()
 		f.fail(0, endedByReplica)
 		panic(http.ErrAbortHandler)
 	}
