--- /dev/null
+++ b/internal/gateway/silentclients_test.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"zincloft.example/zincloft/internal/nodesettings"
+	"zincloft.example/zincloft/internal/program"
+	"zincloft.example/zincloft/messages"
+)
+
+// TestSilentClientsDoNotShutOthersOut guards against silence at a gateway whose connections are all held by clients that send nothing:
+// further ones wait in the kernel, unread, for as long as an idle connection may last. They must be answered within the second that
+// they wait for a request to be read, whoever makes room for them.
+func TestSilentClientsDoNotShutOthersOut(t *testing.T) {
+	const descriptors = 100 // by the settings; seven tenths are for clients
+	replica := startReplica(t, "i0")
+	parsed, err := nodesettings.Parse([]byte(settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed.FileDescriptors = descriptors
+	gateway, err := New(parsed, program.NewLogger(&logBuffer{}, "gateway"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	gateway.frontListener = listen(t)
+	update := &messages.StateUpdate{Full: true, Sequence: 1, ConfigVersion: 1, Config: limited(1, `"header_timeout":"3s","idle_timeout":"15s"`)}
+	update.Instances = append(update.Instances, instanceOf(replica))
+	gateway.applyUpdate(update)
+	t.Cleanup(func() { closeQuietly(gateway.server.Load()) })
+	address := gateway.frontListener.Addr().String()
+	for range descriptors {
+		silent := dial(t, address)
+		t.Cleanup(func() { closeQuietly(silent) })
+	}
+	if !until(func() bool {
+		gateway.unusedConns.mu.Lock()
+		defer gateway.unusedConns.mu.Unlock()
+		return len(gateway.unusedConns.conns) >= descriptors*7/10
+	}) {
+		t.Fatal("the silent clients are not accepted")
+	}
+	client, err := new(net.Dialer).DialContext(t.Context(), "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeQuietly(client)
+	send(t, client, "POST /x/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 1\r\nContent-Length: 2\r\n\r\nab")
+	readWithin(t, client, time.Second)
+	response, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	closeQuietly(response.Body)
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -142,6 +142,8 @@
 		c.fleet.behave()
 	case HostileClients:
 		sendHostile(ctx, gateway.frontAddress())
+	case HoardFront:
+		hoard(ctx, gateway.frontAddress())
 	case DeregisterReplica:
 		c.fleet.leave(c.running, fault.Target, leavesByDeregistering, "")
 	case DrainReplica:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -45,6 +45,10 @@
 	HostileClients    FaultKind = "hostile_clients"
 	DeregisterReplica FaultKind = "deregister_replica" // planned: without draining before
 	DrainReplica      FaultKind = "drain_replica"      // planned
+
+	// HoardFront has clients hold a gateway's connections and say nothing. It is not drawn before finding F is mended
+	// (docs/incidents/promises-swept.md), only played in schedules of one's own.
+	HoardFront FaultKind = "hoard_front"
 )
 
 // generatedKinds are the kinds that Generate draws from, each as often as it is listed.
