--- a/internal/gateway/silentclients_test.go
+++ b/internal/gateway/silentclients_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -51,9 +50,7 @@
 	defer closeQuietly(client)
 	send(t, client, "POST /x/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 1\r\nContent-Length: 2\r\n\r\nab")
 	readWithin(t, client, time.Second)
-	response, err := http.ReadResponse(bufio.NewReader(client), nil)
-	if err != nil {
+	if _, _, err := readResponse(bufio.NewReader(client)); err != nil {
 		t.Fatalf("no answer: %v", err)
 	}
-	closeQuietly(response.Body)
 }
