--- a/dataplane/router/router.go
+++ b/dataplane/router/router.go
@@ -36,6 +36,8 @@
 
 	WarmupOverage float64 `cbor:"6,keyasint,omitempty"` // how many times its warm-up rate a replica that is warming up may be sent in a second
 	WarmupSlack   float64 `cbor:"7,keyasint,omitempty"` // requests beyond that
+
+	RetryWindow time.Duration `cbor:"8,keyasint,omitempty"` // in which the bounds of retries hold; 0: defaultRetryWindow
 }
 
 // Router is the state of one gateway. It is not safe for concurrent use.
@@ -49,6 +51,8 @@
 	sequence            uint64                // of the replicated register in force
 	members             []membership.Member   // of the control plane
 	gateways            int                   // known over all members; 0: not known yet
+	mostGateways        int                   // that were ever known
+	gatewaysKnownSince  time.Duration         // when their number was first told
 	hasTable            bool                  // a full update was applied
 	lastUpdateAt        time.Duration
 	updateCount         uint64        // updates applied so far
--- a/dataplane/router/update.go
+++ b/dataplane/router/update.go
@@ -44,9 +44,7 @@
 	}
 	if update.GatewayCount > 0 {
 		r.gateways = update.GatewayCount
-		for _, budget := range r.retryBudgets {
-			budget.LimitBurst(r.retryBurst())
-		}
+		r.updateRetrySlack(now)
 	}
 	if r.config != nil && (result.Config != nil || update.GatewayCount > 0) {
 		r.updateMaxInFlight()
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -62,6 +62,7 @@
 		update.Instances = append(update.Instances, instanceOf(replica))
 	}
 	gateway.applyUpdate(update)
+	earnRetries(gateway)
 	Reset(func() {
 		for _, replica := range f.replicas {
 			replica.Close()
@@ -70,6 +71,15 @@
 	return f
 }
 
+// earnRetries has a gateway's retry budget hold what it earns by some traffic: it begins empty.
+func earnRetries(gateway *Gateway) {
+	const requests = 200
+	for range requests {
+		gateway.startRequest("svc")
+		gateway.endRequest(true, 0, 0)
+	}
+}
+
 func instanceOf(replica *upstream.Replica) registry.Instance {
 	return registry.Instance{ID: replica.ID, Service: "svc", Addr: replica.Addr(), Zone: "a", Slots: 4}
 }
@@ -141,6 +151,7 @@
 		update.Instances = append(update.Instances, instanceOf(replica))
 	}
 	gateway.applyUpdate(update)
+	earnRetries(gateway)
 	t.Cleanup(func() { closeQuietly(gateway.server.Load()) })
 	return gateway.frontListener.Addr().String(), gateway, log
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,7 @@
 			Zones:         len(settings.ZoneRegions),
 			RetryRatio:    settings.Bounds.RetryBudgetRatio,
 			RetrySlack:    settings.Bounds.RetryBudgetSlack,
+			RetryWindow:   settings.Bounds.RetryBudgetWindow,
 			WarmupOverage: settings.Bounds.WarmupOverage,
 			WarmupSlack:   settings.Bounds.WarmupSlack,
 			Seed:          rand.Uint64(),
@@ -125,7 +126,7 @@
 func (g *Gateway) startRequest(service string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.router.StartRequest(service)
+	g.router.StartRequest(g.now(), service)
 }
 
 // endRequest counts the end of a client's request, and whether the gateway itself delayed it: atReplicas is the part of
@@ -147,5 +148,5 @@
 func (g *Gateway) tryRetry(service string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.router.TryRetry(service)
+	return g.router.TryRetry(g.now(), service)
 }
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -60,6 +60,7 @@
 
 	cutLinks    map[link]int // how many cuts a link is under
 	lastArrival map[link]time.Duration
+	retryLog    retryLog
 
 	faultActiveUntil  time.Duration         // until when a fault acts, or has acted
 	downSince         map[int]time.Duration // members that are lost, by index
--- a/internal/simulation/gatewaystream.go
+++ b/internal/simulation/gatewaystream.go
@@ -161,6 +161,7 @@
 		return
 	}
 	c.checkGatewaySequenceRises(g)
+	c.drawRetries(g)
 	if config := g.router.Config(); config != nil {
 		c.configApplied(g, config.Version, string(config.Raw))
 	}
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -11,6 +11,7 @@
 	AnsweredCalls  int // calls of operators that were answered clearly, commands and reads
 	Requests       int // that gateways sent to replicas
 	WarmupRequests int // of them, to replicas that were warming up
+	Retries        int // requests that their gateway's budget allowed a retry
 	NewestView     uint64
 	DrainedWindows int // maintenance windows in which a gateway was drained
 	NewestSequence uint64
