The end of an instance is sent to each other member once

Cause: a deregistration or a drain by the replica's own call was broadcast as news, and sent again in the same step as what the others are to have on disk; the second says all that the first does. Ruled out: dropping the second (it carries the request that is confirmed). Change: endInstance ends an instance here; only an end on a gateway's proof is broadcast. Test: TestEndIsSentOnce, which found two messages to each member for both calls before.

--- a/controlplane/controller/cluster_test.go
+++ b/controlplane/controller/cluster_test.go
@@ -27,6 +27,8 @@
 	lastToken     uint64
 	responses     map[uint64]Response // by token
 	diskFull      map[int]bool        // by member: its writes fail
+
+	onSend func(from int, to string, message *Message) // is called for each message; nil: nobody looks
 }
 
 // newCluster starts a cluster and gives it a configuration.
@@ -85,6 +87,9 @@
 		c.step(member, Event{WriteResult: &WriteResult{}})
 	}
 	for _, send := range actions.Send {
+		if c.onSend != nil {
+			c.onSend(member, send.To, &send.Message)
+		}
 		to := slices.Index(c.addrs, send.To)
 		if to >= 0 && !c.isolated[member] && !c.isolated[to] {
 			from := c.controllers[member].Coordinator().Self()
--- a/controlplane/controller/instances.go
+++ b/controlplane/controller/instances.go
@@ -17,9 +17,9 @@
 		if change.Urgent {
 			c.logInfo("draining", "instance", heartbeat.ID)
 		}
-		if change.Urgent || heartbeat.WarmupMillis > 0 { // the others may know it as warm, or as warming up for a shorter time
+		if !heartbeat.Draining && heartbeat.WarmupMillis > 0 { // the others may know it as warm, or as warming up for a shorter time
 			c.broadcastInstances(now, []registry.Instance{heartbeat})
-		}
+		} // a drain is sent by acknowledgeEnding
 		c.publish(now, change.Urgent)
 	}
 	address := c.heartbeatTarget(now, heartbeat.Zone)
@@ -50,7 +50,7 @@
 		c.respond(Response{Token: token, Status: http.StatusServiceUnavailable, Reason: reasonNoQuorum})
 		return
 	}
-	c.deregister(now, id, "itself")
+	c.endInstance(now, id, "itself")
 	c.acknowledgeEnding(now, endingCall{
 		ending:   ending{id: id, deregistered: true},
 		instance: registry.Instance{ID: id, Deregistered: true},
@@ -58,14 +58,21 @@
 	})
 }
 
-// deregister ends an instance, at its own request or on a gateway's proof, and notifies all members and gateways at once.
+// deregister ends an instance on a gateway's proof, and notifies all members and gateways at once.
 func (c *Controller) deregister(now time.Duration, id, by string) {
+	if c.endInstance(now, id, by) {
+		c.broadcastInstances(now, []registry.Instance{{ID: id, Deregistered: true}})
+	}
+}
+
+// endInstance ends an instance and notifies this member's gateways at once. It reports whether that is new.
+func (c *Controller) endInstance(now time.Duration, id, by string) bool {
 	if !c.registry.Deregister(now, id) {
-		return
+		return false
 	}
 	c.logInfo("instance_deregistered", "instance", id, "by", by)
-	c.broadcastInstances(now, []registry.Instance{{ID: id, Deregistered: true}})
 	c.publish(now, true)
+	return true
 }
 
 // mergeInstances takes in instances that another member or a gateway has reported.
--- a/controlplane/controller/instances_test.go
+++ b/controlplane/controller/instances_test.go
@@ -113,3 +113,36 @@
 		})
 	}
 }
+
+// TestEndIsSentOnce guards the messages between members: the end of an instance that asked for it was sent to each other member twice at once, as
+// news and as what it is to have on disk.
+func TestEndIsSentOnce(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		event Event
+	}{{"deregistration", Event{Deregister: "i1"}}, {"drain", draining(9)}} {
+		c := newCluster()
+		c.heartbeat(0, 1, 0)
+		c.run(3 * time.Second)
+		c.lastToken++
+		event := test.event
+		event.Token = c.lastToken
+		sent := map[string]int{}
+		c.onSend = func(from int, to string, message *Message) {
+			for _, instance := range message.Instances {
+				if from == 1 && instance.ID == "i1" && (instance.Draining || instance.Deregistered) {
+					sent[to]++
+				}
+			}
+		}
+		c.step(1, event)
+		for to, times := range sent {
+			if times != 1 {
+				t.Errorf("%s: sent %d times to %s", test.name, times, to)
+			}
+		}
+		if len(sent) != 2 {
+			t.Errorf("%s: sent to %d members", test.name, len(sent))
+		}
+	}
+}
