--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -11,7 +10,6 @@
 const (
 	memberDelay          = 150 * time.Millisecond // of each chunk between members under DelayMembers
 	resetInterval        = 150 * time.Millisecond
-	hoardedConnections   = maxDescriptors + 100
 	misbehavingRequests  = 60 // of each replica
 	rollPause            = 300 * time.Millisecond
 	cutBeforeAckLead     = 100 * time.Millisecond // a member still believes to be in contact then
@@ -61,7 +59,7 @@
 
 func (k FaultKind) isOfMembers() bool {
 	switch k {
-	case ReloadMember, LoseAnswers, HoardConnections:
+	case ReloadMember, LoseAnswers, HoardConnections, HoardPeers, HoardMemberFigures:
 		return true
 	case KillEverything:
 		return true
@@ -104,7 +102,11 @@
 		<-ctx.Done()
 		passes.setLoseAnswers(false)
 	case HoardConnections:
-		hoard(ctx, member.controlAddress())
+		hoard(ctx, member.controlAddress(), fault.Manner)
+	case HoardPeers:
+		hoard(ctx, member.peerAddress(), fault.Manner)
+	case HoardMemberFigures:
+		hoard(ctx, member.metricsAddress(), fault.Manner)
 	default:
 	}
 	return nil
@@ -143,7 +145,11 @@
 	case HostileClients:
 		sendHostile(ctx, gateway.frontAddress())
 	case HoardFront:
-		hoard(ctx, gateway.frontAddress())
+		hoard(ctx, gateway.frontAddress(), fault.Manner)
+	case HoardReadiness:
+		hoard(ctx, gateway.readinessAddress(), fault.Manner)
+	case HoardFigures:
+		hoard(ctx, gateway.metricsAddress(), fault.Manner)
 	case DeregisterReplica:
 		c.fleet.leave(c.running, fault.Target, leavesByDeregistering, "")
 	case DrainReplica:
@@ -281,30 +287,3 @@
 		}
 	}
 }
-
-// hoard opens connections to an address and sends nothing on them until ctx ends. Each that is closed is opened again.
-func hoard(ctx context.Context, address string) {
-	var conns sync.WaitGroup
-	for range hoardedConnections {
-		conns.Go(func() {
-			for ctx.Err() == nil {
-				holdOne(ctx, address)
-			}
-		})
-	}
-	conns.Wait()
-}
-
-// holdOne holds one connection until it is closed or ctx ends.
-func holdOne(ctx context.Context, address string) {
-	dialer := net.Dialer{Timeout: clientDialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		time.Sleep(requestPause)
-		return
-	}
-	defer func() { _ = conn.Close() }() // it is given up
-	release := context.AfterFunc(ctx, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })
-	defer release()
-	_, _ = conn.Read(make([]byte, 1)) // until its end, whichever
-}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -22,11 +22,15 @@
 	DelayMembers     FaultKind = "delay_members"      // everything between members
 	ResetMembers     FaultKind = "reset_members"      // connections between members, again and again
 	KillAllMembers   FaultKind = "kill_all_members"
-	KillEverything   FaultKind = "kill_everything"  // members and gateways
-	KillAcknowledger FaultKind = "kill_after_ack"   // the member that acknowledges next, at once
-	CutAcknowledger  FaultKind = "cut_before_ack"   // a member from the others while a replica deregisters there
-	LoseAnswers      FaultKind = "lose_answers"     // of the control calls
-	HoardConnections FaultKind = "hoard_connection" // a caller opens connections to a member and says nothing
+	KillEverything   FaultKind = "kill_everything" // members and gateways
+	KillAcknowledger FaultKind = "kill_after_ack"  // the member that acknowledges next, at once
+	CutAcknowledger  FaultKind = "cut_before_ack"  // a member from the others while a replica deregisters there
+	LoseAnswers      FaultKind = "lose_answers"    // of the control calls
+
+	// Callers hold connections to a port of a member. Target says which member.
+	HoardConnections   FaultKind = "hoard_connection" // control
+	HoardPeers         FaultKind = "hoard_peers"
+	HoardMemberFigures FaultKind = "hoard_member_figures"
 )
 
 // Faults of gateways, replicas and clients. Target numbers a gateway or a replica.
@@ -46,15 +50,17 @@
 	DeregisterReplica FaultKind = "deregister_replica" // planned: without draining before
 	DrainReplica      FaultKind = "drain_replica"      // planned
 
-	// HoardFront has clients hold a gateway's connections and say nothing. It is not drawn before finding F is mended
-	// (docs/incidents/promises-swept.md), only played in schedules of one's own.
-	HoardFront FaultKind = "hoard_front"
+	// Callers hold connections to a port of a gateway. Target says which gateway.
+	HoardFront     FaultKind = "hoard_front"
+	HoardReadiness FaultKind = "hoard_readiness"
+	HoardFigures   FaultKind = "hoard_figures"
 )
 
 // generatedKinds are the kinds that Generate draws from, each as often as it is listed.
 var generatedKinds = []FaultKind{
 	KillMember, PauseMember, StopMember, ReloadMember, WipeMember, CutMember, CutMember, CutMemberOneWay, DelayMembers, ResetMembers,
-	KillAllMembers, KillEverything, KillAcknowledger, CutAcknowledger, LoseAnswers, HoardConnections,
+	KillAllMembers, KillEverything, KillAcknowledger, CutAcknowledger, LoseAnswers, HoardConnections, HoardPeers, HoardMemberFigures,
+	HoardFront, HoardFront, HoardReadiness, HoardFigures,
 	KillGateway, PauseGateway, StopGateway, RollGateways, ReloadGateway, CutGateway, RestartCutGateway, ResetClients,
 	CrashReplica, CutReplica, Misbehave, HostileClients, DeregisterReplica, DeregisterReplica, DrainReplica,
 }
@@ -65,6 +71,7 @@
 	At     time.Duration `json:"at"`
 	For    time.Duration `json:"for"`
 	Target int           `json:"target"`
+	Manner int           `json:"manner,omitempty"` // how connections are held, see manners
 }
 
 // affectsControlPlane tells whether a fault leaves the control plane unsettled, by the users' words: what callers and replicas do is
@@ -134,6 +141,11 @@
 		For:    minFaultTime + time.Duration(random.Int64N(int64(maxFaultTime-minFaultTime))),
 		Target: random.IntN(maxTarget),
 	}
+	switch fault.Kind {
+	case HoardConnections, HoardPeers, HoardMemberFigures, HoardFront, HoardReadiness, HoardFigures:
+		fault.Manner = random.IntN(len(manners))
+	default:
+	}
 	if fault.Kind == RestartCutGateway {
 		fault.For += requestDeadline // shorter, no client would notice
 	}
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -48,7 +48,8 @@
 func (h host) peerAddress() string      { return fmt.Sprintf("%s:%d", h.ip, firstInternalPort) }
 func (h host) frontAddress() string     { return fmt.Sprintf("%s:%d", h.ip, frontPort) }
 func (h host) readinessAddress() string { return fmt.Sprintf("%s:%d", h.ip, readinessPort) }
-func (h host) metricsURL() string       { return fmt.Sprintf("http://%s:%d/metrics", h.ip, metricsPort) }
+func (h host) metricsAddress() string   { return fmt.Sprintf("%s:%d", h.ip, metricsPort) }
+func (h host) metricsURL() string       { return "http://" + h.metricsAddress() + "/metrics" }
 
 // settings is the host's settings file. seeds are control addresses.
 func (h host) settings(firstStart bool, seeds []string) []byte {
