--- a/dataplane/loadbalancer/balancer.go
+++ b/dataplane/loadbalancer/balancer.go
@@ -50,6 +50,9 @@
 // Get returns an endpoint by its ID, or nil.
 func (b *Balancer) Get(id string) *Endpoint { return b.endpoints[id] }
 
+// KnowsService tells whether any endpoint of a service is known, whatever its state.
+func (b *Balancer) KnowsService(service string) bool { return len(b.byService[service]) > 0 }
+
 // All returns the endpoints in the order of their IDs.
 func (b *Balancer) All() []*Endpoint {
 	return slices.SortedFunc(maps.Values(b.endpoints), compareIDs)
--- a/dataplane/router/attempt.go
+++ b/dataplane/router/attempt.go
@@ -29,6 +29,8 @@
 	EndpointID string        `cbor:"2,keyasint,omitempty"` // empty: there is none
 	Addr       string        `cbor:"3,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"` // where there is none: when the client is to come back
+
+	NoneKnown bool `cbor:"5,keyasint,omitempty"` // there is none as no endpoint of the service is known
 }
 
 // AttemptResult is the end of an attempt.
@@ -67,7 +69,7 @@
 		endpoint = r.balancer.Pick(now, request.Service, attempted, controller.MaxQueueDepth(request.Admission), r.random)
 	}
 	if endpoint == nil {
-		return PickResult{RetryAfter: controller.Reject(request.Admission, r.random())}
+		return PickResult{RetryAfter: controller.Reject(request.Admission, r.random()), NoneKnown: !r.balancer.KnowsService(request.Service)}
 	}
 	invariant.Check(invariant.EndpointAcceptsRequests, r.balancer.AcceptsRequests(endpoint), func() string {
 		return endpoint.ID + " in zone " + endpoint.Zone + " drains or is evacuated"
--- a/internal/controlserver/calls.go
+++ b/internal/controlserver/calls.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"zincloft.example/zincloft/controlplane/controller"
+	"zincloft.example/zincloft/internal/bodybuffer"
 )
 
 const (
@@ -74,15 +74,20 @@
 	return <-done
 }
 
-// readBody reads a call's body. Where it can't, it answers the call and returns false.
+// readBody reads a call's body, which must be released from bodies. Where it can't, it answers the call and returns false.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, bool) {
 	s.setReadDeadline(w, time.Now().Add(bodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+	body, err := s.bodies.Read(r.Body, r.ContentLength, maxBytes)
 	s.setReadDeadline(w, time.Time{})
 	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
+	if err == nil {
 		return body, true
+	}
+	s.bodies.Release(body)
+	w.Header().Set("Connection", "close") // what is left of the body must not be taken for another call
+	switch {
+	case errors.Is(err, bodybuffer.ErrFull):
+		s.writeResult(w, http.StatusServiceUnavailable, "too many bodies are being received")
 	case errors.As(err, &tooLarge):
 		s.writeResult(w, http.StatusRequestEntityTooLarge, "the body is too large")
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/controlserver/connections_test.go
+++ b/internal/controlserver/connections_test.go
@@ -9,6 +9,11 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/internal/connlimit"
+	"zincloft.example/zincloft/internal/peertransport"
+	"zincloft.example/zincloft/messages"
 )
 
 // TestSilentCallersDoNotEndTheMember guards against a member that ends, or loses its disk, because callers hold connections and say
@@ -22,7 +27,7 @@
 	)
 	server := newIdleServer(t)
 	server.settings.FileDescriptors = memberDescriptors
-	server.callerConns = newCallerConns(memberDescriptors)
+	server.callerConns = connlimit.New("control", connlimit.Share(memberDescriptors, callerDescriptorShare), server.logger)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- server.Run(ctx, make(chan os.Signal)) }()
@@ -107,3 +112,70 @@
 		}
 	})
 }
+
+// TestSilentPeersDoNotShutOthersOut guards the listener for members and gateways: connections that never say whose they are take no room from those
+// that do, and gateways leave room for members.
+func TestSilentPeersDoNotShutOthersOut(t *testing.T) {
+	const memberDescriptors = 100 // by its settings
+	server := newIdleServer(t)
+	server.peerConns = connlimit.New("peers", connlimit.Share(memberDescriptors, peerDescriptorShare), server.logger)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(ctx, make(chan os.Signal)) }()
+	for deadline := time.Now().Add(10 * time.Second); serveCall(ctx, server, "call=configuration.replace", fmt.Sprintf(emptyConfiguration, 1)).Code != http.StatusOK; {
+		if time.Now().After(deadline) {
+			t.Fatal("the server does not answer")
+		}
+	}
+	dial := func() net.Conn {
+		var conn net.Conn
+		var err error
+		for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); {
+			if conn, err = new(net.Dialer).DialContext(ctx, "tcp", server.peerAddr()); err == nil {
+				return conn
+			}
+		}
+		t.Fatal(err)
+		return nil
+	}
+	for range 2 * server.peerConns.Limit() {
+		silent := dial()
+		defer func() { _ = silent.Close() }() // the member may have closed it
+	}
+	hello, err := peertransport.EncodeFrame(&peertransport.Frame{Hello: &messages.Hello{Gateway: "g1", Member: membership.Member{Zone: "a"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	follow := func() error { // as a gateway does, which goes on while the member is not ready to be followed
+		gateway := dial()
+		defer func() { _ = gateway.Close() }() // the member may have closed it
+		if _, err := gateway.Write(hello); err != nil {
+			return err
+		}
+		if err := gateway.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+			return err
+		}
+		_, err := peertransport.ReadFrame(gateway)
+		return err
+	}
+	for deadline := time.Now().Add(5 * time.Second); ; {
+		err := follow()
+		if err == nil {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("the gateway hears nothing: %v", err)
+		}
+	}
+	if open := server.peerConns.OpenCount(); open > server.peerConns.Limit() {
+		t.Error(open, "connections are open")
+	}
+	if streams, limit := server.maxStreams(), server.peerConns.Limit(); streams >= limit {
+		t.Errorf("gateways may take all %d connections", limit)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/controlserver/figures.go
+++ b/internal/controlserver/figures.go
@@ -6,6 +6,7 @@
 
 	metrics "github.com/VictoriaMetrics/metrics"
 
+	"zincloft.example/zincloft/internal/connlimit"
 	"zincloft.example/zincloft/internal/telemetry"
 )
 
@@ -16,6 +17,9 @@
 func (s *Server) newFigures() *metrics.Set {
 	set := telemetry.NewFigures()
 	set.RegisterMetricsWriter(s.writeFigures)
+	for _, conns := range []*connlimit.Limiter{s.callerConns, s.peerConns, s.figureConns} {
+		set.RegisterMetricsWriter(conns.WriteFigures)
+	}
 	return set
 }
 
--- a/internal/controlserver/instancecalls.go
+++ b/internal/controlserver/instancecalls.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	maxHeartbeatBytes = 64 << 10
-	maxSlots          = 1 << 20
+	maxHeartbeatBytes  = 64 << 10
+	maxInstanceIDBytes = 256 // a member remembers each instance for a while
+	maxSlots           = 1 << 20
 
 	// maxJSONInteger is where JSON's numbers stop being exact integers.
 	maxJSONInteger = 1 << 53
@@ -35,9 +36,10 @@
 	if !ok {
 		return
 	}
+	defer s.bodies.Release(body)
 	id := target(r)
-	if !gjson.ValidBytes(body) || id == "" {
-		s.writeResult(w, http.StatusBadRequest, "heartbeat: the body is not JSON, or the replica is not named")
+	if !gjson.ValidBytes(body) || id == "" || len(id) > maxInstanceIDBytes {
+		s.writeResult(w, http.StatusBadRequest, "heartbeat: the body is not JSON, or the replica is not named, or by too long a name")
 		return
 	}
 	heartbeat, err := parseHeartbeat(id, gjson.ParseBytes(body))
--- a/internal/controlserver/peers.go
+++ b/internal/controlserver/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/controller"
+	"zincloft.example/zincloft/internal/connlimit"
 	"zincloft.example/zincloft/internal/nodesettings"
 	"zincloft.example/zincloft/internal/peertransport"
 	"zincloft.example/zincloft/messages"
@@ -97,14 +98,6 @@
 	peer.Send(encoded)
 }
 
-// acceptConnections takes the connections of other members and of gateways until the listener is closed.
-func (s *Server) acceptConnections(listener net.Listener) {
-	s.acceptPeers(listener, func(conn net.Conn) {
-		s.limitUnacked(conn)
-		go s.serveConnection(conn)
-	})
-}
-
 // limitUnacked sets unackedTimeout. Where the system refuses, the connection is served without.
 func (s *Server) limitUnacked(conn net.Conn) {
 	raw, err := conn.(*net.TCPConn).SyscallConn()
@@ -125,10 +118,10 @@
 }
 
 // serveConnection serves a connection from a gateway or from another member, by its Hello.
-func (s *Server) serveConnection(conn net.Conn) {
+func (s *Server) serveConnection(conn *connlimit.Conn) {
 	defer s.close(conn)
 	first, err := readFrame(conn, helloTimeout)
-	if err != nil || first.Hello == nil {
+	if err != nil || first.Hello == nil || !conn.BeginRequest() {
 		return
 	}
 	if first.Hello.Gateway != "" {
@@ -166,6 +159,10 @@
 	defer stream.Shutdown()
 	var id uint64 // set and read by the goroutine of Run only
 	s.enqueue(func() {
+		if len(s.streams) >= s.maxStreams() {
+			stream.Shutdown()
+			return
+		}
 		s.lastToken++
 		id = s.lastToken
 		s.streams[id] = stream
@@ -181,6 +178,9 @@
 		}
 	}
 	s.enqueue(func() {
+		if id == 0 { // refused
+			return
+		}
 		delete(s.streams, id)
 		s.step(controller.Event{GatewayLeft: id})
 	})
--- a/internal/controlserver/server.go
+++ b/internal/controlserver/server.go
@@ -21,6 +21,8 @@
 	"golang.org/x/time/rate"
 
 	"zincloft.example/zincloft/controlplane/controller"
+	"zincloft.example/zincloft/internal/bodybuffer"
+	"zincloft.example/zincloft/internal/connlimit"
 	"zincloft.example/zincloft/internal/gossip"
 	"zincloft.example/zincloft/internal/nodesettings"
 	"zincloft.example/zincloft/internal/peertransport"
@@ -43,6 +45,11 @@
 	// memoryLimitRatio is the part of the machine's memory bound that is set as the Go runtime's memory limit.
 	memoryLimitRatio = 0.6
 
+	// bodyMemoryRatio is the part of the machine's memory bound that bodies of calls may hold at once.
+	bodyMemoryRatio = 0.25
+
+	maxHeaderBytes = 16 << 10 // of a call: many callers may send a head at once
+
 	taskQueueSize = 1024
 )
 
@@ -59,7 +66,13 @@
 
 	figures        *metrics.Set
 	callLogLimiter *rate.Limiter
-	callerConns    *callerConns
+
+	bodies *bodybuffer.Budget // of calls that are being received
+
+	// Connections by purpose, each with a share of the file descriptors.
+	callerConns *connlimit.Limiter // of replicas and operators
+	peerConns   *connlimit.Limiter // of other members and gateways
+	figureConns *connlimit.Limiter
 
 	// The other members.
 	hello           messages.Hello
@@ -95,7 +108,10 @@
 		streams:      map[uint64]*peertransport.Conn{},
 
 		callLogLimiter: rate.NewLimiter(callLogRate, callLogBurst),
-		callerConns:    newCallerConns(settings.FileDescriptors),
+		bodies:         bodybuffer.New(int64(bodyMemoryRatio * float64(settings.MemoryMB<<20))),
+		callerConns:    connlimit.New("control", connlimit.Share(settings.FileDescriptors, callerDescriptorShare), logger),
+		peerConns:      connlimit.New("peers", connlimit.Share(settings.FileDescriptors, peerDescriptorShare), logger),
+		figureConns:    connlimit.New("figures", connlimit.Share(settings.FileDescriptors, figureDescriptorShare), logger),
 	}
 	s.figures = s.newFigures()
 	return s, nil
@@ -129,12 +145,12 @@
 		return merry.Prepend(err, "listening for replicas and operators")
 	}
 	httpServer := s.serveControl(controlListener)
-	go s.acceptConnections(peerListener)
+	go s.acceptConnections(s.peerConns.Listen(peerListener))
 	self := peersampling.Descriptor{Addr: s.peerAddr(), Role: peersampling.RoleControlPlane, Zone: s.settings.Zone}
 	if s.gossip, err = gossip.Start(ctx, self, s.settings.SeedPeerAddresses(), s.settings.DialAddress); err != nil {
 		return err
 	}
-	if err := telemetry.Serve(ctx, s.settings.IP, s.settings.Metrics, telemetry.Source{Figures: s.figures}); err != nil {
+	if err := telemetry.Serve(ctx, s.settings.IP, s.settings.Metrics, telemetry.Source{Figures: s.figures, Connections: s.figureConns}); err != nil {
 		return err
 	}
 	s.step(controller.Event{Start: true})
@@ -151,11 +167,12 @@
 		Handler:           s.routes(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleConnectionTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          s.logger.Std("", 0),
-		ConnState:         s.callerConns.connState,
 	}
+	s.callerConns.Attach(server)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(s.callerConns.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			s.serveErrors <- err
 		}
 	}()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,7 +62,7 @@
 // the deadline before anything could be learned.
 func endpointResult(outcome replica.Outcome, canceled bool) loadbalancer.Result {
 	switch {
-	case outcome.NotSent && (outcome.DeadlineExceeded || canceled):
+	case outcome.NotSent && (outcome.DeadlineExceeded || canceled), outcome.Cause == replica.CausePoolFull:
 		return loadbalancer.Canceled
 	case outcome.NotSent:
 		return loadbalancer.ConnectFailed
@@ -81,7 +81,7 @@
 }
 
 func (g *Gateway) logAttempt(endpoint, attemptID string, outcome replica.Outcome) {
-	g.logger.Info().Str("event", "attempt").Str("attempt", attemptID[:min(len(attemptID), maxLoggedIDBytes)]).Str("replica", endpoint).
+	g.logger.Info().Str("event", "attempt").Str("attempt", loggedID(attemptID)).Str("replica", endpoint).
 		Uint64("conn", outcome.ConnID).Int("use", outcome.ConnUse).Str("execution", outcome.Execution.String()).
 		Str("cause", string(outcome.Cause)).Int("skipped", outcome.SkippedResponses).Msg("")
 }
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -67,8 +67,9 @@
 			ln := listen(b)
 			srv := &http.Server{Handler: x.h}
 			if x.name == "gateway" { // as in service: with what watches its clients' bytes
-				srv.ConnContext = withClientConn
-				go func() { _ = srv.Serve(clientListener{ln, f}) }() // ends with srv.Close
+				srv.ConnContext, srv.ConnState = withClientConn, followState
+				f.frontConns.Attach(srv)
+				go func() { _ = srv.Serve(clientListener{f.frontConns.Listen(ln), f}) }() // ends with srv.Close
 			} else {
 				go func() { _ = srv.Serve(ln) }() // ends with srv.Close
 			}
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -12,12 +12,13 @@
 	"time"
 
 	"zincloft.example/zincloft/dataplane/framing"
+	"zincloft.example/zincloft/internal/connlimit"
 )
 
-// clientListener wraps the connections that it accepts as clientConn.
+// clientListener wraps the connections that it accepts, which the front's limiter bounds, as clientConn.
 type clientListener struct {
-	net.Listener
-	gateway *Gateway
+	net.Listener // of the limiter
+	gateway      *Gateway
 }
 
 func (l clientListener) Accept() (net.Conn, error) {
@@ -25,30 +26,39 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: conn, gateway: l.gateway}, nil
+	return &clientConn{Conn: conn.(*connlimit.Conn), gateway: l.gateway}, nil
 }
 
 // clientConn is a client's connection. It keeps requests with ambiguous framing from the server, and applies the idle and
 // header timeouts of the configuration in force: the server by itself would keep to those of the first configuration, and
 // give a connection before its first request the time of a header.
 type clientConn struct {
-	net.Conn
+	*connlimit.Conn
 	gateway *Gateway
 
 	scanner    framing.Scanner
 	poison     string      // what is still to be read in place of a bad request
 	readClosed atomic.Bool // a bad request was found: nothing further is read from the client
-	received   atomic.Bool // any byte has come
 
 	// idle is set while nothing of the next request has come as far as the server knows. The header timeout runs from the
 	// first byte of a head on.
 	idle      atomic.Bool
 	idleSince time.Time
 
+	headBytes int          // of the head at hand; used on the server's goroutine only
+	headHeld  atomic.Int64 // bytes reserved for it
+
 	busy       bool // with a request, which sets deadlines of its own; used on the server's goroutine only
-	usedBefore bool // a request has come: it has left unusedConns; used on the server's goroutine only
+	usedBefore bool // a request has come; used on the server's goroutine only
 }
 
+const (
+	// freeHeadBytes of each head are not counted: they fit the buffer that its connection has in any case.
+	freeHeadBytes = 4 << 10
+
+	headMemoryFullResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.300\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
 type clientConnKey struct{}
 
 // withClientConn makes a connection known to the handlers of its requests.
@@ -56,6 +66,22 @@
 	return context.WithValue(ctx, clientConnKey{}, conn)
 }
 
+// followState follows the states that the server reports of a connection.
+func followState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*clientConn)
+	if !ok {
+		return
+	}
+	if state == http.StateNew || state == http.StateIdle {
+		c.idle.Store(true)
+	}
+	if state == http.StateActive {
+		c.headBytes = 0
+		c.releaseHead()
+	}
+	c.usedBefore = state != http.StateNew
+}
+
 // markBusy marks the connection of a request as busy until the returned function is called.
 func markBusy(r *http.Request) (done func()) {
 	c, _ := r.Context().Value(clientConnKey{}).(*clientConn)
@@ -93,7 +119,10 @@
 	if n == 0 {
 		return n, err
 	}
-	c.received.Store(true)
+	if c.IsReadingHead() && !c.reserveHead(n) {
+		c.rejectHead()
+		return 0, os.ErrDeadlineExceeded // upon which net/http answers nothing of its own
+	}
 	good, cause := c.scanner.Feed(b[:n])
 	if c.idle.Swap(false) && !c.usedBefore { // behind an earlier request the server sets the header timeout itself
 		c.startHeaderTimeout()
@@ -107,6 +136,41 @@
 	return good, nil
 }
 
+// reserveHead reserves memory for n further bytes of a head, if there is as much. Heads of the usual length are free.
+func (c *clientConn) reserveHead(n int) bool {
+	c.headBytes += n
+	missing := int64(c.headBytes-freeHeadBytes) - c.headHeld.Load()
+	if missing <= 0 {
+		return true
+	}
+	if !c.gateway.heads.Reserve(missing) {
+		return false
+	}
+	c.headHeld.Add(missing)
+	return true
+}
+
+// releaseHead gives back what the last head held.
+func (c *clientConn) releaseHead() {
+	if held := c.headHeld.Swap(0); held > 0 {
+		c.gateway.heads.Return(held)
+	}
+}
+
+// rejectHead ends a connection whose head has no room, and says when to come back: nothing of the request has been read as one.
+func (c *clientConn) rejectHead() {
+	c.gateway.count(countHeadMemoryFull)
+	c.readClosed.Store(true)
+	_ = c.SetWriteDeadline(time.Now().Add(writeGrace))    // fails on a closed connection only, as the write does then
+	_, _ = io.WriteString(c.Conn, headMemoryFullResponse) // the connection ends in any case
+}
+
+// Close implements net.Conn.
+func (c *clientConn) Close() error {
+	c.releaseHead()
+	return c.Conn.Close()
+}
+
 // startHeaderTimeout gives the head that has begun the time of the configuration in force.
 func (c *clientConn) startHeaderTimeout() {
 	config := c.gateway.config.Load()
--- a/internal/gateway/clientconn_test.go
+++ b/internal/gateway/clientconn_test.go
@@ -56,7 +56,7 @@
 	if ran := up.Executions(); ran["bad"]+ran["smuggled"] > 0 || ran["good"] != 3 {
 		t.Error(ran)
 	}
-	if n := f.bodyMemory.used.Load(); n != 0 {
+	if n := f.bodies.Used(); n != 0 {
 		t.Errorf("%d bytes of bodies are still reserved", n)
 	}
 }
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -20,10 +20,12 @@
 	countNoRoute              counter = "no_route"               // answered 404
 	countBodyTooLarge         counter = "body_too_large"         // answered 413
 	countBodyMemoryFull       counter = "body_memory_full"       // bodies of other requests hold all memory meant for them
+	countHeadMemoryFull       counter = "head_memory_full"       // heads of other requests hold all memory meant for them
 	countBodyAborted          counter = "body_aborted"           // the rest of the body never came
 	countClientGone           counter = "client_gone"            // nobody waits for the answer any more
 	countDeadlineTooClose     counter = "deadline_too_close"     // too little time left for any attempt
 	countOverloaded           counter = "overloaded"             // no endpoint could take the request
+	countNoEndpoint           counter = "no_endpoint_known"      // the control plane has told of no endpoint of the service
 	countHedged               counter = "hedged"                 // sent to a second replica beside the first
 	countRetryBudgetExhausted counter = "retry_budget_exhausted" // a retry that the budget did not allow
 
--- a/internal/gateway/failures.go
+++ b/internal/gateway/failures.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -47,7 +48,7 @@
 	SentAfter   time.Duration `json:"sent_after_ns"`
 	Duration    time.Duration `json:"duration_ns"`
 	Deadline    time.Duration `json:"deadline_ns"` // left when it was sent
-	Execution   string        `json:"execution"`   // pending where the request did not wait for its end
+	Execution   string        `json:"execution"`   // pending while its end, which the request did not wait for, has not come
 	Cause       replica.Cause `json:"cause,omitempty"`
 	Status      int           `json:"status,omitempty"` // of the replica's response
 	ConnID      uint64        `json:"conn,omitempty"`
@@ -64,12 +65,31 @@
 	count uint64 // of all so far; the next one goes to ring[count % maxKeptFailures]
 }
 
-// add keeps a failed request in the place of the oldest one.
-func (l *failureLog) add(failed FailedRequest) {
+// add keeps a failed request in the place of the oldest one. It returns the request's number, which is not 0.
+func (l *failureLog) add(failed FailedRequest) uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ring[l.count%maxKeptFailures] = failed
 	l.count++
+	return l.count
+}
+
+// complete puts the outcome of an attempt in the place where a failed request, by its number, has it as pending. The request may have left the
+// log meanwhile.
+func (l *failureLog) complete(number uint64, attempt AttemptRecord) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.count-number >= maxKeptFailures {
+		return
+	}
+	kept := &l.ring[(number-1)%maxKeptFailures]
+	kept.Attempts = slices.Clone(kept.Attempts) // readers may still have the one that was there
+	for i, known := range kept.Attempts {
+		if known.Endpoint == attempt.Endpoint && known.Execution == executionPending {
+			kept.Attempts[i] = attempt
+			return
+		}
+	}
 }
 
 // newest lists the failed requests that are kept, the newest first.
@@ -84,13 +104,25 @@
 	return failures
 }
 
-// recordFailure keeps a failed request and logs it, at a bounded rate.
-func (g *Gateway) recordFailure(failed FailedRequest) {
-	failed.AttemptID = failed.AttemptID[:min(len(failed.AttemptID), maxLoggedIDBytes)]
-	g.failures.add(failed)
+// completeFailure takes the outcome of an attempt, which was still under way when its request failed, into the request's record and logs it, at
+// a bounded rate.
+func (g *Gateway) completeFailure(number uint64, attemptID string, attempt AttemptRecord) {
+	g.failures.complete(number, attempt)
+	if g.logLimiter.Allow() {
+		g.logger.Info().Str("event", "pending_attempt_ended").Str("attempt", loggedID(attemptID)).Str("outcome", attempt.summary()).Msg("")
+	}
+}
+
+// loggedID is as much of an attempt's identity as is logged.
+func loggedID(attemptID string) string { return attemptID[:min(len(attemptID), maxLoggedIDBytes)] }
+
+// recordFailure keeps a failed request and logs it, at a bounded rate. It returns the record's number.
+func (g *Gateway) recordFailure(failed FailedRequest) uint64 {
+	failed.AttemptID = loggedID(failed.AttemptID)
+	number := g.failures.add(failed)
 	if !g.logLimiter.Allow() {
 		g.count(countFailuresNotLogged)
-		return
+		return number
 	}
 	attempts := make([]string, 0, len(failed.Attempts))
 	for _, attempt := range failed.Attempts[:min(len(failed.Attempts), maxLoggedAttempts)] {
@@ -99,6 +131,7 @@
 	g.logger.Info().Str("event", "request_failed").Str("attempt", failed.AttemptID).Str("route", failed.Route).Str("service", failed.Service).
 		Int("status", failed.Status).Str("ended_by", string(failed.EndedBy)).Str("reason", failed.Reason).Dur("timeout", failed.Timeout).
 		Dur("duration", failed.Duration).Uint64("config_version", failed.ConfigVersion).Strs("attempts", attempts).Msg("")
+	return number
 }
 
 // summary is an attempt in a log line: endpoint@address, update, times in milliseconds, execution and cause.
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -3,6 +3,7 @@
 import (
 	figures "github.com/VictoriaMetrics/metrics"
 
+	"zincloft.example/zincloft/internal/connlimit"
 	"zincloft.example/zincloft/internal/telemetry"
 )
 
@@ -17,10 +18,15 @@
 }
 
 func newGatewayFigures(set *figures.Set, g *Gateway) *gatewayFigures {
+	for _, conns := range []*connlimit.Limiter{g.frontConns, g.readinessConns, g.figureConns} {
+		set.RegisterMetricsWriter(conns.WriteFigures)
+	}
 	figure := func(name string, read func() float64) { set.NewGauge(name, read) }
 	figure("zincloft_gateway_ready", func() float64 { return telemetry.Figure(g.isReady()) })
 	figure("zincloft_gateway_stopping", func() float64 { return telemetry.Figure(g.stopping.Load()) })
-	figure("zincloft_gateway_body_bytes", func() float64 { return float64(g.bodyMemory.used.Load()) })
+	figure("zincloft_gateway_body_bytes", func() float64 { return float64(g.bodies.Used()) })
+	figure("zincloft_gateway_head_bytes", func() float64 { return float64(g.heads.Used()) })
+	figure("zincloft_gateway_replica_connections", func() float64 { return float64(g.pool.OpenCount()) })
 	figure("zincloft_gateway_replica_connections_opened", func() float64 { return float64(g.pool.OpenedCount()) })
 	figure("zincloft_gateway_config_version", func() float64 {
 		if config := g.config.Load(); config != nil {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -33,6 +33,7 @@
 	configVersion uint64
 	failedEnds    []attemptEnd // attempts that ended without a response to pass on, to explain the request if it fails
 	reason        string       // why no further attempt was made
+	failure       uint64       // the number of the record of this request's failure; 0: there is none
 
 	// strongest is the outcome so far that says most about execution: that a later attempt was not executed says nothing
 	// of an earlier one.
@@ -138,10 +139,14 @@
 		return rejection{status: http.StatusServiceUnavailable, counter: countDeadlineTooClose, retryAfter: defaultRetryAfter}
 	}
 	choice := f.choose(false)
-	if !f.attempt(choice) {
-		return rejection{status: http.StatusServiceUnavailable, counter: countOverloaded, retryAfter: choice.RetryAfter}
+	if f.attempt(choice) {
+		return rejection{}
 	}
-	return rejection{}
+	rejected := rejection{status: http.StatusServiceUnavailable, counter: countOverloaded, retryAfter: choice.RetryAfter}
+	if choice.NoneKnown {
+		rejected.counter = countNoEndpoint
+	}
+	return rejected
 }
 
 // choose picks an endpoint that the request has not been at; where onlyIdle is set, one with free slots.
@@ -263,12 +268,28 @@
 func (f *forwarding) discard() {
 	f.strongest.Discard()
 	if f.pending > 0 {
-		go discardEnds(f.ends, f.pending)
+		go pendingAttempts{f.gateway, f.ends, f.pending, f.failure, f.request.AttemptID, f.arrivedAt, f.request.Deadline}.discard()
 	}
 }
 
-func discardEnds(ends <-chan attemptEnd, n int) {
-	for range n {
-		(<-ends).Discard()
+// pendingAttempts are attempts that outlast their request. They have a copy of what they need of it: a request without any costs nothing.
+type pendingAttempts struct {
+	gateway   *Gateway
+	ends      <-chan attemptEnd
+	count     int
+	failure   uint64 // the number of the request's record; 0: it did not fail
+	attemptID string
+	arrivedAt time.Time
+	deadline  time.Time
+}
+
+// discard waits for the attempts' ends, and completes the record of the request's failure where there is one.
+func (p pendingAttempts) discard() {
+	for range p.count {
+		end := <-p.ends
+		end.Discard()
+		if p.failure != 0 {
+			p.gateway.completeFailure(p.failure, p.attemptID, newAttemptRecord(end, p.arrivedAt, p.deadline))
+		}
 	}
 }
--- a/internal/gateway/forwardfailure.go
+++ b/internal/gateway/forwardfailure.go
@@ -37,7 +37,7 @@
 
 // fail records that the request ends without success, with a status; 0: its connection is closed.
 func (f *forwarding) fail(status int, by endedBy) {
-	f.gateway.recordFailure(FailedRequest{
+	f.failure = f.gateway.recordFailure(FailedRequest{
 		At:            time.Now(),
 		AttemptID:     f.request.AttemptID,
 		Route:         f.route.Name,
@@ -59,7 +59,7 @@
 	ended := make([]string, 0, len(f.failedEnds))
 	for _, end := range f.failedEnds {
 		ended = append(ended, end.endpoint.EndpointID)
-		records = append(records, f.attemptRecord(end))
+		records = append(records, newAttemptRecord(end, f.arrivedAt, f.request.Deadline))
 	}
 	for _, endpoint := range f.attempted {
 		if !slices.Contains(ended, endpoint) {
@@ -69,14 +69,15 @@
 	return records
 }
 
-func (f *forwarding) attemptRecord(end attemptEnd) AttemptRecord {
+// newAttemptRecord is the record of an attempt of a request, by when that arrived and until when it had time.
+func newAttemptRecord(end attemptEnd, arrivedAt, deadline time.Time) AttemptRecord {
 	record := AttemptRecord{
 		Endpoint:    end.endpoint.EndpointID,
 		Address:     end.endpoint.Addr,
 		TableUpdate: end.endpoint.tableUpdate,
-		SentAfter:   end.sentAt.Sub(f.arrivedAt),
+		SentAfter:   end.sentAt.Sub(arrivedAt),
 		Duration:    end.latency,
-		Deadline:    f.request.Deadline.Sub(end.sentAt),
+		Deadline:    deadline.Sub(end.sentAt),
 		Execution:   end.Execution.String(),
 		Cause:       end.Cause,
 		ConnID:      end.ConnID,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,8 @@
 	"zincloft.example/zincloft/dataplane/outlier"
 	"zincloft.example/zincloft/dataplane/router"
 	"zincloft.example/zincloft/gatewayconfig"
+	"zincloft.example/zincloft/internal/bodybuffer"
+	"zincloft.example/zincloft/internal/connlimit"
 	"zincloft.example/zincloft/internal/gossip"
 	"zincloft.example/zincloft/internal/nodesettings"
 	"zincloft.example/zincloft/internal/replica"
@@ -29,6 +31,7 @@
 
 const (
 	bodyMemoryShare   = 0.25                  // of the memory limit, for buffered request bodies
+	headMemoryShare   = 0.02                  // of the memory limit, for bytes of incomplete heads, which take several times as much
 	logRate           = 10                    // log lines a second that clients and replicas may cause
 	logBurst          = 100                   // log lines that clients and replicas may cause at once
 	slowOverhead      = 50 * time.Millisecond // time of a request spent outside replicas, from which the gateway counts as slow
@@ -36,6 +39,14 @@
 	maxPendingFailure = 4                     // listeners that may fail at once
 )
 
+// Parts of the process's file descriptors. What is left is for the control stream, the gossip and files.
+const (
+	frontDescriptorShare     = 0.6
+	replicaDescriptorShare   = 0.3
+	readinessDescriptorShare = 0.02
+	figureDescriptorShare    = 0.01
+)
+
 // ErrMissingListener says that the settings name no address for clients or none for readiness checks.
 var ErrMissingListener = merry.Sentinel("settings: network_settings.listen_addresses: a gateway needs front and readiness")
 
@@ -54,8 +65,13 @@
 	frontListener net.Listener
 	server        atomic.Pointer[http.Server] // nil until clients are served
 	serveErrors   chan error
-	unusedConns   unusedConns
-	bodyMemory    bodyMemory
+	bodies        *bodybuffer.Budget // bodies wait here until they are complete: a slow client keeps no replica busy, and a retry sends the same bytes
+	heads         *bodybuffer.Budget // what incomplete heads hold beyond freeHeadBytes
+
+	// Connections by purpose, each with a share of the file descriptors.
+	frontConns     *connlimit.Limiter // of clients
+	readinessConns *connlimit.Limiter
+	figureConns    *connlimit.Limiter
 
 	pool   *replica.Pool
 	gossip *gossip.Shuffler
@@ -81,12 +97,18 @@
 	}
 	set := telemetry.NewFigures()
 	g := &Gateway{
-		settings:     settings,
-		logger:       logger,
-		startedAt:    time.Now(),
-		serveErrors:  make(chan error, maxPendingFailure),
-		bodyMemory:   bodyMemory{limit: int64(float64(settings.MemoryMB<<20) * bodyMemoryShare)},
-		pool:         replica.NewPool(),
+		settings:    settings,
+		logger:      logger,
+		startedAt:   time.Now(),
+		serveErrors: make(chan error, maxPendingFailure),
+		bodies:      bodybuffer.New(int64(float64(settings.MemoryMB<<20) * bodyMemoryShare)),
+		heads:       bodybuffer.New(int64(float64(settings.MemoryMB<<20) * headMemoryShare)),
+		pool:        replica.NewPool(connlimit.Share(settings.FileDescriptors, replicaDescriptorShare)),
+
+		frontConns:     connlimit.New("front", connlimit.Share(settings.FileDescriptors, frontDescriptorShare), logger),
+		readinessConns: connlimit.New("readiness", connlimit.Share(settings.FileDescriptors, readinessDescriptorShare), logger),
+		figureConns:    connlimit.New("figures", connlimit.Share(settings.FileDescriptors, figureDescriptorShare), logger),
+
 		observations: make(chan outlier.Observation, maxQueuedReports),
 		misdirected:  make(chan string, maxQueuedReports),
 		logLimiter:   rate.NewLimiter(logRate, logBurst),
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -52,11 +52,18 @@
 	}
 	timeout := requestTimeout(request.route, r.Header)
 	body, err := g.receiveBody(w, r, config.Limits.MaxBodyBytes, arrivedAt.Add(timeout))
-	defer g.bodyMemory.release(body)
+	defer g.bodies.Release(body)
 	if err != nil {
 		g.reject(w, r, bodyRejection(err))
 		return
 	}
+	if current := g.config.Load(); current != config { // the body took its time: a configuration that came meanwhile holds for it too
+		if request, rejected = routeRequest(current, r); rejected.isRejection() {
+			g.reject(w, r, rejected)
+			return
+		}
+		timeout = requestTimeout(request.route, r.Header)
+	}
 	request.body, request.arrivedAt = body, arrivedAt
 	request.deadline = arrivedAt.Add(timeout - min(responseTravelTime, timeout/responseTravelPart))
 	g.forward(w, r, request)
--- a/internal/gateway/handler_test.go
+++ b/internal/gateway/handler_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"zincloft.example/zincloft/internal/bodybuffer"
 	"zincloft.example/zincloft/internal/nodesettings"
 	"zincloft.example/zincloft/internal/program"
 	"zincloft.example/zincloft/internal/standin/upstream"
@@ -55,13 +56,13 @@
 			So(r.executions(), ShouldEqual, 0)
 		})
 		Convey("is rejected while the bodies of others hold all memory, and its own memory is released", func() {
-			r.gateway.bodyMemory.limit = 10
+			r.gateway.bodies = bodybuffer.New(10)
 			w := r.do("POST", "/x/1", "more than ten bytes")
 			So(w.Code, ShouldEqual, http.StatusServiceUnavailable)
 			So(w.Header().Get("Retry-After"), ShouldNotEqual, "")
 			So(r.executions(), ShouldEqual, 0)
 			So(r.do("POST", "/x/1", "few").Code, ShouldEqual, 200)
-			So(r.gateway.bodyMemory.used.Load(), ShouldEqual, 0)
+			So(r.gateway.bodies.Used(), ShouldEqual, 0)
 		})
 		Convey("without a route is 404", func() {
 			So(r.do("POST", "/y/1", "").Code, ShouldEqual, http.StatusNotFound)
--- a/internal/gateway/hostile_test.go
+++ b/internal/gateway/hostile_test.go
@@ -137,11 +137,11 @@
 		f.pool.Sweep(time.Now().Add(time.Hour))
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		return f.router.InFlight() == 0 && f.bodyMemory.used.Load() == 0
+		return f.router.InFlight() == 0 && f.bodies.Used() == 0
 	}
 	level := func() (int, int, uint64) {
 		if !until(quiet) {
-			t.Error("requests are still in flight, or bytes of bodies still reserved:", f.bodyMemory.used.Load())
+			t.Error("requests are still in flight, or bytes of bodies still reserved:", f.bodies.Used())
 		}
 		debug.FreeOSMemory()
 		var m runtime.MemStats
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -12,7 +13,6 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/go-chi/chi/v5"
-	"golang.org/x/net/netutil"
 
 	"zincloft.example/zincloft/dataplane/router"
 	"zincloft.example/zincloft/gatewayconfig"
@@ -23,13 +23,14 @@
 )
 
 const (
-	sweepInterval              = time.Second            // between two looks for idle connections past their time, and for changed settings
-	readinessReadHeaderTimeout = 3 * time.Second        // of the readiness server
+	sweepInterval              = time.Second     // between two looks for idle connections past their time, and for changed settings
+	readinessReadHeaderTimeout = 3 * time.Second // of the readiness server
+	readinessIdleTimeout       = 2 * time.Minute // longer than between two checks: most come on a kept connection
+	readinessMaxHeaderBytes    = 8 << 10
 	exitReserve                = 300 * time.Millisecond // of the grace period, kept for the end of the process itself
 	closeUnusedInterval        = 20 * time.Millisecond
 	minServerHeaderBytes       = 64 << 10               // that the server reads of a head; the configuration in force allows less
 	unconfiguredDelay          = 500 * time.Millisecond // after the start, without a configuration: clients give up after a second
-	clientDescriptorShare      = 0.7                    // of the file descriptors, for clients' connections
 	gcMemoryShare              = 0.6                    // of the memory limit, the garbage collector's goal
 )
 
@@ -45,7 +46,7 @@
 	// The control stream outlives ctx: while the process shuts down, drains still count.
 	streamContext, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	source := telemetry.Source{Figures: g.figures.set, Failures: func() any { return g.failures.newest() }}
+	source := telemetry.Source{Figures: g.figures.set, Connections: g.figureConns, Failures: func() any { return g.failures.newest() }}
 	if err := telemetry.Serve(streamContext, g.settings.IP, g.settings.Metrics, source); err != nil {
 		return err
 	}
@@ -71,8 +72,15 @@
 	}
 	mux := chi.NewRouter()
 	mux.Get("/api/readiness", g.handleReadiness)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readinessReadHeaderTimeout}
-	go func() { g.serveErrors <- server.Serve(readinessListener) }()
+	server := &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: readinessReadHeaderTimeout,
+		IdleTimeout:       readinessIdleTimeout,
+		MaxHeaderBytes:    readinessMaxHeaderBytes,
+		ErrorLog:          g.logger.Std("", 0),
+	}
+	g.readinessConns.Attach(server)
+	go func() { g.serveErrors <- server.Serve(g.readinessConns.Listen(readinessListener)) }()
 	return server, nil
 }
 
@@ -139,11 +147,11 @@
 			MaxHeaderBytes:    max(int(limits.MaxHeaderBytes), minServerHeaderBytes),
 			ErrorLog:          g.logger.Std("", 0),
 			ConnContext:       withClientConn,
-			ConnState:         g.unusedConns.connState,
+			ConnState:         followState,
 		}
+		g.frontConns.Attach(server)
 		g.server.Store(server)
-		maxConns := int(float64(g.settings.FileDescriptors) * clientDescriptorShare)
-		listener := clientListener{netutil.LimitListener(g.frontListener, maxConns), g}
+		listener := clientListener{g.frontConns.Listen(g.frontListener), g}
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				g.serveErrors <- err
@@ -169,10 +177,8 @@
 func (g *Gateway) shutdown() {
 	g.stopping.Store(true)
 	end := time.Now().Add(g.settings.Bounds.GracePeriod - exitReserve)
+	g.openFront(unconfiguredLimits) // where it is not open yet: callers that wait in the kernel are told to go elsewhere
 	time.Sleep(min(router.ReadinessPropagation, g.settings.Bounds.GracePeriod/2))
-	if g.server.Load() == nil {
-		return
-	}
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := g.shutdownServer(ctx); err != nil {
@@ -188,7 +194,7 @@
 	ticker := time.NewTicker(closeUnusedInterval)
 	defer ticker.Stop()
 	for {
-		g.unusedConns.closeAll()
+		g.frontConns.CloseUntouched()
 		select {
 		case err := <-done:
 			return err
@@ -197,6 +203,9 @@
 	}
 }
 
+// closeQuietly closes what is of no use any more: an error of it changes nothing.
+func closeQuietly(c io.Closer) { _ = c.Close() }
+
 // reloadSettings reads the settings file again. Only its seeds take effect while the process runs.
 func (g *Gateway) reloadSettings() {
 	settings, err := nodesettings.Load()
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -8,9 +8,12 @@
 	"os"
 	"syscall"
 	"time"
+
+	"zincloft.example/zincloft/internal/bodybuffer"
+	"zincloft.example/zincloft/internal/connlimit"
 )
 
-// receiveBody reads a request's body completely, by the deadline. What it returns must be released from bodyMemory, also
+// receiveBody reads a request's body completely, by the deadline. What it returns must be released from bodies, also
 // beside an error.
 //
 // A client that sends or reads too slowly loses its connection: it may not hold one beyond its own deadline.
@@ -24,7 +27,12 @@
 	if !hasBody {
 		return nil, nil
 	}
-	body, err := g.bodyMemory.read(r.Body, r.ContentLength, limit)
+	conn := connlimit.FromContext(r.Context())
+	conn.AwaitBody()
+	body, err := g.bodies.Read(r.Body, r.ContentLength, limit)
+	if !conn.EndBody() && err == nil { // completed in the moment in which the request was given up, to make room for others
+		err = os.ErrDeadlineExceeded
+	}
 	if err != nil {
 		return body, err
 	}
@@ -38,7 +46,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return rejection{status: http.StatusRequestEntityTooLarge, counter: countBodyTooLarge, closesConn: true}
-	case errors.Is(err, errBodyMemoryFull):
+	case errors.Is(err, bodybuffer.ErrFull):
 		return rejection{status: http.StatusServiceUnavailable, counter: countBodyMemoryFull, retryAfter: defaultRetryAfter, closesConn: true}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return rejection{status: http.StatusRequestTimeout, badRequest: causeBodyLate, closesConn: true}
--- a/internal/gateway/silentclients_test.go
+++ b/internal/gateway/silentclients_test.go
@@ -15,7 +15,7 @@
 // further ones wait in the kernel, unread, for as long as an idle connection may last. They must be answered within the second that
 // they wait for a request to be read, whoever makes room for them.
 func TestSilentClientsDoNotShutOthersOut(t *testing.T) {
-	const descriptors = 100 // by the settings; seven tenths are for clients
+	const descriptors = 100 // by the settings; a part of them is for clients
 	replica := startReplica(t, "i0")
 	parsed, err := nodesettings.Parse([]byte(settings))
 	if err != nil {
@@ -36,11 +36,7 @@
 		silent := dial(t, address)
 		t.Cleanup(func() { closeQuietly(silent) })
 	}
-	if !until(func() bool {
-		gateway.unusedConns.mu.Lock()
-		defer gateway.unusedConns.mu.Unlock()
-		return len(gateway.unusedConns.conns) >= descriptors*7/10
-	}) {
+	if !until(func() bool { return gateway.frontConns.OpenCount() >= gateway.frontConns.Limit() }) {
 		t.Fatal("the silent clients are not accepted")
 	}
 	client, err := new(net.Dialer).DialContext(t.Context(), "tcp", address)
--- a/internal/replica/conformance_test.go
+++ b/internal/replica/conformance_test.go
@@ -102,7 +102,7 @@
 	addr, _ := scripted(t, func(q *http.Request, n int) (string, bool) {
 		return validResponse("other", strings.Repeat("x", maxSkippedBytes)+forged) + validResponse("2", "ours"), false
 	})
-	expect(t, attempt(NewPool(), addr, "2", "POST"), retry.MayHaveExecuted, "")
+	expect(t, attempt(NewPool(testMaxOpen), addr, "2", "POST"), retry.MayHaveExecuted, "")
 }
 
 // Guards the same over methods: a surplus response to HEAD has a length and no body, so under another method it swallows
@@ -115,7 +115,7 @@
 			}
 			return validResponse(q.Header.Get("X-Attempt-Id"), "body of "+q.Header.Get("X-Attempt-Id")), false
 		})
-		p := NewPool()
+		p := NewPool(testMaxOpen)
 		attempt(p, addr, "1", x.first)
 		attempt(p, addr, "2", x.second)
 		if opens.Load() != 2 {
@@ -129,7 +129,7 @@
 	addr, _ := scripted(t, func(q *http.Request, n int) (string, bool) {
 		return "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Response-Seal: s\r\n\r\n", false
 	})
-	expect(t, attempt(NewPool(), addr, "1", "HEAD"), retry.Answered, "")
+	expect(t, attempt(NewPool(testMaxOpen), addr, "1", "HEAD"), retry.Answered, "")
 }
 
 // Guards the promise that a request was not executed: what proves it must be a response to this request, on a connection
@@ -162,10 +162,10 @@
 		{"a server error", plain(500), retry.Answered},
 	} {
 		addr, _ := scripted(t, func(q *http.Request, n int) (string, bool) { return x.response, false })
-		if r := attempt(NewPool(), addr, "", "POST"); x.name == "no identity, first on a new connection" && r.Execution != retry.NotExecuted {
+		if r := attempt(NewPool(testMaxOpen), addr, "", "POST"); x.name == "no identity, first on a new connection" && r.Execution != retry.NotExecuted {
 			t.Errorf("a request without an identity: %s (%s)", r.Execution, r.Cause)
 		}
-		if r := attempt(NewPool(), addr, "1", "POST"); r.Execution != x.want || x.want == retry.Answered && bodyOf(r) == "x" {
+		if r := attempt(NewPool(testMaxOpen), addr, "1", "POST"); r.Execution != x.want || x.want == retry.Answered && bodyOf(r) == "x" {
 			t.Errorf("%s: %s (%s), want %s", x.name, r.Execution, r.Cause, x.want)
 		}
 	}
@@ -186,7 +186,7 @@
 		"a head without end":                               "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Y: "+strings.Repeat("z", 1000)+"\r\n", 200) + "X-Attempt-Id: 1\r\nX-Response-Seal: s\r\nContent-Length: 0\r\n\r\n",
 	} {
 		addr, _ := scripted(t, func(q *http.Request, n int) (string, bool) { return response, n > 1 })
-		if r := attempt(NewPool(), addr, "1", "POST"); r.Execution != retry.MayHaveExecuted || r.DeadlineExceeded {
+		if r := attempt(NewPool(testMaxOpen), addr, "1", "POST"); r.Execution != retry.MayHaveExecuted || r.DeadlineExceeded {
 			t.Errorf("%s: %s %q (%s)", name, r.Execution, bodyOf(r), r.Cause)
 		}
 	}
@@ -198,7 +198,7 @@
 		addr, opens := scripted(t, func(q *http.Request, n int) (string, bool) {
 			return validResponse(id, fmt.Sprint(n)), false
 		})
-		p := NewPool()
+		p := NewPool(testMaxOpen)
 		attempt(p, addr, id, "POST")
 		attempt(p, addr, id, "POST")
 		if opens.Load() != 2 {
@@ -212,7 +212,7 @@
 	addr, opens := scripted(t, func(q *http.Request, n int) (string, bool) {
 		return "HTTP/1.1 503 X\r\nX-Attempt-Id: 1\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", false
 	})
-	p := NewPool()
+	p := NewPool(testMaxOpen)
 	q := request("1", 4*time.Second)
 	q.Header.Set("X-Early", "1")
 	q.Body = make([]byte, 32<<20)
@@ -243,7 +243,7 @@
 		ended <- err != nil
 	}()
 	q := request("1", 20*time.Second)
-	r := NewPool().Do("i1", ln.Addr().String(), q)
+	r := NewPool(testMaxOpen).Do("i1", ln.Addr().String(), q)
 	if r.Response == nil || r.Response.CopyRest == nil {
 		t.Fatalf("%+v", r)
 	}
@@ -266,7 +266,7 @@
 	q := request("1", time.Second)
 	q.Cancel = ctx
 	for _, q := range []*Request{q, request("1", -time.Second)} {
-		p := NewPool()
+		p := NewPool(testMaxOpen)
 		if r := attempt(p, addr, "0", "POST"); r.Execution != retry.Answered && r.Execution != retry.MayHaveExecuted {
 			t.Fatal(r)
 		}
@@ -286,7 +286,7 @@
 		addr, opens := scripted(t, func(q *http.Request, n int) (string, bool) {
 			return validResponse(q.Header.Get("X-Attempt-Id"), "", "Keep-Alive: "+x.keepAlive+"\r\n"), false
 		})
-		p := NewPool()
+		p := NewPool(testMaxOpen)
 		attempt(p, addr, "1", "POST")
 		attempt(p, addr, "2", "POST")
 		if opens.Load() != x.opens {
@@ -319,9 +319,9 @@
 		during <- probes()
 		return validResponse(q.Header.Get("X-Attempt-Id"), ""), false
 	})
-	p := NewPool()
+	p := NewPool(testMaxOpen)
 	var err error
-	c, err = p.dial(addr, time.Now().Add(time.Second))
+	c, err = p.dial("i1", addr, time.Now().Add(time.Second))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/replica/conn.go
+++ b/internal/replica/conn.go
@@ -26,10 +26,13 @@
 // conn is one connection to a replica. It carries one request at a time and is used by one goroutine at a time.
 type conn struct {
 	net.Conn
-	tcp    *net.TCPConn
-	raw    syscall.RawConn
-	reader *bufio.Reader
-	id     uint64 // its number in the pool
+	pool       *Pool
+	instanceID string // of the instance that it leads to
+	tcp        *net.TCPConn
+	raw        syscall.RawConn
+	reader     *bufio.Reader
+	id         uint64 // its number in the pool
+	closed     bool
 
 	idleSince  time.Time
 	idleBefore time.Duration // before the request at hand; 0: the connection is new
@@ -42,6 +45,16 @@
 	tainted  bool // a response to another request came on it
 }
 
+// Close closes the connection and makes room for another one.
+func (c *conn) Close() error {
+	if c.closed {
+		return nil
+	}
+	c.closed = true
+	c.pool.released()
+	return c.Conn.Close()
+}
+
 // needsOwnConn tells whether a request goes over a connection of its own: without an identity its response is known by
 // nothing else, and a response to HEAD ends where one to another method goes on.
 func (q *Request) needsOwnConn() bool { return q.AttemptID == "" || q.Method == http.MethodHead }
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,10 +28,63 @@
 	idle       map[string][]*conn   // by instance, the newest last
 	idleLimits map[string]idleLimit // by service
 	opened     int64                // connections opened so far
+	open       int                  // connections, with those that are being opened
+	maxOpen    int
 }
 
-// NewPool makes an empty pool.
-func NewPool() *Pool { return &Pool{idle: map[string][]*conn{}, idleLimits: map[string]idleLimit{}} }
+// NewPool makes an empty pool of maxOpen connections at the most.
+func NewPool(maxOpen int) *Pool {
+	return &Pool{idle: map[string][]*conn{}, idleLimits: map[string]idleLimit{}, maxOpen: maxOpen}
+}
+
+// errPoolFull says that no connection may be opened, as requests hold as many as there may be.
+var errPoolFull = errors.New("all connections to replicas are in use")
+
+// OpenCount is how many connections are open.
+func (p *Pool) OpenCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// reserve counts a connection that is about to be opened. Where there are as many as there may be, the one that has been idle for longest is
+// closed for it.
+func (p *Pool) reserve() error {
+	p.mu.Lock()
+	var oldest *conn
+	if p.open >= p.maxOpen {
+		if oldest = p.takeOldestIdle(); oldest == nil {
+			p.mu.Unlock()
+			return errPoolFull
+		}
+	}
+	p.open++
+	p.mu.Unlock()
+	if oldest != nil {
+		closeQuietly(oldest)
+	}
+	return nil
+}
+
+// takeOldestIdle takes the connection out of the pool that has been idle for longest; nil: none is idle. The caller holds mu.
+func (p *Pool) takeOldestIdle() (oldest *conn) {
+	for _, conns := range p.idle {
+		if len(conns) > 0 && (oldest == nil || conns[0].idleSince.Before(oldest.idleSince)) {
+			oldest = conns[0]
+		}
+	}
+	if oldest != nil {
+		p.idle[oldest.instanceID] = slices.Delete(p.idle[oldest.instanceID], 0, 1)
+	}
+	return oldest
+}
+
+// released counts a connection that was closed, or could not be opened.
+func (p *Pool) released() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
 
 // OpenedCount is how many connections were opened so far.
 func (p *Pool) OpenedCount() int64 {
@@ -47,7 +101,7 @@
 	c := p.takeIdle(instanceID, request)
 	if c == nil {
 		var err error
-		if c, err = p.dial(addr, request.Deadline); err != nil {
+		if c, err = p.dial(instanceID, addr, request.Deadline); err != nil {
 			return dialFailed(err, request.Deadline)
 		}
 	}
@@ -85,9 +139,13 @@
 }
 
 func dialFailed(err error, deadline time.Time) Outcome {
+	cause := CauseDial
+	if errors.Is(err, errPoolFull) {
+		cause = CausePoolFull
+	}
 	return Outcome{
 		Execution:         retry.NotExecuted,
-		Cause:             CauseDial,
+		Cause:             cause,
 		NotSent:           true,
 		ConnectionRefused: errors.Is(err, syscall.ECONNREFUSED),
 		DeadlineExceeded:  !time.Now().Before(deadline),
@@ -119,7 +177,21 @@
 	}
 }
 
-func (p *Pool) dial(addr string, deadline time.Time) (*conn, error) {
+// dial opens a connection to an instance, if there may be one more.
+func (p *Pool) dial(instanceID, addr string, deadline time.Time) (*conn, error) {
+	if err := p.reserve(); err != nil {
+		return nil, err
+	}
+	c, err := p.connect(addr, deadline)
+	if err != nil {
+		p.released()
+		return nil, err
+	}
+	c.instanceID = instanceID
+	return c, nil
+}
+
+func (p *Pool) connect(addr string, deadline time.Time) (*conn, error) {
 	dialer := peertransport.NewDialer(min(dialTimeout, time.Until(deadline)), unackedTimeout)
 	netConn, err := dialer.DialContext(context.Background(), "tcp", addr)
 	if err != nil {
@@ -137,7 +209,7 @@
 	p.opened++
 	id := uint64(p.opened)
 	p.mu.Unlock()
-	return &conn{Conn: netConn, tcp: tcp, raw: raw, id: id, reader: bufio.NewReaderSize(netConn, readBufferBytes), maxIdle: defaultMaxIdle}, nil
+	return &conn{Conn: netConn, pool: p, tcp: tcp, raw: raw, id: id, reader: bufio.NewReaderSize(netConn, readBufferBytes), maxIdle: defaultMaxIdle}, nil
 }
 
 // release puts a connection back after a request, hands it to the rest of a long response, or closes it.
--- a/internal/replica/pool_test.go
+++ b/internal/replica/pool_test.go
@@ -12,6 +12,8 @@
 	"zincloft.example/zincloft/internal/standin/upstream"
 )
 
+const testMaxOpen = 100 // more connections than any test here needs
+
 func request(id string, most time.Duration) *Request {
 	return &Request{Method: "POST", URI: "/x?y=1", Host: "h.example", Header: http.Header{"X-Attempt-Id": {id}, "Accept": {"*/*"}},
 		Body: []byte("body"), AttemptID: id, InstanceID: "i1", Deadline: time.Now().Add(most)}
@@ -22,7 +24,7 @@
 		r, err := upstream.Start("i1")
 		So(err, ShouldBeNil)
 		defer r.Close()
-		p := NewPool()
+		p := NewPool(testMaxOpen)
 		do := func(id string) Outcome { return p.Do("i1", r.Addr(), request(id, 2*time.Second)) }
 
 		Convey("a complete response is passed on, and the connection used again", func() {
@@ -123,3 +125,54 @@
 	list := p.idle[id]
 	return len(list) > 0 && list[len(list)-1].isQuiet()
 }
+
+// TestPoolIsBounded guards the descriptors of others: connections to replicas had no bound of their own.
+func TestPoolIsBounded(t *testing.T) {
+	Convey("Given a pool of two connections, both idle", t, func() {
+		p := NewPool(2)
+		replicas := map[string]*upstream.Replica{}
+		for _, id := range []string{"i1", "i2", "i3"} {
+			r, err := upstream.Start(id)
+			So(err, ShouldBeNil)
+			defer r.Close()
+			replicas[id] = r
+		}
+		do := func(instance, id string) Outcome {
+			q := request(id, 2*time.Second)
+			q.InstanceID = instance
+			return p.Do(instance, replicas[instance].Addr(), q)
+		}
+		So(do("i1", "1").Execution, ShouldEqual, retry.Answered)
+		So(do("i2", "2").Execution, ShouldEqual, retry.Answered)
+		So(p.OpenCount(), ShouldEqual, 2)
+		Convey("a third one takes the place of the one that has been idle for longest", func() {
+			So(do("i3", "3").Execution, ShouldEqual, retry.Answered)
+			So(p.OpenCount(), ShouldEqual, 2)
+			So(p.idle["i1"], ShouldBeEmpty)
+			So(do("i2", "4").Execution, ShouldEqual, retry.Answered)
+			So(replicas["i2"].ConnectionCount(), ShouldEqual, 1)
+		})
+		Convey("while both carry requests, a third request is not sent", func() {
+			release := make(chan struct{})
+			ended := make(chan Outcome, 2)
+			for _, id := range []string{"i1", "i2"} {
+				replicas[id].SetResponseHook(func(string) { <-release })
+				go func() { ended <- do(id, "held by "+id) }()
+			}
+			for len(replicas["i1"].Requests())+len(replicas["i2"].Requests()) < 4 { // until both have arrived
+			}
+			outcome := do("i3", "5")
+			So(outcome.Execution, ShouldEqual, retry.NotExecuted)
+			So(outcome.NotSent, ShouldBeTrue)
+			So(outcome.Cause, ShouldEqual, CausePoolFull)
+			So(replicas["i3"].Requests(), ShouldBeEmpty)
+			close(release)
+			So((<-ended).Execution, ShouldEqual, retry.Answered)
+			So((<-ended).Execution, ShouldEqual, retry.Answered)
+		})
+		p.CloseIdle("i1")
+		p.CloseIdle("i2")
+		p.CloseIdle("i3")
+		So(p.OpenCount(), ShouldEqual, 0)
+	})
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -77,6 +77,7 @@
 	CauseClientGone  Cause = "client_gone" // the client left before anything was sent
 	CauseExpired     Cause = "expired"     // the deadline passed before anything was sent
 	CauseDial        Cause = "dial"        // no connection could be opened
+	CausePoolFull    Cause = "pool_full"   // no connection may be opened, as all that there may be are in use
 	CauseWrite       Cause = "write"       // the connection failed while the request was written
 	CauseClosed      Cause = "closed"      // the replica closed the connection before its response
 	CauseBroken      Cause = "broken"      // the connection failed before the response
--- a/internal/replica/response.go
+++ b/internal/replica/response.go
@@ -127,17 +127,18 @@
 
 // classify is the one place that decides what a response says which names this request, or none.
 //
-// The request was not executed where the response says so, has a status of rejection and names this request; a request
-// without an identity cannot be named, and has a connection of its own. A success needs its seal. 408, 429 and 503 would
-// be a promise to the client which the replica has not given.
+// The request was not executed where the response says so, has a status of rejection and belongs to this request. It does
+// where it names the request; one without an identity cannot be named, and has a connection of its own, so that whatever comes first on it is
+// its response. A success needs its seal. 408, 429 and 503 would be a promise to the client which the replica has not given.
 func (c *conn) classify(request *Request, response *Response, id string, delimited bool) Outcome {
 	rejected := response.Header.Get("X-Not-Executed") != "" || response.Status == http.StatusMisdirectedRequest
+	belongs := id != "" || request.AttemptID == "" && !c.tainted
 	switch {
-	case rejected && response.Status >= 400 && (id != "" || request.AttemptID == "" && !c.tainted):
+	case rejected && response.Status >= 400 && belongs:
 		return Outcome{Execution: retry.NotExecuted, Response: response, Cause: rejectedWith(response.Status), Rejected: true}
-	case rejected && id == "":
+	case rejected && !belongs:
 		return Outcome{Execution: retry.MayHaveExecuted, Cause: CauseNameless}
-	case rejected, id == "", !delimited, response.Header.Get("Content-Encoding") != "", response.Status/100 == 2 && response.Header.Get("X-Response-Seal") == "":
+	case rejected, !belongs, !delimited, response.Header.Get("Content-Encoding") != "", response.Status/100 == 2 && response.Header.Get("X-Response-Seal") == "":
 		return invalidResponse()
 	case response.Status == http.StatusRequestTimeout, response.Status == http.StatusTooManyRequests, response.Status == http.StatusServiceUnavailable:
 		return Outcome{Execution: retry.MayHaveExecuted, Cause: CauseUnproven}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -18,6 +18,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/go-chi/chi/v5"
 
+	"zincloft.example/zincloft/internal/connlimit"
 	"zincloft.example/zincloft/internal/nodesettings"
 	"zincloft.example/zincloft/invariant"
 )
@@ -25,6 +26,7 @@
 const (
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = 30 * time.Second
+	maxHeaderBytes    = 8 << 10
 
 	heapMetric = "/memory/classes/heap/objects:bytes"
 )
@@ -34,8 +36,9 @@
 
 // Source is what a daemon has to tell.
 type Source struct {
-	Figures  *figures.Set
-	Failures func() any // the newest failures, to be encoded as JSON; nil: none are kept
+	Figures     *figures.Set
+	Connections *connlimit.Limiter // bounds those of the readers
+	Failures    func() any         // the newest failures, to be encoded as JSON; nil: none are kept
 }
 
 // NewFigures makes a set of figures that begins with those of every process: goroutines, heap, and violations of invariants.
@@ -79,10 +82,11 @@
 	if err != nil {
 		return merry.Prepend(err, "listening for metrics")
 	}
-	server := &http.Server{Handler: source.handler(endpoint.Path), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: source.handler(endpoint.Path), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	source.Connections.Attach(server)
 	context.AfterFunc(ctx, func() { _ = server.Close() }) // who reads figures of a process that ends gets a part of them
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(source.Connections.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			_ = listener.Close() // figures are no reason to end the daemon
 		}
 	}()
