--- a/cmd/zinclab/main.go
+++ b/cmd/zinclab/main.go
@@ -33,7 +33,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(loadCommand(), restartCommand(), emulateCommand(), daysCommand(), scaleCommand(), powersCommand(), soakCommand())
+	root.AddCommand(loadCommand(), restartCommand(), emulateCommand(), daysCommand(), soakCommand())
 	root.AddCommand(experimentCommands()...)
 	return root
 }
