--- a/cmd/zincloftctl/store.go
+++ b/cmd/zincloftctl/store.go
@@ -9,7 +9,7 @@
 
 	"zincloft.example/zincloft/controlplane/coordinator"
 	"zincloft.example/zincloft/controlplane/membership"
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/internal/statestore"
 )
 
@@ -86,12 +86,12 @@
 
 // export is the document that store export prints. Its keys are read by operators' scripts; docs/operate/core.md names them.
 type export struct {
-	Configuration json.RawMessage     `json:"configuration"`
-	Disk          string              `json:"disk"`
-	Evacuated     map[string]bool     `json:"evacuated"`
-	Commands      uint64              `json:"orders"`
-	Replicas      []registry.Instance `json:"replicas"`
-	View          membership.View     `json:"view"`
+	Configuration json.RawMessage  `json:"configuration"`
+	Disk          string           `json:"disk"`
+	Evacuated     map[string]bool  `json:"evacuated"`
+	Commands      uint64           `json:"orders"`
+	Replicas      []fleet.Instance `json:"replicas"`
+	View          membership.View  `json:"view"`
 }
 
 func exportStore(out io.Writer, folder string) error {
--- a/controlplane/chainreplication/replica_test.go
+++ b/controlplane/chainreplication/replica_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/fleet"
 )
 
 // chain is replicas whose messages are delivered at once, except where the test holds them back.
@@ -26,7 +27,7 @@
 func viewOf(number uint64, ids ...string) membership.View {
 	v := membership.View{Number: number, Chain: ids}
 	for _, id := range ids {
-		v.Voters = append(v.Voters, membership.Member{ID: id})
+		v.Voters = append(v.Voters, fleet.Member{ID: id})
 	}
 	return v
 }
--- a/controlplane/controller/actions.go
+++ b/controlplane/controller/actions.go
@@ -1,6 +1,8 @@
 package controller
 
-import "zincloft.example/zincloft/messages"
+import (
+	"zincloft.example/zincloft/messages"
+)
 
 // Actions are what the caller of Step must do, in the order of their kinds.
 type Actions struct {
--- a/controlplane/controller/cluster_test.go
+++ b/controlplane/controller/cluster_test.go
@@ -7,8 +7,7 @@
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/coordinator"
-	"zincloft.example/zincloft/controlplane/membership"
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/messages"
 )
 
@@ -48,7 +47,7 @@
 			HeartbeatInterval: 1500 * time.Millisecond,
 			RandomSeed:        uint64(i),
 		}
-		self := membership.Member{ID: persisted.DiskID, Addr: c.addrs[i], Zone: "a", APIAddr: c.addrs[i]}
+		self := fleet.Member{ID: persisted.DiskID, Addr: c.addrs[i], Zone: "a", APIAddr: c.addrs[i]}
 		c.controllers = append(c.controllers, New(0, options, self, persisted))
 	}
 	for i := range c.controllers {
@@ -119,7 +118,7 @@
 // heartbeat has the replica i1 send a heartbeat to a member.
 func (c *cluster) heartbeat(member int, sequence uint64, warmupMillis int64) {
 	c.lastToken++
-	c.step(member, Event{Token: c.lastToken, Heartbeat: &registry.Instance{
+	c.step(member, Event{Token: c.lastToken, Heartbeat: &fleet.Instance{
 		ID:           "i1",
 		Service:      "svc",
 		Addr:         "10.9.0.1:80",
--- a/controlplane/controller/controller.go
+++ b/controlplane/controller/controller.go
@@ -13,10 +13,10 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/coordinator"
-	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/controlplane/outlier"
 	"zincloft.example/zincloft/controlplane/registry"
 	"zincloft.example/zincloft/controlplane/weighting"
-	"zincloft.example/zincloft/dataplane/outlier"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/gatewayconfig"
 )
 
@@ -87,7 +87,7 @@
 }
 
 // New makes a controller from what was on disk.
-func New(now time.Duration, options Options, self membership.Member, persisted coordinator.PersistentState) *Controller {
+func New(now time.Duration, options Options, self fleet.Member, persisted coordinator.PersistentState) *Controller {
 	c := &Controller{
 		options:           options,
 		random:            *rand.NewPCG(options.RandomSeed, 1),
--- a/controlplane/controller/endings.go
+++ b/controlplane/controller/endings.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/coordinator"
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 // endingResendInterval is after how long the end of an instance that a caller waits for is sent to the other members again, as links
@@ -25,7 +25,7 @@
 // was deregistered sends no further heartbeat, so nobody would repeat it.
 type endingCall struct {
 	ending
-	instance registry.Instance // as the other members are told
+	instance fleet.Instance // as the other members are told
 	token    uint64
 	address  string // for the replica's further heartbeats
 	sentAt   time.Duration
@@ -47,7 +47,7 @@
 func (c *Controller) sendEnding(now time.Duration, request uint64, call *endingCall) {
 	call.sentAt = now
 	for _, peer := range c.coordinator.Peers(now) {
-		c.send(peer.Addr, Message{Instances: []registry.Instance{call.instance}, PersistRequest: request})
+		c.send(peer.Addr, Message{Instances: []fleet.Instance{call.instance}, PersistRequest: request})
 	}
 }
 
--- a/controlplane/controller/events.go
+++ b/controlplane/controller/events.go
@@ -6,9 +6,8 @@
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/coordinator"
 	"zincloft.example/zincloft/controlplane/maintenance"
-	"zincloft.example/zincloft/controlplane/membership"
-	"zincloft.example/zincloft/controlplane/registry"
-	"zincloft.example/zincloft/dataplane/outlier"
+	"zincloft.example/zincloft/controlplane/peermessages"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/messages"
 )
 
@@ -16,7 +15,7 @@
 // pass.
 type Event struct {
 	Start             bool                      `cbor:"1,keyasint,omitempty"`
-	Heartbeat         *registry.Instance        `cbor:"2,keyasint,omitempty"` // from the replica itself
+	Heartbeat         *fleet.Instance           `cbor:"2,keyasint,omitempty"` // from the replica itself
 	Deregister        string                    `cbor:"3,keyasint,omitempty"` // the ID of an instance that asks for it
 	Command           *chainreplication.Command `cbor:"4,keyasint,omitempty"` // an operator's, for the replicated register
 	ReadConfiguration bool                      `cbor:"5,keyasint,omitempty"`
@@ -28,7 +27,7 @@
 	DiscoveredAddrs   []string                  `cbor:"11,keyasint,omitempty"` // where other members may be
 	Token             uint64                    `cbor:"12,keyasint,omitempty"` // with a call: the Response carries it
 	Stream            uint64                    `cbor:"13,keyasint,omitempty"` // with Report
-	From              *membership.Member        `cbor:"14,keyasint,omitempty"` // with Message
+	From              *fleet.Member             `cbor:"14,keyasint,omitempty"` // with Message
 
 	MaintenanceCommand *maintenance.Command `cbor:"15,keyasint,omitempty"` // an operator's
 
@@ -50,10 +49,10 @@
 
 // Message is what members of the control plane send one another.
 type Message struct {
-	Coordinator *coordinator.Message     `cbor:"1,keyasint,omitempty"`
-	Instances   []registry.Instance      `cbor:"2,keyasint,omitempty"`
-	Fleet       *messages.GatewaySummary `cbor:"3,keyasint,omitempty"`
-	Ejections   []outlier.Ejection       `cbor:"4,keyasint,omitempty"`
+	Coordinator *coordinator.Message         `cbor:"1,keyasint,omitempty"`
+	Instances   []fleet.Instance             `cbor:"2,keyasint,omitempty"`
+	Fleet       *peermessages.GatewaySummary `cbor:"3,keyasint,omitempty"`
+	Ejections   []fleet.Ejection             `cbor:"4,keyasint,omitempty"`
 
 	// PersistRequest, if not 0, is the sender's request to have Instances on disk; it is confirmed by coordinator.Message.HintsPersisted.
 	PersistRequest uint64 `cbor:"5,keyasint,omitempty"`
--- a/controlplane/controller/figures.go
+++ b/controlplane/controller/figures.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 // Figures are what a member tells of itself for monitoring.
@@ -37,7 +37,7 @@
 		EvacuatedZones:    len(register.EvacuatedZones),
 		GatewayStreams:    len(c.streams),
 	}
-	c.registry.Each(now, func(instance registry.Instance) {
+	c.registry.Each(now, func(instance fleet.Instance) {
 		figures.Instances++
 		if instance.Draining {
 			figures.DrainingInstances++
--- a/controlplane/controller/fleet.go
+++ b/controlplane/controller/fleet.go
@@ -5,7 +5,8 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/maintenance"
-	"zincloft.example/zincloft/messages"
+	"zincloft.example/zincloft/controlplane/peermessages"
+	"zincloft.example/zincloft/fleet"
 )
 
 const (
@@ -19,13 +20,13 @@
 // peerFleet is what another member has reported of its gateways.
 type peerFleet struct {
 	receivedAt time.Duration
-	fleet      messages.GatewaySummary
+	fleet      peermessages.GatewaySummary
 }
 
 // localFleet lists the nodes whose gateways are connected to this member, and their load by region and group.
-func (c *Controller) localFleet(now time.Duration) messages.GatewaySummary {
+func (c *Controller) localFleet(now time.Duration) peermessages.GatewaySummary {
 	type regionGroup struct{ region, group string }
-	summary := messages.GatewaySummary{GatewayCount: len(c.streams)}
+	summary := peermessages.GatewaySummary{GatewayCount: len(c.streams)}
 	load := map[regionGroup]float64{}
 	for _, stream := range c.streams {
 		if stream.status == nil || now-stream.statusAt > fleetReportTTL {
@@ -39,7 +40,7 @@
 	}
 	for _, floor := range c.maintenanceState().AgreedFloors {
 		if rate := load[regionGroup{floor.Region, floor.Group}]; rate > 0 {
-			summary.Load = append(summary.Load, messages.GroupLoad{Region: floor.Region, Group: floor.Group, RequestsPerSecond: rate})
+			summary.Load = append(summary.Load, peermessages.GroupLoad{Region: floor.Region, Group: floor.Group, RequestsPerSecond: rate})
 		}
 	}
 	return summary
@@ -49,7 +50,7 @@
 func (c *Controller) nodeOf(stream *gatewayStream) maintenance.Node {
 	status := stream.status
 	node := maintenance.Node{
-		Serving:      status.Ready && status.Phase == maintenance.Serving,
+		Serving:      status.Ready && status.Phase == fleet.PhaseServing,
 		Phase:        status.Phase,
 		FencingToken: status.FencingToken,
 	}
@@ -81,7 +82,7 @@
 }
 
 // addSummary adds the nodes and the load of one member's gateways. A node whose gateway has just changed members may be in two summaries.
-func addSummary(fleet *maintenance.Fleet, listed map[string]bool, summary messages.GatewaySummary) {
+func addSummary(fleet *maintenance.Fleet, listed map[string]bool, summary peermessages.GatewaySummary) {
 	for _, node := range summary.Nodes {
 		if !listed[node.Name] {
 			listed[node.Name] = true
@@ -111,7 +112,7 @@
 	Zone     string             `json:"zone"`
 	Region   string             `json:"region"`
 	Serving  bool               `json:"serving"`
-	Phase    maintenance.Phase  `json:"phase"`
+	Phase    fleet.Phase        `json:"phase"`
 	Capacity map[string]float64 `json:"carries"` // requests a second, by group
 }
 
--- a/controlplane/controller/gossip.go
+++ b/controlplane/controller/gossip.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
-	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/controlplane/peermessages"
 	"zincloft.example/zincloft/controlplane/registry"
-	"zincloft.example/zincloft/messages"
+	"zincloft.example/zincloft/fleet"
 )
 
 const (
@@ -24,7 +24,7 @@
 }
 
 // handlePeerMessage takes a message of another member.
-func (c *Controller) handlePeerMessage(now time.Duration, from membership.Member, message *Message) {
+func (c *Controller) handlePeerMessage(now time.Duration, from fleet.Member, message *Message) {
 	if message.Coordinator != nil {
 		c.applyCoordinatorActions(now, c.coordinator.Step(now, from, *message.Coordinator))
 	}
@@ -45,7 +45,7 @@
 }
 
 // broadcastInstances sends instances to the other members at once.
-func (c *Controller) broadcastInstances(now time.Duration, instances []registry.Instance) {
+func (c *Controller) broadcastInstances(now time.Duration, instances []fleet.Instance) {
 	for _, peer := range c.coordinator.Peers(now) {
 		c.send(peer.Addr, Message{Instances: instances})
 	}
@@ -60,7 +60,7 @@
 	heartbeats := c.registry.DirectHeartbeats(now, c.nextGossipAt-gossipInterval)
 	c.nextGossipAt = now + gossipInterval
 	changes := c.recentChanges(now)
-	fleet := messages.GatewaySummary{GatewayCount: len(c.streams)}
+	fleet := peermessages.GatewaySummary{GatewayCount: len(c.streams)}
 	if c.maintenanceState().Enabled() {
 		fleet = c.localFleet(now)
 	}
@@ -80,7 +80,7 @@
 }
 
 // recentChanges lists the instances that changed within the last gossipRepeatPeriod.
-func (c *Controller) recentChanges(now time.Duration) []registry.Instance {
+func (c *Controller) recentChanges(now time.Duration) []fleet.Instance {
 	c.gossipRevisions = append(c.gossipRevisions, revisionAt{now, c.registry.Revision()})
 	for len(c.gossipRevisions) > 1 && now-c.gossipRevisions[0].at > gossipRepeatPeriod {
 		c.gossipRevisions = c.gossipRevisions[1:]
@@ -99,7 +99,7 @@
 }
 
 // withHeartbeats adds the bare heartbeats of instances that aren't listed anyway.
-func withHeartbeats(instances, heartbeats []registry.Instance) []registry.Instance {
+func withHeartbeats(instances, heartbeats []fleet.Instance) []fleet.Instance {
 	listed := map[string]bool{}
 	for _, instance := range instances {
 		listed[instance.ID] = true
@@ -110,6 +110,6 @@
 			merged = append(merged, heartbeat)
 		}
 	}
-	slices.SortStableFunc(merged, func(a, b registry.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortStableFunc(merged, func(a, b fleet.Instance) int { return cmp.Compare(a.ID, b.ID) })
 	return merged
 }
--- a/controlplane/controller/instances.go
+++ b/controlplane/controller/instances.go
@@ -4,11 +4,11 @@
 	"net/http"
 	"time"
 
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 // handleHeartbeat takes a heartbeat that a replica sent to this member.
-func (c *Controller) handleHeartbeat(now time.Duration, token uint64, heartbeat registry.Instance) {
+func (c *Controller) handleHeartbeat(now time.Duration, token uint64, heartbeat fleet.Instance) {
 	if !c.coordinator.HasQuorumContact(now) {
 		c.respond(Response{Token: token, Status: http.StatusServiceUnavailable, Reason: reasonNoQuorum})
 		return
@@ -18,7 +18,7 @@
 			c.logInfo("draining", "instance", heartbeat.ID)
 		}
 		if !heartbeat.Draining && heartbeat.WarmupMillis > 0 { // the others may know it as warm, or as warming up for a shorter time
-			c.broadcastInstances(now, []registry.Instance{heartbeat})
+			c.broadcastInstances(now, []fleet.Instance{heartbeat})
 		} // a drain is sent by acknowledgeEnding
 		c.publish(now, change.Urgent)
 	}
@@ -53,7 +53,7 @@
 	c.endInstance(now, id, "itself")
 	c.acknowledgeEnding(now, endingCall{
 		ending:   ending{id: id, deregistered: true},
-		instance: registry.Instance{ID: id, Deregistered: true},
+		instance: fleet.Instance{ID: id, Deregistered: true},
 		token:    token,
 	})
 }
@@ -61,7 +61,7 @@
 // deregister ends an instance on a gateway's proof, and notifies all members and gateways at once.
 func (c *Controller) deregister(now time.Duration, id, by string) {
 	if c.endInstance(now, id, by) {
-		c.broadcastInstances(now, []registry.Instance{{ID: id, Deregistered: true}})
+		c.broadcastInstances(now, []fleet.Instance{{ID: id, Deregistered: true}})
 	}
 }
 
@@ -76,7 +76,7 @@
 }
 
 // mergeInstances takes in instances that another member or a gateway has reported.
-func (c *Controller) mergeInstances(now time.Duration, instances []registry.Instance) {
+func (c *Controller) mergeInstances(now time.Duration, instances []fleet.Instance) {
 	if len(instances) == 0 {
 		return
 	}
@@ -91,7 +91,7 @@
 	if !ok {
 		return nil
 	}
-	c.registry.Each(now, func(other registry.Instance) {
+	c.registry.Each(now, func(other fleet.Instance) {
 		if other.Service == instance.Service && !other.Draining && !other.HeartbeatTimedOut {
 			active = append(active, other.ID)
 		}
--- a/controlplane/controller/instances_test.go
+++ b/controlplane/controller/instances_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/coordinator"
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 // call has a member take an event that is a call, and returns its status; 0: it was not answered within a second.
@@ -19,7 +19,7 @@
 }
 
 // disksThat counts the disks whose newest state holds the replica i1 as a condition wants it.
-func (c *cluster) disksThat(t *testing.T, holds func(registry.Instance) bool) (count int) {
+func (c *cluster) disksThat(t *testing.T, holds func(fleet.Instance) bool) (count int) {
 	t.Helper()
 	for _, writes := range c.writes {
 		if len(writes) == 0 {
@@ -38,13 +38,13 @@
 	return count
 }
 
-func isDeregistered(instance registry.Instance) bool { return instance.Deregistered }
+func isDeregistered(instance fleet.Instance) bool { return instance.Deregistered }
 
-func isDraining(instance registry.Instance) bool { return instance.Draining }
+func isDraining(instance fleet.Instance) bool { return instance.Draining }
 
 // draining is a heartbeat of i1 that says that it drains.
 func draining(sequence uint64) Event {
-	return Event{Heartbeat: &registry.Instance{ID: "i1", Service: "svc", Addr: "10.9.0.1:80", Zone: "a", Slots: 4, Sequence: sequence, Draining: true}}
+	return Event{Heartbeat: &fleet.Instance{ID: "i1", Service: "svc", Addr: "10.9.0.1:80", Zone: "a", Slots: 4, Sequence: sequence, Draining: true}}
 }
 
 // TestAcknowledgedEndIsOnAQuorumOfDisks guards against requests to a replica that was promised none: an acknowledged drain or
@@ -56,7 +56,7 @@
 	for _, test := range []struct {
 		name  string
 		event Event
-		holds func(registry.Instance) bool
+		holds func(fleet.Instance) bool
 	}{
 		{"deregistration", Event{Deregister: "i1"}, isDeregistered},
 		{"drain", draining(9), isDraining},
--- a/controlplane/controller/maintenance.go
+++ b/controlplane/controller/maintenance.go
@@ -10,6 +10,7 @@
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/coordinator"
 	"zincloft.example/zincloft/controlplane/maintenance"
+	"zincloft.example/zincloft/fleet"
 )
 
 const (
@@ -154,7 +155,7 @@
 func (c *Controller) expireWindow(now time.Duration, state maintenance.State) (next maintenance.State, changed bool) {
 	drainedSince := c.maintenance.drainedSince
 	for _, window := range state.Windows {
-		if window.Phase != maintenance.Drained || window.DurationSeconds <= 0 {
+		if window.Phase != fleet.PhaseDrained || window.DurationSeconds <= 0 {
 			continue
 		}
 		if _, ok := drainedSince[window.Node]; !ok {
--- a/controlplane/controller/publication.go
+++ b/controlplane/controller/publication.go
@@ -5,8 +5,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
-	"zincloft.example/zincloft/controlplane/membership"
-	"zincloft.example/zincloft/dataplane/outlier"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/messages"
 )
 
@@ -15,7 +14,7 @@
 	publishInterval = 200 * time.Millisecond
 
 	// keepaliveInterval: every gateway is sent an update at least this often, also an empty one. It must stay below
-	// router.WarmupRateLifetime and the stream timeout of package gateway.
+	// messages.WarmupRateLifetime and the stream timeout of package gateway.
 	keepaliveInterval = 400 * time.Millisecond
 
 	// bootstrapIntervals is the number of heartbeat intervals after which a member that has started, or was isolated, knows all instances.
@@ -173,8 +172,8 @@
 }
 
 // publishEjection notifies the gateways at once that a replica is ejected. Gateways that wait for their snapshot don't know it yet.
-func (c *Controller) publishEjection(ejection outlier.Ejection) {
-	publication := Publication{Update: messages.StateUpdate{Ejections: []outlier.Ejection{ejection}}}
+func (c *Controller) publishEjection(ejection fleet.Ejection) {
+	publication := Publication{Update: messages.StateUpdate{Ejections: []fleet.Ejection{ejection}}}
 	for _, stream := range c.streams {
 		if stream.snapshotSent {
 			publication.Streams = append(publication.Streams, stream.id)
@@ -191,8 +190,8 @@
 }
 
 // controlPlaneMembers lists the members that a gateway may turn to, this one first.
-func (c *Controller) controlPlaneMembers(now time.Duration) []membership.Member {
-	members := []membership.Member{c.coordinator.Self()}
+func (c *Controller) controlPlaneMembers(now time.Duration) []fleet.Member {
+	members := []fleet.Member{c.coordinator.Self()}
 	for _, peer := range c.coordinator.Peers(now) {
 		if peer.ID != "" && peer.Zone != "" {
 			members = append(members, peer)
--- a/controlplane/controller/replication.go
+++ b/controlplane/controller/replication.go
@@ -7,6 +7,7 @@
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/coordinator"
 	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/gatewayconfig"
 )
 
@@ -18,7 +19,7 @@
 
 // Instances lists all instances. Those that have to warm up, or may have to, once the evacuation of their zone finishes are marked as stale:
 // the write that they are part of may be the one by which it finishes.
-func (h instanceHints) Instances() []registry.Instance {
+func (h instanceHints) Instances() []fleet.Instance {
 	instances := h.controller.registry.ChangesSince(h.controller.lastTickAt, registry.AllRevisions)
 	for i, instance := range instances {
 		if instance.WarmthUnknown || slices.Contains(h.controller.evacuatedZones, instance.Zone) {
--- a/controlplane/controller/replication_test.go
+++ b/controlplane/controller/replication_test.go
@@ -8,7 +8,7 @@
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/coordinator"
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 // TestInstancesOnDisk is a regression test: a member died right after an evacuation had finished, and nothing on its disk told that the zone's replicas may be cold.
@@ -34,7 +34,7 @@
 				instance, ok := restarted.registry.Get(0, "i1")
 				So(ok, ShouldBeTrue)
 				So(instance.Stale, ShouldBeTrue)
-				restarted.registry.Merge(0, []registry.Instance{{ID: "i1", Sequence: 1, WarmthUnknown: true}})
+				restarted.registry.Merge(0, []fleet.Instance{{ID: "i1", Sequence: 1, WarmthUnknown: true}})
 				instance, _ = restarted.registry.Get(0, "i1")
 				So(instance.Stale, ShouldBeFalse)
 				So(instance.WarmthUnknown, ShouldBeTrue)
--- a/controlplane/controller/streams.go
+++ b/controlplane/controller/streams.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/coordinator"
-	"zincloft.example/zincloft/dataplane/outlier"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/messages"
 )
 
@@ -122,7 +122,7 @@
 
 // observe takes a gateway's observation of a failing replica, and publishes the ejection that may come of it to the gateways and to the other
 // members.
-func (c *Controller) observe(now time.Duration, gateway string, observation outlier.Observation) {
+func (c *Controller) observe(now time.Duration, gateway string, observation fleet.Observation) {
 	ejection, ok := c.outliers.Observe(now, gateway, observation, c.activeReplicas(now, observation.Replica))
 	if !ok {
 		return
@@ -130,7 +130,7 @@
 	c.logInfo("instance_ejected", "instance", ejection.Replica, "ejection_ms", ejection.Milliseconds, "gateway", gateway)
 	c.publishEjection(ejection)
 	for _, peer := range c.coordinator.Peers(now) {
-		c.send(peer.Addr, Message{Ejections: []outlier.Ejection{ejection}})
+		c.send(peer.Addr, Message{Ejections: []fleet.Ejection{ejection}})
 	}
 }
 
--- a/controlplane/controller/warmup.go
+++ b/controlplane/controller/warmup.go
@@ -6,9 +6,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"zincloft.example/zincloft/controlplane/registry"
-	"zincloft.example/zincloft/dataplane/router"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/invariant"
+	"zincloft.example/zincloft/messages"
 )
 
 // warmupRateShare is the part of a service's warm-up rate that is given out; the rest is a reserve.
@@ -16,7 +16,7 @@
 
 // warmupRateDelay is for how long a member that has just started, or was isolated, gives out no warm-up rates: until those that it gave out
 // before have expired at the gateways.
-const warmupRateDelay = router.WarmupRateLifetime + 100*time.Millisecond
+const warmupRateDelay = messages.WarmupRateLifetime + 100*time.Millisecond
 
 // allocateWarmupRates gives, for each instance that is warming up, one of this member's gateways the right to send it requests: requests a
 // second, by gateway and instance. Each voter of the view gives out an equal part of what the instance bears, whether or not the others
@@ -28,7 +28,7 @@
 		return rates
 	}
 	share := warmupRateShare / float64(len(view.Voters))
-	c.registry.Each(now, func(instance registry.Instance) {
+	c.registry.Each(now, func(instance fleet.Instance) {
 		if !warmingUp(instance) {
 			return
 		}
@@ -49,7 +49,7 @@
 
 // warmupStream chooses the gateway that may call an instance while it warms up, by rendezvous hashing: one in the instance's zone where there
 // is one.
-func (c *Controller) warmupStream(instance registry.Instance) *gatewayStream {
+func (c *Controller) warmupStream(instance fleet.Instance) *gatewayStream {
 	const sameZone = 1 << 63
 	var best *gatewayStream
 	var bestScore uint64
@@ -67,6 +67,6 @@
 }
 
 // warmingUp reports whether an instance takes requests at its warm-up rate only.
-func warmingUp(instance registry.Instance) bool {
+func warmingUp(instance fleet.Instance) bool {
 	return !instance.Draining && (instance.WarmupMillis != 0 || instance.WarmthUnknown || instance.Stale)
 }
--- a/controlplane/coordinator/cluster_test.go
+++ b/controlplane/coordinator/cluster_test.go
@@ -8,14 +8,13 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
-	"zincloft.example/zincloft/controlplane/membership"
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 type noHints struct{}
 
-func (noHints) Revision() uint64               { return 0 }
-func (noHints) Instances() []registry.Instance { return nil }
+func (noHints) Revision() uint64            { return 0 }
+func (noHints) Instances() []fleet.Instance { return nil }
 
 // testMember is one member: its coordinator, its disk, its clock, and what arrived while it was frozen.
 type testMember struct {
@@ -100,7 +99,7 @@
 	}
 	state.Initialize(addr, n.seeds, firstStart, fmt.Sprint("w", member.incarnation))
 	random := rand.New(rand.NewPCG(uint64(len(addr)), uint64(n.eventSequence)))
-	self := membership.Member{ID: state.DiskID, Addr: addr, Zone: "z", APIAddr: addr}
+	self := fleet.Member{ID: state.DiskID, Addr: addr, Zone: "z", APIAddr: addr}
 	member.coordinator = New(self, state, n.seeds, random.Float64, noHints{})
 	raw, err := member.coordinator.EncodeState()
 	if err != nil {
--- a/controlplane/coordinator/coordinator.go
+++ b/controlplane/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/fleet"
 )
 
 // Coordinator is one member's part. Make it with New. Its methods must not be called concurrently; their times are readings of
@@ -37,7 +38,7 @@
 
 // New makes a Coordinator from the state that was on disk. Seeds are addresses of members to contact; random returns numbers
 // in [0, 1); hints provides what is kept on disk beside the durable state.
-func New(self membership.Member, state PersistentState, seeds []string, random func() float64, hints Hints) *Coordinator {
+func New(self fleet.Member, state PersistentState, seeds []string, random func() float64, hints Hints) *Coordinator {
 	c := &Coordinator{
 		membership:    membership.New(self, state.View, seeds, random),
 		chain:         chainreplication.New(state.DiskID, state.Register, state.SyncedView),
@@ -79,13 +80,13 @@
 }
 
 // Step takes in a message from another member.
-func (c *Coordinator) Step(now time.Duration, from membership.Member, message Message) Actions {
+func (c *Coordinator) Step(now time.Duration, from fleet.Member, message Message) Actions {
 	c.dispatch(now, from, message)
 	return c.takeActions(now)
 }
 
 // Self returns this member.
-func (c *Coordinator) Self() membership.Member { return c.membership.Self() }
+func (c *Coordinator) Self() fleet.Member { return c.membership.Self() }
 
 // View returns the newest view known to be decided.
 func (c *Coordinator) View() membership.View { return c.membership.View() }
@@ -103,7 +104,7 @@
 func (c *Coordinator) DiskUnhealthy() bool { return c.persistence.diskUnhealthy }
 
 // Peers lists the other members, by ID.
-func (c *Coordinator) Peers(now time.Duration) []membership.Member { return c.membership.Peers(now) }
+func (c *Coordinator) Peers(now time.Duration) []fleet.Member { return c.membership.Peers(now) }
 
 // IsReachable reports whether heartbeats arrive in both directions between this member and the one of an ID.
 func (c *Coordinator) IsReachable(now time.Duration, id string) bool {
--- a/controlplane/coordinator/dispatch.go
+++ b/controlplane/coordinator/dispatch.go
@@ -5,11 +5,12 @@
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/membership"
-	"zincloft.example/zincloft/messages"
+	"zincloft.example/zincloft/controlplane/peermessages"
+	"zincloft.example/zincloft/fleet"
 )
 
 // dispatch hands a message to the part of the coordinator that it is for.
-func (c *Coordinator) dispatch(now time.Duration, from membership.Member, message Message) {
+func (c *Coordinator) dispatch(now time.Duration, from fleet.Member, message Message) {
 	switch {
 	case message.View != nil:
 		c.applyMembershipReady(now, c.membership.Step(now, *message.View))
@@ -42,7 +43,7 @@
 		message := Message{View: &outbound.Message}
 		if outbound.Message.Kind == membership.Heartbeat {
 			register, known := c.chain.Committed()
-			message.CommitStatus = &messages.CommitStatus{Sequence: register.Sequence, Known: known}
+			message.CommitStatus = &peermessages.CommitStatus{Sequence: register.Sequence, Known: known}
 		}
 		c.sendAfterSave(outbound.To, message, outbound.AfterSave)
 	}
@@ -71,7 +72,7 @@
 }
 
 // lookupMember finds a member of the view, or one that was heard of, by its ID.
-func (c *Coordinator) lookupMember(id string) (membership.Member, bool) {
+func (c *Coordinator) lookupMember(id string) (fleet.Member, bool) {
 	if id == c.membership.Self().ID {
 		return c.membership.Self(), true
 	}
@@ -84,7 +85,7 @@
 }
 
 // send sends a message at once. One for this member itself is handled before the current call returns.
-func (c *Coordinator) send(to membership.Member, message Message) {
+func (c *Coordinator) send(to fleet.Member, message Message) {
 	if to.ID == c.membership.Self().ID {
 		c.loopback = append(c.loopback, message)
 		return
@@ -94,7 +95,7 @@
 
 // sendWhenPersisted sends a message once the present state is on stable storage: nothing may be promised that a loss
 // of power would undo.
-func (c *Coordinator) sendWhenPersisted(to membership.Member, message Message) {
+func (c *Coordinator) sendWhenPersisted(to fleet.Member, message Message) {
 	if c.persistence.isPersisted() {
 		c.send(to, message)
 		return
@@ -102,7 +103,7 @@
 	c.persistence.deferMessage(to, message)
 }
 
-func (c *Coordinator) sendAfterSave(to membership.Member, message Message, afterSave bool) {
+func (c *Coordinator) sendAfterSave(to fleet.Member, message Message, afterSave bool) {
 	if afterSave {
 		c.sendWhenPersisted(to, message)
 	} else {
--- a/controlplane/coordinator/hints.go
+++ b/controlplane/coordinator/hints.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"zincloft.example/zincloft/controlplane/membership"
-	"zincloft.example/zincloft/messages"
+	"zincloft.example/zincloft/controlplane/peermessages"
+	"zincloft.example/zincloft/fleet"
 )
 
 // pendingReplication is a change of the hints whose caller waits until it is on the disks of a quorum.
@@ -30,17 +30,17 @@
 
 // PersistHints writes the hints, which were changed on behalf of another member's request, and confirms to that member once they are
 // on disk.
-func (c *Coordinator) PersistHints(now time.Duration, requester membership.Member, requestID uint64) Actions {
+func (c *Coordinator) PersistHints(now time.Duration, requester fleet.Member, requestID uint64) Actions {
 	c.confirmHintsWhenPersisted(requester, requestID)
 	return c.takeActions(now)
 }
 
-func (c *Coordinator) confirmHintsWhenPersisted(requester membership.Member, requestID uint64) {
+func (c *Coordinator) confirmHintsWhenPersisted(requester fleet.Member, requestID uint64) {
 	c.persistence.markChanged()
-	c.sendWhenPersisted(requester, Message{HintsPersisted: &messages.HintsConfirmation{RequestID: requestID}})
+	c.sendWhenPersisted(requester, Message{HintsPersisted: &peermessages.HintsConfirmation{RequestID: requestID}})
 }
 
-func (c *Coordinator) handleHintsPersisted(from membership.Member, confirmation *messages.HintsConfirmation) {
+func (c *Coordinator) handleHintsPersisted(from fleet.Member, confirmation *peermessages.HintsConfirmation) {
 	if replication := c.replications[confirmation.RequestID]; replication != nil {
 		replication.confirmations[from.ID] = true
 	}
--- a/controlplane/coordinator/leave.go
+++ b/controlplane/coordinator/leave.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/fleet"
 )
 
 // BeginLeave asks the other members to go on without this one. LeaveComplete reports when they can.
@@ -32,7 +33,7 @@
 	if view.Position(self.ID) >= 0 || view.HasVoter(self.ID) && !c.membership.ConfirmsLatestView(view.Number) {
 		return false
 	}
-	hasSeat := slices.ContainsFunc(view.Voters, func(voter membership.Member) bool { return voter.Addr == self.Addr })
+	hasSeat := slices.ContainsFunc(view.Voters, func(voter fleet.Member) bool { return voter.Addr == self.Addr })
 	return !hasSeat || len(view.Voters)%2 != 0 && len(view.Learners) == 0
 }
 
--- a/controlplane/coordinator/message.go
+++ b/controlplane/coordinator/message.go
@@ -6,20 +6,20 @@
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/membership"
-	"zincloft.example/zincloft/messages"
+	"zincloft.example/zincloft/controlplane/peermessages"
 )
 
 // Message is what members send to one another about the replicated register. Exactly one field is set, except that a
 // heartbeat in View is accompanied by CommitStatus.
 type Message struct {
-	View                *membership.Message         `cbor:"1,keyasint,omitempty"`
-	Chain               *chainreplication.Message   `cbor:"2,keyasint,omitempty"`
-	ProposeRequest      *messages.ProposeRequest    `cbor:"3,keyasint,omitempty"`
-	ProposeResponse     *messages.ProposeResponse   `cbor:"4,keyasint,omitempty"`
-	ConfirmViewRequest  *messages.ViewConfirmation  `cbor:"5,keyasint,omitempty"`
-	ConfirmViewResponse *messages.ViewConfirmation  `cbor:"6,keyasint,omitempty"`
-	CommitStatus        *messages.CommitStatus      `cbor:"7,keyasint,omitempty"`
-	HintsPersisted      *messages.HintsConfirmation `cbor:"8,keyasint,omitempty"`
+	View                *membership.Message             `cbor:"1,keyasint,omitempty"`
+	Chain               *chainreplication.Message       `cbor:"2,keyasint,omitempty"`
+	ProposeRequest      *peermessages.ProposeRequest    `cbor:"3,keyasint,omitempty"`
+	ProposeResponse     *peermessages.ProposeResponse   `cbor:"4,keyasint,omitempty"`
+	ConfirmViewRequest  *peermessages.ViewConfirmation  `cbor:"5,keyasint,omitempty"`
+	ConfirmViewResponse *peermessages.ViewConfirmation  `cbor:"6,keyasint,omitempty"`
+	CommitStatus        *peermessages.CommitStatus      `cbor:"7,keyasint,omitempty"`
+	HintsPersisted      *peermessages.HintsConfirmation `cbor:"8,keyasint,omitempty"`
 }
 
 // Actions are what the caller of the Coordinator has to do after a call.
--- a/controlplane/coordinator/persistence.go
+++ b/controlplane/coordinator/persistence.go
@@ -9,7 +9,7 @@
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/membership"
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 const (
@@ -38,14 +38,14 @@
 
 	// Instances are kept as a hint only: after a loss of all members, one that restarts would otherwise know just the few
 	// replicas whose heartbeats come first, and would have all traffic sent to them.
-	Instances []registry.Instance `cbor:"5,keyasint,omitempty"`
+	Instances []fleet.Instance `cbor:"5,keyasint,omitempty"`
 }
 
 // Hints provides what is kept on disk beside the durable state and may be lost.
 type Hints interface {
 	// Revision rises when Instances changes.
 	Revision() uint64
-	Instances() []registry.Instance
+	Instances() []fleet.Instance
 }
 
 // DecodePersistentState decodes the bytes of an Actions.StateToPersist.
@@ -79,7 +79,7 @@
 	view := membership.View{Number: 1}
 	for _, address := range slices.Compact(slices.Sorted(slices.Values(addresses))) {
 		id := initialDiskID(address)
-		view.Voters = append(view.Voters, membership.Member{ID: id, Addr: address})
+		view.Voters = append(view.Voters, fleet.Member{ID: id, Addr: address})
 		view.Chain = append(view.Chain, id)
 	}
 	return view
@@ -109,7 +109,7 @@
 // deferredMessage waits until a generation is on stable storage.
 type deferredMessage struct {
 	generation uint64
-	to         membership.Member
+	to         fleet.Member
 	message    Message
 }
 
@@ -121,7 +121,7 @@
 	return p.writeInFlight && now-p.writeStartedAt > slowWriteThreshold
 }
 
-func (p *persistence) deferMessage(to membership.Member, message Message) {
+func (p *persistence) deferMessage(to fleet.Member, message Message) {
 	p.deferred = append(p.deferred, deferredMessage{p.generation, to, message})
 }
 
--- a/controlplane/coordinator/persistence_test.go
+++ b/controlplane/coordinator/persistence_test.go
@@ -7,7 +7,7 @@
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/membership"
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 // TestDiskRecovers makes writes fail, or slow, and then succeed again: the health of the disk follows, without another change of the
@@ -65,13 +65,13 @@
 
 func (h *changingHints) Revision() uint64 { h.revision++; return h.revision }
 
-func (h *changingHints) Instances() []registry.Instance { return nil }
+func (h *changingHints) Instances() []fleet.Instance { return nil }
 
 // TestHintsAreWrittenRarely bounds the writes that nothing but hints causes.
 func TestHintsAreWrittenRarely(t *testing.T) {
 	var state PersistentState
 	state.Initialize("a", []string{"a"}, true, "")
-	self := membership.Member{ID: state.DiskID, Addr: "a"}
+	self := fleet.Member{ID: state.DiskID, Addr: "a"}
 	c := New(self, state, []string{"a"}, func() float64 { return 0.5 }, &changingHints{})
 	now := time.Millisecond
 	writes := 0
@@ -98,7 +98,7 @@
 	seeds := []string{"b", "a", "b"}
 	initial := membership.View{
 		Number: 1,
-		Voters: []membership.Member{{ID: "a/0", Addr: "a"}, {ID: "b/0", Addr: "b"}},
+		Voters: []fleet.Member{{ID: "a/0", Addr: "a"}, {ID: "b/0", Addr: "b"}},
 		Chain:  []string{"a/0", "b/0"},
 	}
 	for _, test := range []struct {
--- a/controlplane/coordinator/proposal.go
+++ b/controlplane/coordinator/proposal.go
@@ -9,9 +9,9 @@
 	"github.com/cespare/xxhash/v2"
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
-	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/controlplane/peermessages"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/invariant"
-	"zincloft.example/zincloft/messages"
 )
 
 const (
@@ -122,7 +122,7 @@
 		return
 	}
 	proposal.sentAt = now
-	request := &messages.ProposeRequest{RequestID: id, Command: proposal.command, HeadClock: c.membership.PeerClock(member.ID)}
+	request := &peermessages.ProposeRequest{RequestID: id, Command: proposal.command, HeadClock: c.membership.PeerClock(member.ID)}
 	c.send(member, Message{ProposeRequest: request})
 }
 
@@ -131,8 +131,8 @@
 // A request that was delayed may have been proposed again by another way, acknowledged, and undone by a later command since:
 // commands of operators carry no sequence of their own, so it must not take effect any more. Its age is judged by this member's
 // own clock, as the sender last heard it; the sender refuses its caller only once what it sent is too old to be taken.
-func (c *Coordinator) handleProposeRequest(now time.Duration, from membership.Member, request *messages.ProposeRequest) {
-	response := &messages.ProposeResponse{RequestID: request.RequestID, HeadClock: c.membership.Clock(now)}
+func (c *Coordinator) handleProposeRequest(now time.Duration, from fleet.Member, request *peermessages.ProposeRequest) {
+	response := &peermessages.ProposeResponse{RequestID: request.RequestID, HeadClock: c.membership.Clock(now)}
 	if !c.membership.IsRecentReading(now, request.HeadClock, maxProposalAge) || !c.mayTakeCommands(now) {
 		c.send(from, Message{ProposeResponse: response})
 		return
@@ -151,7 +151,7 @@
 	return c.chain.IsHead() && c.membership.HasQuorumContact(now) && !c.persistence.diskUnhealthy
 }
 
-func (c *Coordinator) handleProposeResponse(now time.Duration, from membership.Member, response *messages.ProposeResponse) {
+func (c *Coordinator) handleProposeResponse(now time.Duration, from fleet.Member, response *peermessages.ProposeResponse) {
 	c.membership.ObserveClock(now, from.ID, response.HeadClock)
 	c.expireProposalsAfterClockStall()
 	proposal := c.proposals[response.RequestID]
--- a/controlplane/coordinator/read.go
+++ b/controlplane/coordinator/read.go
@@ -6,8 +6,9 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/controlplane/peermessages"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/invariant"
-	"zincloft.example/zincloft/messages"
 )
 
 // pendingRead is a caller's linearizable read that has no response yet.
@@ -46,7 +47,7 @@
 
 // redirectToTail names the last voter of the chain that has an API address: it holds all that is committed.
 func (c *Coordinator) redirectToTail(now time.Duration, view membership.View) error {
-	var tail membership.Member
+	var tail fleet.Member
 	for _, peer := range c.membership.Peers(now) {
 		isCandidate := peer.APIAddr != "" && view.HasVoter(peer.ID) && view.Position(peer.ID) >= 0
 		if isCandidate && (tail.APIAddr == "" || view.Position(peer.ID) > view.Position(tail.ID)) {
@@ -80,7 +81,7 @@
 		case !read.requested:
 			read.requested = true
 			for _, voter := range step.view.Voters {
-				c.send(voter, Message{ConfirmViewRequest: &messages.ViewConfirmation{RequestID: id, ViewNumber: step.view.Number}})
+				c.send(voter, Message{ConfirmViewRequest: &peermessages.ViewConfirmation{RequestID: id, ViewNumber: step.view.Number}})
 			}
 		}
 	}
@@ -93,8 +94,8 @@
 
 // handleConfirmViewRequest answers whether this voter knows of no later view. The answer waits until the state that it rests on
 // is persisted.
-func (c *Coordinator) handleConfirmViewRequest(from membership.Member, request *messages.ViewConfirmation) {
-	response := &messages.ViewConfirmation{
+func (c *Coordinator) handleConfirmViewRequest(from fleet.Member, request *peermessages.ViewConfirmation) {
+	response := &peermessages.ViewConfirmation{
 		RequestID:  request.RequestID,
 		ViewNumber: request.ViewNumber,
 		Confirmed:  c.membership.ConfirmsLatestView(request.ViewNumber),
@@ -102,7 +103,7 @@
 	c.sendWhenPersisted(from, Message{ConfirmViewResponse: response})
 }
 
-func (c *Coordinator) handleConfirmViewResponse(from membership.Member, response *messages.ViewConfirmation) {
+func (c *Coordinator) handleConfirmViewResponse(from fleet.Member, response *peermessages.ViewConfirmation) {
 	read := c.reads[response.RequestID]
 	if read != nil && response.Confirmed && response.ViewNumber == read.viewNumber {
 		read.confirmations[from.ID] = true
--- a/controlplane/coordinator/status.go
+++ b/controlplane/coordinator/status.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/fleet"
 )
 
 // The values of Status.DiskHealth. The control API's page names them.
@@ -81,7 +82,7 @@
 	return status
 }
 
-func (c *Coordinator) memberStatus(now time.Duration, view membership.View, member membership.Member) MemberStatus {
+func (c *Coordinator) memberStatus(now time.Duration, view membership.View, member fleet.Member) MemberStatus {
 	if known, ok := c.membership.KnownMember(member.ID); ok {
 		member = known // with its zone and API address, which an initial view does not name
 	}
--- a/controlplane/maintenance/command.go
+++ b/controlplane/maintenance/command.go
@@ -5,7 +5,8 @@
 	"fmt"
 	"slices"
 
-	"zincloft.example/zincloft/dataplane/capacity"
+	"zincloft.example/zincloft/capacity"
+	"zincloft.example/zincloft/fleet"
 )
 
 // Verbs of commands.
@@ -90,7 +91,7 @@
 	for _, node := range command.Nodes {
 		if i := s.indexOf(node); i >= 0 {
 			existing := s.Windows[i]
-			if existing.Phase == Returning || existing.Name != command.WindowName {
+			if existing.Phase == fleet.PhaseReturning || existing.Name != command.WindowName {
 				return &WindowExistsError{Existing: existing}
 			}
 			continue
@@ -98,7 +99,7 @@
 		s.Windows = append(s.Windows, Window{
 			Node:            node,
 			Name:            command.WindowName,
-			Phase:           Requested,
+			Phase:           fleet.PhaseRequested,
 			DurationSeconds: command.DurationSeconds,
 		})
 	}
@@ -113,11 +114,11 @@
 			continue
 		}
 		switch phase := s.Windows[i].Phase; {
-		case phase == Requested && command.Verb == VerbFinish:
+		case phase == fleet.PhaseRequested && command.Verb == VerbFinish:
 			return &NotBegunError{Node: node}
-		case phase == Requested:
+		case phase == fleet.PhaseRequested:
 			s.Windows = slices.Delete(s.Windows, i, i+1)
-		case phase != Returning:
+		case phase != fleet.PhaseReturning:
 			s.returnToService(i, "by an operator: "+command.Verb)
 		}
 	}
--- a/controlplane/maintenance/reconcile.go
+++ b/controlplane/maintenance/reconcile.go
@@ -4,29 +4,31 @@
 	"cmp"
 	"slices"
 	"strings"
+
+	"zincloft.example/zincloft/fleet"
 )
 
 // Reconcile returns the state that should be proposed next, and whether it differs. It makes one change at a time: first what
 // nodes have reported is taken in, then a window is revoked where a floor is not kept, else the next one is granted.
-func (s State) Reconcile(fleet Fleet) (State, bool) {
+func (s State) Reconcile(current Fleet) (State, bool) {
 	next := s.clone()
 	nodes := map[string]Node{}
-	for _, node := range fleet.Nodes {
+	for _, node := range current.Nodes {
 		nodes[node.Name] = node
 	}
 	if next.observe(nodes) {
 		return next, true
 	}
-	if !fleet.Complete {
+	if !current.Complete {
 		return s, false // the nodes that are not known may be the ones that a floor lacks
 	}
-	if shortfalls := next.Shortfalls(fleet, next.IsOut); len(shortfalls) > 0 {
-		return next, next.revoke(fleet, shortfalls)
+	if shortfalls := next.Shortfalls(current, next.IsOut); len(shortfalls) > 0 {
+		return next, next.revoke(current, shortfalls)
 	}
 	if next.Paused {
 		return s, false
 	}
-	return next, next.grant(fleet, nodes)
+	return next, next.grant(current, nodes)
 }
 
 // observe takes in the first report of a node that has reached its window's phase. What a node reports under an older fencing
@@ -39,11 +41,11 @@
 			continue
 		}
 		switch {
-		case window.Phase == Draining && node.Phase == Drained:
-			window.Phase = Drained
+		case window.Phase == fleet.PhaseDraining && node.Phase == fleet.PhaseDrained:
+			window.Phase = fleet.PhaseDrained
 			s.appendAudit("%s is drained", window.Node)
 			return true
-		case window.Phase == Returning && node.Phase == Serving && node.Serving:
+		case window.Phase == fleet.PhaseReturning && node.Phase == fleet.PhaseServing && node.Serving:
 			s.appendAudit("%s serves again", window.Node)
 			s.Windows = slices.Delete(s.Windows, i, i+1)
 			return true
@@ -54,18 +56,18 @@
 
 // revoke takes one grant back, in a region with a shortfall: first of a node that has not drained yet, as it is back at once;
 // the newest first.
-func (s *State) revoke(fleet Fleet, shortfalls []Shortfall) bool {
+func (s *State) revoke(current Fleet, shortfalls []Shortfall) bool {
 	short, regions := map[string]bool{}, map[string]string{}
 	for _, shortfall := range shortfalls {
 		short[shortfall.Region] = true
 	}
-	for _, node := range fleet.Nodes {
+	for _, node := range current.Nodes {
 		regions[node.Name] = node.Region
 	}
 	chosen := -1
 	for i, window := range s.Windows {
 		region := regions[window.Node] // "" where the node is not known: it may be in any
-		granted := window.Phase == Draining || window.Phase == Drained
+		granted := window.Phase == fleet.PhaseDraining || window.Phase == fleet.PhaseDrained
 		if !granted || region != "" && !short[region] {
 			continue
 		}
@@ -83,7 +85,7 @@
 // compareForRevocation is above 0 where a is to be revoked before b.
 func compareForRevocation(a, b Window) int {
 	draining := func(window Window) int {
-		if window.Phase == Draining {
+		if window.Phase == fleet.PhaseDraining {
 			return 1
 		}
 		return 0
@@ -93,18 +95,18 @@
 
 // grant grants the first requested window that leaves every floor kept. Where there is none it updates the reasons for which
 // windows wait. It returns whether anything changed.
-func (s *State) grant(fleet Fleet, nodes map[string]Node) bool {
+func (s *State) grant(current Fleet, nodes map[string]Node) bool {
 	changed := false
 	for i := range s.Windows {
 		window := &s.Windows[i]
-		if window.Phase != Requested {
+		if window.Phase != fleet.PhaseRequested {
 			continue
 		}
-		obstacle := s.obstacle(fleet, nodes, window.Node)
+		obstacle := s.obstacle(current, nodes, window.Node)
 		if obstacle == "" {
 			s.FencingToken++
-			window.Phase, window.FencingToken = Draining, s.FencingToken
-			window.Reason = "granted: " + s.describeRemaining(fleet, window.Node)
+			window.Phase, window.FencingToken = fleet.PhaseDraining, s.FencingToken
+			window.Reason = "granted: " + s.describeRemaining(current, window.Node)
 			s.appendAudit("%s %s", window.Node, window.Reason)
 			return true
 		}
@@ -116,12 +118,12 @@
 }
 
 // obstacle is why a node can't be taken out now; empty where it can.
-func (s *State) obstacle(fleet Fleet, nodes map[string]Node, node string) string {
+func (s *State) obstacle(current Fleet, nodes map[string]Node, node string) string {
 	if !nodes[node].Serving {
 		return "it is not serving"
 	}
 	out := func(other string) bool { return other == node || s.IsOut(other) }
-	if shortfalls := s.Shortfalls(fleet, out); len(shortfalls) > 0 {
+	if shortfalls := s.Shortfalls(current, out); len(shortfalls) > 0 {
 		return "without it " + shortfalls[0].String()
 	}
 	return ""
--- a/controlplane/maintenance/reconcile_test.go
+++ b/controlplane/maintenance/reconcile_test.go
@@ -8,7 +8,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"zincloft.example/zincloft/dataplane/capacity"
+	"zincloft.example/zincloft/capacity"
+	"zincloft.example/zincloft/fleet"
 )
 
 // site is three regions of three zones with three nodes each, of which each can serve 10 orders a second.
@@ -25,7 +26,7 @@
 		floors = append(floors, capacity.Floor{Region: region, Group: capacity.Orders, Minimum: 40})
 		x.fleet.Load[region] = map[string]float64{capacity.Orders: 30}
 		for i := range 9 {
-			n := Node{Serving: true, Phase: Serving}
+			n := Node{Serving: true, Phase: fleet.PhaseServing}
 			n.Name, n.Region, n.Zone = fmt.Sprintf("%s-%d", region, i), region, fmt.Sprintf("%s-%c", region, 'a'+i%3)
 			n.Capacity = map[string]float64{capacity.Orders: 10}
 			x.fleet.Nodes = append(x.fleet.Nodes, n)
@@ -63,16 +64,16 @@
 		switch {
 		case slices.Contains(except, n.Name):
 		case !told:
-			n.Serving, n.Phase, n.FencingToken = true, Serving, 0
-		case window.Phase == Returning:
-			n.Serving, n.Phase, n.FencingToken = true, Serving, window.FencingToken
+			n.Serving, n.Phase, n.FencingToken = true, fleet.PhaseServing, 0
+		case window.Phase == fleet.PhaseReturning:
+			n.Serving, n.Phase, n.FencingToken = true, fleet.PhaseServing, window.FencingToken
 		default:
-			n.Serving, n.Phase, n.FencingToken = false, Drained, window.FencingToken
+			n.Serving, n.Phase, n.FencingToken = false, fleet.PhaseDrained, window.FencingToken
 		}
 	}
 }
 
-func (x *site) count(phase Phase) int {
+func (x *site) count(phase fleet.Phase) int {
 	count := 0
 	for _, window := range x.state.Windows {
 		if window.Phase == phase {
@@ -101,14 +102,14 @@
 			}
 			x.settle()
 			So(len(x.state.Shortfalls(x.fleet, x.state.IsOut)), ShouldEqual, 0)
-			So(x.count(Drained), ShouldBeBetweenOrEqual, 9, 12)
-			So(x.count(Requested), ShouldEqual, 27-x.count(Drained))
+			So(x.count(fleet.PhaseDrained), ShouldBeBetweenOrEqual, 9, 12)
+			So(x.count(fleet.PhaseRequested), ShouldEqual, 27-x.count(fleet.PhaseDrained))
 			Convey("and each that ends lets the next begin, until all were drained", func() {
 				drained := map[string]bool{}
 				for range 60 {
 					var out []string
 					for _, w := range x.state.Windows {
-						if w.Phase == Drained {
+						if w.Phase == fleet.PhaseDrained {
 							drained[w.Node] = true
 							out = append(out, w.Node)
 						}
@@ -137,33 +138,33 @@
 		Convey("load at twice the forecast withholds grants, and revokes those that are open, the newest first", func() {
 			So(x.apply(Command{Verb: VerbAsk, WindowName: "a", Nodes: x.nodes("r0")[:4]}), ShouldBeNil)
 			x.settle()
-			So(x.count(Drained), ShouldBeGreaterThanOrEqualTo, 2)
+			So(x.count(fleet.PhaseDrained), ShouldBeGreaterThanOrEqualTo, 2)
 			newest := Window{}
 			for _, w := range x.state.Windows {
-				if w.Phase == Drained && w.FencingToken > newest.FencingToken {
+				if w.Phase == fleet.PhaseDrained && w.FencingToken > newest.FencingToken {
 					newest = w
 				}
 			}
 			x.fleet.Load["r0"][capacity.Orders] = 60
 			state, changed := x.state.Reconcile(x.fleet)
 			So(changed, ShouldBeTrue)
-			So(state.Windows[state.indexOf(newest.Node)].Phase, ShouldEqual, Returning)
+			So(state.Windows[state.indexOf(newest.Node)].Phase, ShouldEqual, fleet.PhaseReturning)
 			So(state.Windows[state.indexOf(newest.Node)].Reason, ShouldContainSubstring, "orders of r0: 69.0 a second are needed")
 			x.settle()
-			So(x.count(Drained), ShouldEqual, 0)
-			So(x.count(Requested), ShouldBeGreaterThan, 0)
+			So(x.count(fleet.PhaseDrained), ShouldEqual, 0)
+			So(x.count(fleet.PhaseRequested), ShouldBeGreaterThan, 0)
 		})
 		Convey("a shortfall in another region revokes nothing here", func() {
 			So(x.apply(Command{Verb: VerbAsk, WindowName: "a", Nodes: []string{"r0-1"}}), ShouldBeNil)
 			x.settle()
 			x.fleet.Load["r1"][capacity.Orders] = 200
 			x.settle()
-			So(x.count(Drained), ShouldEqual, 1)
+			So(x.count(fleet.PhaseDrained), ShouldEqual, 1)
 		})
 		Convey("the loss of a zone in the middle of a window brings the other nodes of its region back", func() {
 			So(x.apply(Command{Verb: VerbAsk, WindowName: "a", Nodes: []string{"r0-0", "r0-3"}}), ShouldBeNil)
 			x.settle()
-			So(x.count(Drained), ShouldEqual, 2)
+			So(x.count(fleet.PhaseDrained), ShouldEqual, 2)
 			for i := range x.fleet.Nodes {
 				if x.fleet.Nodes[i].Zone == "r0-b" {
 					x.fleet.Nodes[i].Serving = false
@@ -171,7 +172,7 @@
 			}
 			state, changed := x.state.Reconcile(x.fleet)
 			So(changed, ShouldBeTrue)
-			So(state.Instructions()["r0-3"].Phase, ShouldEqual, Returning)
+			So(state.Instructions()["r0-3"].Phase, ShouldEqual, fleet.PhaseReturning)
 		})
 		Convey("a node that never reports that it is drained stays out, is told nothing else, and blocks no other region", func() {
 			So(x.apply(Command{Verb: VerbAsk, WindowName: "a", Nodes: []string{"r0-1", "r1-1"}}), ShouldBeNil)
@@ -179,9 +180,9 @@
 				x.state, _ = x.state.Reconcile(x.fleet)
 				x.obey("r0-1")
 			}
-			So(x.state.Instructions()["r0-1"].Phase, ShouldEqual, Draining)
+			So(x.state.Instructions()["r0-1"].Phase, ShouldEqual, fleet.PhaseDraining)
 			So(x.state.IsOut("r0-1"), ShouldBeTrue)
-			So(x.state.Instructions()["r1-1"].Phase, ShouldEqual, Drained)
+			So(x.state.Instructions()["r1-1"].Phase, ShouldEqual, fleet.PhaseDrained)
 		})
 		Convey("what a node reports under an older fencing token is ignored", func() {
 			So(x.apply(Command{Verb: VerbAsk, WindowName: "a", Nodes: []string{"r0-1"}}), ShouldBeNil)
@@ -189,7 +190,7 @@
 			So(x.apply(Command{Verb: VerbFinish, Nodes: []string{"r0-1"}}), ShouldBeNil)
 			for i := range x.fleet.Nodes {
 				if n := &x.fleet.Nodes[i]; n.Name == "r0-1" { // its report of before the grant, late
-					n.Serving, n.Phase, n.FencingToken = true, Serving, 0
+					n.Serving, n.Phase, n.FencingToken = true, fleet.PhaseServing, 0
 				}
 			}
 			state, _ := x.state.Reconcile(x.fleet)
@@ -209,8 +210,8 @@
 			So(x.apply(Command{Verb: VerbPause}), ShouldBeNil)
 			So(x.apply(Command{Verb: VerbAsk, WindowName: "a", Nodes: []string{"r0-2"}}), ShouldBeNil)
 			x.settle()
-			So(x.count(Drained), ShouldEqual, 1)
-			So(x.count(Requested), ShouldEqual, 1)
+			So(x.count(fleet.PhaseDrained), ShouldEqual, 1)
+			So(x.count(fleet.PhaseRequested), ShouldEqual, 1)
 		})
 	})
 	Convey("Without agreed floors no window can be requested", t, func() {
--- a/controlplane/maintenance/shortfall.go
+++ b/controlplane/maintenance/shortfall.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strings"
 
-	"zincloft.example/zincloft/dataplane/capacity"
+	"zincloft.example/zincloft/capacity"
 )
 
 // loadMargin is how many times the present load must be carried, where that is above the agreed floor.
@@ -21,11 +21,11 @@
 }
 
 // Shortfalls lists the floors that are not kept while some nodes are out.
-func (s State) Shortfalls(fleet Fleet, out func(node string) bool) []Shortfall {
+func (s State) Shortfalls(current Fleet, out func(node string) bool) []Shortfall {
 	var shortfalls []Shortfall
-	nodes := s.servingNodes(fleet)
+	nodes := s.servingNodes(current)
 	for _, floor := range s.AgreedFloors {
-		required := max(floor.Minimum, loadMargin*fleet.Load[floor.Region][floor.Group])
+		required := max(floor.Minimum, loadMargin*current.Load[floor.Region][floor.Group])
 		remaining := capacity.RemainingAfterLosses(nodes, floor.Region, floor.Group, out, s.FaultTolerance)
 		if remaining < required {
 			shortfalls = append(shortfalls, Shortfall{Floor: floor, Required: required, Remaining: remaining})
@@ -35,9 +35,9 @@
 }
 
 // servingNodes lists the nodes that serve, with the declared capacity of those that have none measured.
-func (s State) servingNodes(fleet Fleet) []capacity.Node {
+func (s State) servingNodes(current Fleet) []capacity.Node {
 	var serving []capacity.Node
-	for _, node := range fleet.Nodes {
+	for _, node := range current.Nodes {
 		if !node.Serving {
 			continue
 		}
@@ -55,10 +55,10 @@
 }
 
 // describeRemaining writes down what each floor keeps with a node out, by measured capacities alone.
-func (s State) describeRemaining(fleet Fleet, node string) string {
+func (s State) describeRemaining(current Fleet, node string) string {
 	out := func(other string) bool { return other == node || s.IsOut(other) }
 	var measured []capacity.Node
-	for _, known := range fleet.Nodes {
+	for _, known := range current.Nodes {
 		if known.Serving {
 			measured = append(measured, known.Node)
 		}
--- a/controlplane/maintenance/state.go
+++ b/controlplane/maintenance/state.go
@@ -12,19 +12,8 @@
 	"fmt"
 	"slices"
 
-	"zincloft.example/zincloft/dataplane/capacity"
-)
-
-// Phase of a node's window.
-type Phase string
-
-// Phases of a window, in their order.
-const (
-	Requested Phase = "asked"     // waits for its grant
-	Draining  Phase = "draining"  // granted; the node ends what is in flight
-	Drained   Phase = "drained"   // the node has reported that nothing is in flight: it may be worked on
-	Returning Phase = "returning" // it is to serve again
-	Serving   Phase = "serving"   // reported by a node; its window is over
+	"zincloft.example/zincloft/capacity"
+	"zincloft.example/zincloft/fleet"
 )
 
 // maxAuditEntries bounds the audit log; the oldest entries are dropped.
@@ -32,12 +21,12 @@
 
 // Window is one node's maintenance window.
 type Window struct {
-	Node            string `json:"node" cbor:"1,keyasint"`
-	Name            string `json:"window" cbor:"2,keyasint"`
-	Phase           Phase  `json:"phase" cbor:"3,keyasint"`
-	FencingToken    uint64 `json:"fence" cbor:"4,keyasint,omitempty"`
-	Reason          string `json:"why,omitempty" cbor:"5,keyasint,omitempty"` // for which it waits, was granted, or was revoked
-	DurationSeconds int64  `json:"takes_s" cbor:"6,keyasint,omitempty"`       // from drained until it is to serve again; 0: until an operator finishes it
+	Node            string      `json:"node" cbor:"1,keyasint"`
+	Name            string      `json:"window" cbor:"2,keyasint"`
+	Phase           fleet.Phase `json:"phase" cbor:"3,keyasint"`
+	FencingToken    uint64      `json:"fence" cbor:"4,keyasint,omitempty"`
+	Reason          string      `json:"why,omitempty" cbor:"5,keyasint,omitempty"` // for which it waits, was granted, or was revoked
+	DurationSeconds int64       `json:"takes_s" cbor:"6,keyasint,omitempty"`       // from drained until it is to serve again; 0: until an operator finishes it
 }
 
 // State is what the control plane commits. A state is never changed once made; its methods return another one.
@@ -54,9 +43,9 @@
 // Node is what the control plane knows of a node now.
 type Node struct {
 	capacity.Node
-	Serving      bool   `cbor:"11,keyasint,omitempty"` // it was heard lately and takes requests
-	Phase        Phase  `cbor:"12,keyasint,omitempty"` // as it reported itself
-	FencingToken uint64 `cbor:"13,keyasint,omitempty"` // under which it reported its phase
+	Serving      bool        `cbor:"11,keyasint,omitempty"` // it was heard lately and takes requests
+	Phase        fleet.Phase `cbor:"12,keyasint,omitempty"` // as it reported itself
+	FencingToken uint64      `cbor:"13,keyasint,omitempty"` // under which it reported its phase
 }
 
 // Fleet is all nodes, and the load on them.
@@ -72,14 +61,14 @@
 // IsOut reports whether a node counts as out.
 func (s State) IsOut(node string) bool {
 	i := s.indexOf(node)
-	return i >= 0 && s.Windows[i].Phase != Requested
+	return i >= 0 && s.Windows[i].Phase != fleet.PhaseRequested
 }
 
 // Instructions are the windows that nodes are to obey, by node: the phase that each is to reach, and its fencing token.
 func (s State) Instructions() map[string]Window {
 	instructions := map[string]Window{}
 	for _, window := range s.Windows {
-		if window.Phase != Requested {
+		if window.Phase != fleet.PhaseRequested {
 			instructions[window.Node] = window
 		}
 	}
@@ -90,7 +79,7 @@
 func (s State) Expire(node string) (State, bool) {
 	next := s.clone()
 	i := next.indexOf(node)
-	if i < 0 || next.Windows[i].Phase != Drained {
+	if i < 0 || next.Windows[i].Phase != fleet.PhaseDrained {
 		return s, false
 	}
 	next.returnToService(i, "its time is over")
@@ -111,7 +100,7 @@
 func (s *State) returnToService(i int, reason string) {
 	s.FencingToken++
 	window := &s.Windows[i]
-	window.Phase, window.FencingToken, window.Reason = Returning, s.FencingToken, reason
+	window.Phase, window.FencingToken, window.Reason = fleet.PhaseReturning, s.FencingToken, reason
 	s.appendAudit("%s is to serve again: %s", window.Node, reason)
 }
 
--- a/controlplane/maintenanceplanner/capacitytable.go
+++ b/controlplane/maintenanceplanner/capacitytable.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"zincloft.example/zincloft/dataplane/capacity"
+	"zincloft.example/zincloft/capacity"
 )
 
 // tolerance absorbs rounding where capacities are compared, in requests a second.
--- a/controlplane/maintenanceplanner/plan_test.go
+++ b/controlplane/maintenanceplanner/plan_test.go
@@ -8,7 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"zincloft.example/zincloft/dataplane/capacity"
+	"zincloft.example/zincloft/capacity"
 )
 
 // fleet is n nodes over zones of one region, each of which can serve 10 lookups and 3 orders a second.
--- a/controlplane/maintenanceplanner/request.go
+++ b/controlplane/maintenanceplanner/request.go
@@ -12,7 +12,7 @@
 	"fmt"
 	"slices"
 
-	"zincloft.example/zincloft/dataplane/capacity"
+	"zincloft.example/zincloft/capacity"
 )
 
 // Request is what a schedule is made for.
--- a/controlplane/maintenanceplanner/verify.go
+++ b/controlplane/maintenanceplanner/verify.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"zincloft.example/zincloft/dataplane/capacity"
+	"zincloft.example/zincloft/capacity"
 )
 
 // Verify checks a schedule against its request independently of how it was made, by the calculation that grants are decided by.
--- a/controlplane/maintenanceplanner/week_test.go
+++ b/controlplane/maintenanceplanner/week_test.go
@@ -5,7 +5,7 @@
 	"math"
 	"math/rand/v2"
 
-	"zincloft.example/zincloft/dataplane/capacity"
+	"zincloft.example/zincloft/capacity"
 )
 
 // slotsPerDay is how many slots a day of a generated week has: of half an hour each.
--- a/controlplane/membership/cluster_test.go
+++ b/controlplane/membership/cluster_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"zincloft.example/zincloft/fleet"
 )
 
 const (
@@ -32,7 +34,7 @@
 type flight struct {
 	at      Time
 	from    string // Address.
-	to      Member
+	to      fleet.Member
 	message Message
 }
 
@@ -61,10 +63,10 @@
 }
 
 // testMember returns the member that runs at an address with the disk that it started with.
-func testMember(addr string) Member { return Member{ID: addr + "/0", Addr: addr} }
+func testMember(addr string) fleet.Member { return fleet.Member{ID: addr + "/0", Addr: addr} }
 
 // start starts a node. Its seeds are the first members' addresses.
-func (c *cluster) start(m Member, state DurableState) *Node {
+func (c *cluster) start(m fleet.Member, state DurableState) *Node {
 	node := New(m, state, []string{"a", "b", "c"}, c.random.Float64)
 	c.nodes[m.ID], c.saved[m.ID] = node, state
 	return node
--- a/controlplane/membership/consensus.go
+++ b/controlplane/membership/consensus.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/invariant"
 )
 
@@ -195,7 +196,7 @@
 
 // announceDecision tells a decided view to the members of the present view and of that one.
 func (node *Node) announceDecision(decided View) {
-	receivers := map[string]Member{}
+	receivers := map[string]fleet.Member{}
 	for _, m := range append(node.state.View.Members(), decided.Members()...) {
 		receivers[m.ID] = m
 	}
--- a/controlplane/membership/consensus_test.go
+++ b/controlplane/membership/consensus_test.go
@@ -3,6 +3,8 @@
 import (
 	"reflect"
 	"testing"
+
+	"zincloft.example/zincloft/fleet"
 )
 
 // voterOf returns a node that is the given member of a first view of three.
@@ -101,7 +103,7 @@
 	node.ready()
 	ballot := node.proposal.ballot
 	answer := func(kind MessageKind, id string) Ready {
-		return node.Step(0, Message{Kind: kind, From: Member{ID: id, Addr: id[:1]}, ViewNumber: 2, Ballot: ballot})
+		return node.Step(0, Message{Kind: kind, From: fleet.Member{ID: id, Addr: id[:1]}, ViewNumber: 2, Ballot: ballot})
 	}
 	for _, id := range []string{"a/0", "a/0", "b/1", "z/0"} { // The same voter twice, another disk, and a non-member.
 		if ready := answer(Promise, id); len(ready.Messages) > 0 {
--- a/controlplane/membership/failuredetector.go
+++ b/controlplane/membership/failuredetector.go
@@ -1,6 +1,10 @@
 package membership
 
-import "time"
+import (
+	"time"
+
+	"zincloft.example/zincloft/fleet"
+)
 
 // This file judges by arrivals which other members have failed. A mistake here costs a view change and nothing else.
 
@@ -14,7 +18,7 @@
 
 // peer is what this node knows of another member, or of a machine that may become one.
 type peer struct {
-	Member
+	fleet.Member
 	lastHeard      Time
 	connectedSince Time // Reachable without a gap since.
 	hearsUs        bool
--- a/controlplane/membership/failuredetector_test.go
+++ b/controlplane/membership/failuredetector_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"zincloft.example/zincloft/fleet"
 )
 
 func TestSilentMemberIsSuspected(t *testing.T) {
@@ -96,7 +98,7 @@
 	c := newCluster(t, 3)
 	node := c.node("a")
 	node.SetSeeds([]string{"a", "b", "x"})
-	want := []Member{{Addr: "x"}, testMember("b"), testMember("c")}
+	want := []fleet.Member{{Addr: "x"}, testMember("b"), testMember("c")}
 	got := node.Peers(0)
 	if len(got) != len(want) {
 		t.Fatalf("%v", got)
--- a/controlplane/membership/message.go
+++ b/controlplane/membership/message.go
@@ -1,6 +1,10 @@
 package membership
 
-import "cmp"
+import (
+	"cmp"
+
+	"zincloft.example/zincloft/fleet"
+)
 
 // MessageKind tells the messages between members apart.
 type MessageKind uint8
@@ -18,8 +22,8 @@
 
 // Message is what members say to one another about views.
 type Message struct {
-	Kind MessageKind `cbor:"1,keyasint"`
-	From Member      `cbor:"2,keyasint"`
+	Kind MessageKind  `cbor:"1,keyasint"`
+	From fleet.Member `cbor:"2,keyasint"`
 
 	// ViewNumber is, in a Heartbeat, the number of the view that the sender holds; in all others that of the view to agree on.
 	ViewNumber uint64 `cbor:"3,keyasint,omitempty"`
@@ -57,7 +61,7 @@
 
 // Outbound is a message to send.
 type Outbound struct {
-	To      Member // Known by its address alone where only a seed is known.
+	To      fleet.Member // Known by its address alone where only a seed is known.
 	Message Message
 
 	// AfterSave says that the message must not leave before the node's present state is on stable storage.
--- a/controlplane/membership/node.go
+++ b/controlplane/membership/node.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"zincloft.example/zincloft/fleet"
 )
 
 // Time is a moment on the caller's monotonic clock.
@@ -40,7 +42,7 @@
 
 // Node is one member's part in the protocol. Create it with New. A Node is not safe for concurrent use.
 type Node struct {
-	self        Member
+	self        fleet.Member
 	incarnation uint64 // Of this node's clock; drawn at random at each start.
 	random      func() float64
 	seeds       []string
@@ -71,7 +73,7 @@
 
 // New creates a node from the state that was saved. Seeds are addresses that are sent heartbeats until a member is heard
 // from there. The source of random numbers returns values in [0, 1).
-func New(self Member, state DurableState, seeds []string, random func() float64) *Node {
+func New(self fleet.Member, state DurableState, seeds []string, random func() float64) *Node {
 	const incarnationBits = 53 // The precision of a float64.
 	return &Node{
 		self:        self,
@@ -124,7 +126,7 @@
 }
 
 // Self returns the node's own member.
-func (node *Node) Self() Member { return node.self }
+func (node *Node) Self() fleet.Member { return node.self }
 
 // State returns the state to be saved.
 func (node *Node) State() DurableState { return node.state }
@@ -135,8 +137,8 @@
 // Peers returns the members to keep in contact with: those heard lately, all other members of the view, and the seeds
 // from whose address no member is known. A member of the view is included however long it has been silent: two that had
 // both forgotten each other would stay silent for ever once the link between them is back.
-func (node *Node) Peers(now Time) []Member {
-	var peers []Member
+func (node *Node) Peers(now Time) []fleet.Member {
+	var peers []fleet.Member
 	for _, p := range node.peers {
 		if now-p.lastHeard < forgetTimeout || node.isMember(p.ID) {
 			peers = append(peers, p.Member)
@@ -149,21 +151,21 @@
 	}
 	for _, addr := range node.seeds {
 		if addr != node.self.Addr && indexOfAddr(peers, addr) < 0 {
-			peers = append(peers, Member{Addr: addr})
+			peers = append(peers, fleet.Member{Addr: addr})
 		}
 	}
-	slices.SortFunc(peers, func(a, b Member) int {
+	slices.SortFunc(peers, func(a, b fleet.Member) int {
 		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Addr, b.Addr))
 	})
 	return peers
 }
 
 // KnownMember returns the member with an identity as it last described itself, if it is known.
-func (node *Node) KnownMember(id string) (Member, bool) {
+func (node *Node) KnownMember(id string) (fleet.Member, bool) {
 	if p := node.peers[id]; p != nil {
 		return p.Member, true
 	}
-	return Member{}, false
+	return fleet.Member{}, false
 }
 
 // SetSeeds replaces the seeds given to New.
@@ -184,13 +186,13 @@
 	return node.state.View.HasVoter(id) || node.state.View.HasLearner(id)
 }
 
-func (node *Node) send(to Member, m Message, afterSave bool) {
+func (node *Node) send(to fleet.Member, m Message, afterSave bool) {
 	m.From = node.self
 	node.outbound = append(node.outbound, Outbound{To: to, Message: m, AfterSave: afterSave})
 }
 
 // sendDecided tells a member the newest view that is known to be decided.
-func (node *Node) sendDecided(to Member) {
+func (node *Node) sendDecided(to fleet.Member) {
 	view := node.state.View
 	node.send(to, Message{Kind: Decided, ViewNumber: view.Number, View: &view}, true)
 }
--- a/controlplane/membership/replacement.go
+++ b/controlplane/membership/replacement.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"zincloft.example/zincloft/fleet"
 )
 
 // This file decides which view should follow the present one.
@@ -144,7 +146,7 @@
 
 // seatFor returns the index of the voter that a learner replaces: the one at the same address, which has lost its disk;
 // else one that has left; else one that has failed.
-func (plan *successorPlan) seatFor(learner Member) int {
+func (plan *successorPlan) seatFor(learner fleet.Member) int {
 	if seat := indexOfAddr(plan.next.Voters, learner.Addr); seat >= 0 {
 		return seat
 	}
@@ -167,7 +169,7 @@
 		if !plan.mayJoin(candidate.ID) || seat >= 0 && plan.node.IsReachable(plan.now, plan.next.Voters[seat].ID) {
 			continue
 		}
-		plan.next.Learners = []Member{candidate}
+		plan.next.Learners = []fleet.Member{candidate}
 		plan.appendUnsynced(candidate.ID)
 		return
 	}
@@ -195,7 +197,7 @@
 
 func (plan *successorPlan) current() View { return plan.node.state.View }
 
-func (plan *successorPlan) isInChain(m Member) bool { return plan.next.Position(m.ID) >= 0 }
+func (plan *successorPlan) isInChain(m fleet.Member) bool { return plan.next.Position(m.ID) >= 0 }
 
 // isUnsynced reports whether a member is marked as unsynced in the present view and has not been synced since.
 func (plan *successorPlan) isUnsynced(id string) bool {
@@ -228,26 +230,26 @@
 }
 
 // hasLeft reports whether a voter is out of the chain because it leaves.
-func (plan *successorPlan) hasLeft(voter Member) bool {
+func (plan *successorPlan) hasLeft(voter fleet.Member) bool {
 	return !plan.isInChain(voter) && plan.node.isPeerLeaving(voter.ID)
 }
 
 // hasFailedFor returns a test for voters that are out of the chain, not healthy, and have been absent for so long.
-func (plan *successorPlan) hasFailedFor(timeout Time) func(Member) bool {
-	return func(voter Member) bool {
+func (plan *successorPlan) hasFailedFor(timeout Time) func(fleet.Member) bool {
+	return func(voter fleet.Member) bool {
 		return !plan.isInChain(voter) && !plan.node.isHealthy(plan.now, voter.ID) &&
 			plan.node.absentFor(plan.now, voter.ID) >= timeout
 	}
 }
 
 // nonMembers returns the machines that are heard and belong neither to the voters nor to the learners, ordered by identity.
-func (node *Node) nonMembers() []Member {
-	var candidates []Member
+func (node *Node) nonMembers() []fleet.Member {
+	var candidates []fleet.Member
 	for id, p := range node.peers {
 		if !node.isMember(id) {
 			candidates = append(candidates, p.Member)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(candidates, func(a, b fleet.Member) int { return cmp.Compare(a.ID, b.ID) })
 	return candidates
 }
--- a/controlplane/membership/replacement_test.go
+++ b/controlplane/membership/replacement_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"zincloft.example/zincloft/fleet"
 )
 
 // learnersSeen runs the cluster and returns how many views had a learner that did not vote.
@@ -50,7 +52,7 @@
 	c := newCluster(t, 3)
 	c.run(2 * time.Second)
 	c.kill("b")
-	wiped := Member{ID: "b/1", Addr: "b"}
+	wiped := fleet.Member{ID: "b/1", Addr: "b"}
 	c.start(wiped, DurableState{})
 	c.run(5 * time.Second)
 	v := c.node("a").View()
@@ -66,7 +68,7 @@
 	c.kill("b")
 	c.run(replacementTimeout + time.Second)
 	c.kill("d")
-	c.start(Member{ID: "d/1", Addr: "d"}, DurableState{})
+	c.start(fleet.Member{ID: "d/1", Addr: "d"}, DurableState{})
 	c.run(3 * time.Second)
 	v := c.node("a").View()
 	if !v.HasVoter("d/1") || v.HasVoter("d/0") || !v.HasVoter("b/0") || len(v.Voters) != 5 {
--- a/controlplane/membership/view.go
+++ b/controlplane/membership/view.go
@@ -1,29 +1,23 @@
 package membership
 
-import "slices"
+import (
+	"slices"
 
-// Member is a member of the control plane. The JSON keys of Member and View are those of `zincloftctl store export`.
-type Member struct {
-	ID   string `cbor:"1,keyasint"` // Identity of the member's disk.
-	Addr string `cbor:"2,keyasint"` // Address at which other members and gateways connect.
-	Zone string `cbor:"3,keyasint,omitempty"`
+	"zincloft.example/zincloft/fleet"
+)
 
-	// APIAddr is the address at which replicas and operators call the member.
-	APIAddr string `cbor:"4,keyasint,omitempty" json:"Call"`
-}
-
-// View is one agreed configuration of the control plane. A view is immutable once made.
+// View is one agreed configuration of the control plane. Its JSON keys are those of `zincloftctl store export`. A view is immutable once made.
 type View struct {
-	Number uint64   `cbor:"1,keyasint" json:"N"`
-	Voters []Member `cbor:"2,keyasint" json:"Roster"`
-	Chain  []string `cbor:"3,keyasint"` // Identities, head first.
+	Number uint64         `cbor:"1,keyasint" json:"N"`
+	Voters []fleet.Member `cbor:"2,keyasint" json:"Roster"`
+	Chain  []string       `cbor:"3,keyasint"` // Identities, head first.
 
 	// Unsynced lists the chain members that may not hold yet what their predecessors hold. None of them may become the
 	// head before a commit in this view has shown that it was synced (docs/design/control-plane.md, rule 6).
 	Unsynced []string `cbor:"4,keyasint,omitempty" json:"Fresh"`
 
 	// Learners are part of the chain, where they are synced, but do not vote. There is at most one.
-	Learners []Member `cbor:"5,keyasint,omitempty"`
+	Learners []fleet.Member `cbor:"5,keyasint,omitempty"`
 }
 
 // HasVoter reports whether the identity belongs to a voter of the view.
@@ -33,7 +27,7 @@
 func (v View) HasLearner(id string) bool { return indexOfID(v.Learners, id) >= 0 }
 
 // Members returns the voters and the learners.
-func (v View) Members() []Member { return append(slices.Clone(v.Voters), v.Learners...) }
+func (v View) Members() []fleet.Member { return append(slices.Clone(v.Voters), v.Learners...) }
 
 // Position returns the identity's position in the chain, 0 being the head, or -1 if it is not part of it.
 func (v View) Position(id string) int { return slices.Index(v.Chain, id) }
@@ -61,14 +55,14 @@
 }
 
 // sameIdentities reports whether two lists name the same identities in the same order.
-func sameIdentities(a, b []Member) bool {
-	return slices.EqualFunc(a, b, func(x, y Member) bool { return x.ID == y.ID })
+func sameIdentities(a, b []fleet.Member) bool {
+	return slices.EqualFunc(a, b, func(x, y fleet.Member) bool { return x.ID == y.ID })
 }
 
-func indexOfID(members []Member, id string) int {
-	return slices.IndexFunc(members, func(m Member) bool { return m.ID == id })
+func indexOfID(members []fleet.Member, id string) int {
+	return slices.IndexFunc(members, func(m fleet.Member) bool { return m.ID == id })
 }
 
-func indexOfAddr(members []Member, addr string) int {
-	return slices.IndexFunc(members, func(m Member) bool { return m.Addr == addr })
+func indexOfAddr(members []fleet.Member, addr string) int {
+	return slices.IndexFunc(members, func(m fleet.Member) bool { return m.Addr == addr })
 }
--- a/controlplane/membership/view_test.go
+++ b/controlplane/membership/view_test.go
@@ -1,6 +1,10 @@
 package membership
 
-import "testing"
+import (
+	"testing"
+
+	"zincloft.example/zincloft/fleet"
+)
 
 func TestQuorumsIntersect(t *testing.T) {
 	for voters := 1; voters < 10; voters++ {
@@ -23,7 +27,7 @@
 
 func TestViewMembership(t *testing.T) {
 	voter, learner := testMember("a"), testMember("b")
-	v := View{Number: 1, Voters: []Member{voter}, Chain: []string{voter.ID, learner.ID}, Learners: []Member{learner}}
+	v := View{Number: 1, Voters: []fleet.Member{voter}, Chain: []string{voter.ID, learner.ID}, Learners: []fleet.Member{learner}}
 	if !v.HasVoter(voter.ID) || v.HasVoter(learner.ID) || v.HasLearner(voter.ID) || !v.HasLearner(learner.ID) {
 		t.Errorf("voters and learners are not told apart")
 	}
--- a/dataplane/outlier/detector.go
+++ b/controlplane/outlier/detector.go
@@ -7,6 +7,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"zincloft.example/zincloft/fleet"
 )
 
 const (
@@ -20,18 +22,6 @@
 	expiryMemories     = 2                // ejection memories until a replica is forgotten
 )
 
-// Observation is what a gateway reports of a replica that failed.
-type Observation struct {
-	Replica           string `cbor:"1,keyasint"`
-	ConnectionRefused bool   `cbor:"2,keyasint,omitempty"` // nobody listens there: proof, unless the gateway's own link is at fault
-}
-
-// Ejection has all gateways make a replica a last choice for a time.
-type Ejection struct {
-	Replica      string `cbor:"1,keyasint"`
-	Milliseconds int64  `cbor:"2,keyasint"`
-}
-
 // ejectionState is what is known of one replica.
 type ejectionState struct {
 	observers     map[string]bool // gateways that saw the failure at hand
@@ -49,7 +39,7 @@
 
 // Observe takes in what a gateway saw. peers are the replicas of the same service that are in use, this one included. It
 // returns the ejection that all gateways are to hear of; not ok: none.
-func (d *Detector) Observe(now time.Duration, gateway string, observation Observation, peers []string) (ejection Ejection, ok bool) {
+func (d *Detector) Observe(now time.Duration, gateway string, observation fleet.Observation, peers []string) (ejection fleet.Ejection, ok bool) {
 	state := d.replicas[observation.Replica]
 	if state == nil {
 		state = &ejectionState{observers: map[string]bool{}, lastEjectedAt: -ejectionMemory}
@@ -61,14 +51,14 @@
 	}
 	state.observers[gateway] = true
 	if now < state.ejectedUntil || !observation.ConnectionRefused && len(state.observers) < minObservers {
-		return Ejection{}, false
+		return fleet.Ejection{}, false
 	}
 	// Where many replicas fail the cause may be elsewhere, and somebody must serve.
 	if float64(d.ejectedAmong(now, peers)+1) > maxEjectedShare*float64(len(peers)) {
-		return Ejection{}, false
+		return fleet.Ejection{}, false
 	}
 	duration := state.eject(now)
-	return Ejection{observation.Replica, duration.Milliseconds()}, true
+	return fleet.Ejection{Replica: observation.Replica, Milliseconds: duration.Milliseconds()}, true
 }
 
 // ejectedAmong counts the replicas that are ejected.
@@ -93,7 +83,7 @@
 }
 
 // RecordRemote takes in another member's ejection, so that the next one counts on from it.
-func (d *Detector) RecordRemote(now time.Duration, ejection Ejection) {
+func (d *Detector) RecordRemote(now time.Duration, ejection fleet.Ejection) {
 	state := d.replicas[ejection.Replica]
 	if state == nil {
 		state = &ejectionState{observers: map[string]bool{}}
--- a/dataplane/outlier/detector_test.go
+++ b/controlplane/outlier/detector_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"zincloft.example/zincloft/fleet"
 )
 
 const ms = time.Millisecond
@@ -17,17 +19,17 @@
 	}
 	Convey("A refused connection ejects at once, a broken one when two gateways saw it", t, func() {
 		detector := New()
-		ejection, ok := detector.Observe(0, "a", Observation{"1", true}, peers)
+		ejection, ok := detector.Observe(0, "a", fleet.Observation{Replica: "1", ConnectionRefused: true}, peers)
 		So(ok, ShouldBeTrue)
 		So(ejection.Milliseconds, ShouldEqual, baseEjectionTime.Milliseconds())
-		_, ok = detector.Observe(0, "a", Observation{"2", false}, peers)
+		_, ok = detector.Observe(0, "a", fleet.Observation{Replica: "2"}, peers)
 		So(ok, ShouldBeFalse)
-		_, ok = detector.Observe(100*ms, "a", Observation{"2", false}, peers)
+		_, ok = detector.Observe(100*ms, "a", fleet.Observation{Replica: "2"}, peers)
 		So(ok, ShouldBeFalse) // the same gateway again: its own link may be at fault
-		_, ok = detector.Observe(200*ms, "b", Observation{"2", false}, peers)
+		_, ok = detector.Observe(200*ms, "b", fleet.Observation{Replica: "2"}, peers)
 		So(ok, ShouldBeTrue)
 		Convey("and once for a failure", func() {
-			_, ok = detector.Observe(300*ms, "c", Observation{"1", true}, peers)
+			_, ok = detector.Observe(300*ms, "c", fleet.Observation{Replica: "1", ConnectionRefused: true}, peers)
 			So(ok, ShouldBeFalse)
 		})
 	})
@@ -35,24 +37,24 @@
 		detector := New()
 		now, before := time.Duration(0), int64(0)
 		for range 4 {
-			ejection, ok := detector.Observe(now, "a", Observation{"1", true}, peers)
+			ejection, ok := detector.Observe(now, "a", fleet.Observation{Replica: "1", ConnectionRefused: true}, peers)
 			So(ok, ShouldBeTrue)
 			So(ejection.Milliseconds, ShouldBeGreaterThan, before)
 			before = ejection.Milliseconds
 			now += time.Duration(ejection.Milliseconds)*ms + ms
 		}
 		for range 4 {
-			ejection, _ := detector.Observe(now, "a", Observation{"1", true}, peers)
+			ejection, _ := detector.Observe(now, "a", fleet.Observation{Replica: "1", ConnectionRefused: true}, peers)
 			So(ejection.Milliseconds, ShouldBeLessThanOrEqualTo, maxEjectionTime.Milliseconds())
 			now += maxEjectionTime + ms
 		}
-		ejection, ok := detector.Observe(now+ejectionMemory+maxEjectionTime, "a", Observation{"1", true}, peers)
+		ejection, ok := detector.Observe(now+ejectionMemory+maxEjectionTime, "a", fleet.Observation{Replica: "1", ConnectionRefused: true}, peers)
 		So(ok, ShouldBeTrue)
 		So(ejection.Milliseconds, ShouldEqual, baseEjectionTime.Milliseconds())
 		Convey("whichever member ejected it before", func() {
 			other := New()
-			other.RecordRemote(0, Ejection{"1", 800})
-			ejection, _ := other.Observe(time.Second, "a", Observation{"1", true}, peers)
+			other.RecordRemote(0, fleet.Ejection{Replica: "1", Milliseconds: 800})
+			ejection, _ := other.Observe(time.Second, "a", fleet.Observation{Replica: "1", ConnectionRefused: true}, peers)
 			So(ejection.Milliseconds, ShouldEqual, 2*baseEjectionTime.Milliseconds())
 		})
 	})
@@ -60,7 +62,7 @@
 		detector := New()
 		n := 0
 		for _, id := range peers {
-			if _, ok := detector.Observe(0, "a", Observation{id, true}, peers); ok {
+			if _, ok := detector.Observe(0, "a", fleet.Observation{Replica: id, ConnectionRefused: true}, peers); ok {
 				n++
 			}
 		}
@@ -68,7 +70,7 @@
 	})
 	Convey("Replicas that have not failed for long are forgotten", t, func() {
 		detector := New()
-		detector.Observe(0, "a", Observation{"1", true}, peers)
+		detector.Observe(0, "a", fleet.Observation{Replica: "1", ConnectionRefused: true}, peers)
 		detector.Expire(time.Minute)
 		So(len(detector.replicas), ShouldEqual, 0)
 	})
--- a/messages/controlplane.go
+++ b/controlplane/peermessages/peermessages.go
@@ -1,4 +1,5 @@
-package messages
+// Package peermessages has the messages that control-plane members exchange with one another, beside those of membership and chainreplication.
+package peermessages
 
 import (
 	"zincloft.example/zincloft/controlplane/chainreplication"
--- a/controlplane/registry/capacity_test.go
+++ b/controlplane/registry/capacity_test.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/internal/sizes"
 )
 
@@ -22,7 +23,7 @@
 	return []int{580, 1740, 5220, 15700}
 }
 
-func fleet(n int) []registry.Instance {
+func instancesOf(n int) []fleet.Instance {
 	f := sizes.ProductionFleet()
 	f.Replicas, f.Services = n, max(n/36, 1)
 	return f.Instances()
@@ -30,8 +31,8 @@
 
 var filledRegistries = map[int]*registry.Registry{} // by size: filling one costs the square of its size, so benchmarks that leave it as it is share it
 
-func filledRegistry(n int) (*registry.Registry, []registry.Instance) {
-	instances := fleet(n)
+func filledRegistry(n int) (*registry.Registry, []fleet.Instance) {
+	instances := instancesOf(n)
 	if filledRegistries[n] == nil {
 		filledRegistries[n] = registry.New(time.Hour)
 		filledRegistries[n].Merge(0, instances)
@@ -43,7 +44,7 @@
 func BenchmarkCapacityFill(b *testing.B) {
 	for _, n := range capacitySizes() {
 		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
-			instances := fleet(n)
+			instances := instancesOf(n)
 			b.ReportAllocs()
 			for b.Loop() {
 				filledRegistries[n] = registry.New(time.Hour)
--- a/controlplane/registry/expiry_test.go
+++ b/controlplane/registry/expiry_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"zincloft.example/zincloft/fleet"
 )
 
 func TestExpiry(t *testing.T) {
@@ -35,9 +37,9 @@
 			So(registry.Expire(61*second), ShouldBeEmpty)
 		})
 		Convey("heartbeats that came through another member keep it", func() {
-			registry.Merge(5*second, []Instance{{ID: "i1", Sequence: 4}})
+			registry.Merge(5*second, []fleet.Instance{{ID: "i1", Sequence: 4}})
 			So(registry.Expire(7*second), ShouldBeEmpty)
-			registry.Merge(7*second, []Instance{{ID: "i2", Sequence: 4}})
+			registry.Merge(7*second, []fleet.Instance{{ID: "i2", Sequence: 4}})
 			_, known := findInstance(registry, 7*second, "i2")
 			So(known, ShouldBeFalse)
 		})
--- a/controlplane/registry/merge.go
+++ b/controlplane/registry/merge.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/invariant"
 )
 
@@ -29,19 +30,19 @@
 
 // instanceReport is what a replica, a member or a gateway says of an instance, and how it reached this process.
 type instanceReport struct {
-	Instance
+	fleet.Instance
 	receivedAt time.Duration
 	direct     bool // from the replica itself
 }
 
 // sentAt is when the replica sent the heartbeat that the report rests on, by the local clock.
-func (r *instanceReport) sentAt() time.Duration { return r.receivedAt - r.heartbeatAge() }
+func (r *instanceReport) sentAt() time.Duration { return r.receivedAt - r.HeartbeatAge() }
 
 // warmupUntil is when the instance will be warm, by the local clock.
-func (r *instanceReport) warmupUntil() time.Duration { return r.receivedAt + r.warmup() }
+func (r *instanceReport) warmupUntil() time.Duration { return r.receivedAt + r.Warmup() }
 
 // Heartbeat takes a heartbeat that a replica sent to this process itself.
-func (r *Registry) Heartbeat(now time.Duration, heartbeat Instance) Change {
+func (r *Registry) Heartbeat(now time.Duration, heartbeat fleet.Instance) Change {
 	heartbeat.HeartbeatAgeMillis = 0
 	heartbeat.WarmthUnknown = false
 	heartbeat.Stale = false
@@ -54,11 +55,11 @@
 
 // Deregister ends an instance at its own request or on proof, and reports whether it was registered until then.
 func (r *Registry) Deregister(now time.Duration, id string) bool {
-	return r.apply(&instanceReport{Instance: Instance{ID: id, Deregistered: true}, receivedAt: now, direct: true}).Changed
+	return r.apply(&instanceReport{Instance: fleet.Instance{ID: id, Deregistered: true}, receivedAt: now, direct: true}).Changed
 }
 
 // Merge takes in what another member or a gateway reports.
-func (r *Registry) Merge(now time.Duration, instances []Instance) Change {
+func (r *Registry) Merge(now time.Duration, instances []fleet.Instance) Change {
 	var total Change
 	for _, instance := range instances {
 		if instance.Addr == "" && !instance.Deregistered && r.records[instance.ID] == nil {
--- a/controlplane/registry/merge_test.go
+++ b/controlplane/registry/merge_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"zincloft.example/zincloft/fleet"
 )
 
 func TestMerge(t *testing.T) {
@@ -29,7 +31,7 @@
 		})
 		Convey("deregistration is final: late heartbeats change nothing", func() {
 			So(registry.Deregister(2*second, "i1"), ShouldBeTrue)
-			registry.Merge(3*second, []Instance{heartbeatFrom("i1", 9)})
+			registry.Merge(3*second, []fleet.Instance{heartbeatFrom("i1", 9)})
 			got, _ := findInstance(registry, 3*second, "i1")
 			So(got.Deregistered, ShouldBeTrue)
 		})
@@ -57,7 +59,7 @@
 			registry = New(5 * second)
 			kept := heartbeatFrom("i1", 1)
 			kept.Stale = true
-			registry.Merge(1*second, []Instance{kept})
+			registry.Merge(1*second, []fleet.Instance{kept})
 			got, _ := findInstance(registry, 2*second, "i1")
 			So(got.Stale, ShouldBeTrue)
 			Convey("the replica itself", func() {
@@ -68,7 +70,7 @@
 			Convey("a member or gateway that has heard as much, whose warm-up state is taken over", func() {
 				heartbeat := heartbeatFrom("i1", 1)
 				heartbeat.WarmupMillis, heartbeat.WarmthUnknown = 2000, true
-				registry.Merge(2*second, []Instance{heartbeat})
+				registry.Merge(2*second, []fleet.Instance{heartbeat})
 				got, _ = findInstance(registry, 2*second, "i1")
 				So(got.Stale, ShouldBeFalse)
 				So(got.WarmthUnknown, ShouldBeTrue)
@@ -77,7 +79,7 @@
 			Convey("not one whose knowledge is stale too, or that has heard less", func() {
 				heartbeat := heartbeatFrom("i1", 2)
 				heartbeat.Stale = true
-				registry.Merge(2*second, []Instance{heartbeat, {ID: "i1"}})
+				registry.Merge(2*second, []fleet.Instance{heartbeat, {ID: "i1"}})
 				got, _ = findInstance(registry, 2*second, "i1")
 				So(got.Stale, ShouldBeTrue)
 			})
@@ -86,12 +88,12 @@
 		Convey("that the warmth is unknown is taken over once, with a newer heartbeat", func() {
 			heartbeat := heartbeatFrom("i1", 2)
 			heartbeat.WarmthUnknown = true
-			registry.Merge(30*second, []Instance{heartbeat})
+			registry.Merge(30*second, []fleet.Instance{heartbeat})
 			got, _ := findInstance(registry, 30*second, "i1")
 			So(got.WarmthUnknown, ShouldBeTrue)
 			registry.Heartbeat(31*second, heartbeatFrom("i1", 3))
 			heartbeat.Sequence = 4
-			registry.Merge(31*second, []Instance{heartbeat})
+			registry.Merge(31*second, []fleet.Instance{heartbeat})
 			got, _ = findInstance(registry, 31*second, "i1")
 			So(got.WarmthUnknown, ShouldBeFalse)
 		})
--- a/controlplane/registry/registry.go
+++ b/controlplane/registry/registry.go
@@ -10,6 +10,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"zincloft.example/zincloft/fleet"
 )
 
 // Registry is a set of instances. The zero value is not ready; use New. Its methods must not be called concurrently.
@@ -38,7 +40,7 @@
 func (r *Registry) Revision() uint64 { return r.revision }
 
 // ChangesSince lists the instances that changed after a revision, the oldest change first. Deregistered ones are among them.
-func (r *Registry) ChangesSince(now time.Duration, since uint64) []Instance {
+func (r *Registry) ChangesSince(now time.Duration, since uint64) []fleet.Instance {
 	var changed []*record
 	for _, known := range r.records {
 		if known.revision > since {
@@ -46,7 +48,7 @@
 		}
 	}
 	slices.SortFunc(changed, func(a, b *record) int { return cmp.Compare(a.revision, b.revision) })
-	instances := make([]Instance, len(changed))
+	instances := make([]fleet.Instance, len(changed))
 	for i, known := range changed {
 		instances[i] = known.snapshot(now)
 	}
@@ -55,37 +57,37 @@
 
 // DirectHeartbeats lists the instances whose heartbeats reached this process itself since a moment. Only what changes with each
 // heartbeat is set in them.
-func (r *Registry) DirectHeartbeats(now, since time.Duration) []Instance {
-	var instances []Instance
+func (r *Registry) DirectHeartbeats(now, since time.Duration) []fleet.Instance {
+	var instances []fleet.Instance
 	for id, known := range r.records {
 		if known.lastDirectHeartbeat < since || known.Deregistered {
 			continue
 		}
 		current := known.snapshot(now)
-		instances = append(instances, Instance{
+		instances = append(instances, fleet.Instance{
 			ID:                 id,
 			Sequence:           known.Sequence,
 			WarmupMillis:       current.WarmupMillis,
 			HeartbeatAgeMillis: current.HeartbeatAgeMillis,
 		})
 	}
-	slices.SortFunc(instances, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(instances, func(a, b fleet.Instance) int { return cmp.Compare(a.ID, b.ID) })
 	return instances
 }
 
 // Get returns an instance, and whether it is registered.
-func (r *Registry) Get(now time.Duration, id string) (Instance, bool) {
+func (r *Registry) Get(now time.Duration, id string) (fleet.Instance, bool) {
 	if known := r.records[id]; known != nil && !known.Deregistered {
 		return known.snapshot(now), true
 	}
-	return Instance{}, false
+	return fleet.Instance{}, false
 }
 
 // Remembers reports whether an instance is registered, or was deregistered not long ago.
 func (r *Registry) Remembers(id string) bool { return r.records[id] != nil }
 
 // Each calls visit for every registered instance, in the order of their IDs.
-func (r *Registry) Each(now time.Duration, visit func(Instance)) {
+func (r *Registry) Each(now time.Duration, visit func(fleet.Instance)) {
 	for _, id := range r.sortedIDs {
 		if known := r.records[id]; !known.Deregistered {
 			visit(known.snapshot(now))
--- a/controlplane/registry/registry_test.go
+++ b/controlplane/registry/registry_test.go
@@ -5,20 +5,22 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"zincloft.example/zincloft/fleet"
 )
 
 const second = time.Second
 
 // heartbeatFrom makes a heartbeat of a ready replica; i2 has an address of its own.
-func heartbeatFrom(id string, sequence uint64) Instance {
+func heartbeatFrom(id string, sequence uint64) fleet.Instance {
 	addr := "10.0.0.1:80"
 	if id == "i2" {
 		addr = "10.0.0.2:80"
 	}
-	return Instance{ID: id, Service: "svc", Addr: addr, Zone: "a", Slots: 4, Sequence: sequence}
+	return fleet.Instance{ID: id, Service: "svc", Addr: addr, Zone: "a", Slots: 4, Sequence: sequence}
 }
 
-func findInstance(r *Registry, now time.Duration, id string) (found Instance, ok bool) {
+func findInstance(r *Registry, now time.Duration, id string) (found fleet.Instance, ok bool) {
 	for _, x := range r.ChangesSince(now, AllRevisions) {
 		if x.ID == id {
 			return x, true
--- a/controlplane/weighting/capacity_test.go
+++ b/controlplane/weighting/capacity_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"zincloft.example/zincloft/controlplane/registry"
 	"zincloft.example/zincloft/controlplane/weighting"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/gatewayconfig"
 	"zincloft.example/zincloft/internal/sizes"
 	"zincloft.example/zincloft/messages"
@@ -29,7 +29,7 @@
 
 type filledTable struct {
 	*weighting.Manager
-	instances []registry.Instance
+	instances []fleet.Instance
 	f         sizes.Fleet
 }
 
--- a/controlplane/weighting/manager.go
+++ b/controlplane/weighting/manager.go
@@ -13,7 +13,7 @@
 	"slices"
 	"time"
 
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/gatewayconfig"
 	"zincloft.example/zincloft/rules"
 )
@@ -99,7 +99,7 @@
 }
 
 // UpdateInstances takes in what changed of the instances.
-func (m *Manager) UpdateInstances(now time.Duration, instances []registry.Instance) {
+func (m *Manager) UpdateInstances(now time.Duration, instances []fleet.Instance) {
 	entries := map[string][]rules.Entry{}
 	for _, instance := range instances {
 		service := m.services[instance.Service]
@@ -118,7 +118,7 @@
 }
 
 // listEntry is an instance as a governor's instance list has it.
-func (m *Manager) listEntry(now time.Duration, id rules.ReplicaID, instance registry.Instance) rules.Entry {
+func (m *Manager) listEntry(now time.Duration, id rules.ReplicaID, instance fleet.Instance) rules.Entry {
 	entry := rules.Entry{
 		Replica: id,
 		Zone:    m.zoneIDs[instance.Zone],
--- a/controlplane/weighting/manager_test.go
+++ b/controlplane/weighting/manager_test.go
@@ -8,7 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/gatewayconfig"
 	"zincloft.example/zincloft/messages"
 )
@@ -47,9 +47,9 @@
 		ejected:         map[string]map[string]bool{},
 	}
 	member.Configure(member.now, configuration(), gateways)
-	var instances []registry.Instance
+	var instances []fleet.Instance
 	for i := range replicas {
-		instances = append(instances, registry.Instance{ID: fmt.Sprintf("i%03d", i), Service: "svc", Addr: "x", Zone: string(rune('a' + i%2)), Slots: 4})
+		instances = append(instances, fleet.Instance{ID: fmt.Sprintf("i%03d", i), Service: "svc", Addr: "x", Zone: string(rune('a' + i%2)), Slots: 4})
 	}
 	member.UpdateInstances(member.now, instances)
 	for i := range gateways {
@@ -155,7 +155,7 @@
 		})
 		// Regression: a gateway came from another member and kept that one's weight for a replica that ours had taken out.
 		Convey("a gateway that joins later receives weights of 0 too", func() {
-			member.UpdateInstances(member.now, []registry.Instance{{ID: "i000", Service: "svc", Zone: "a", Slots: 4, HeartbeatTimedOut: true}})
+			member.UpdateInstances(member.now, []fleet.Instance{{ID: "i000", Service: "svc", Zone: "a", Slots: 4, HeartbeatTimedOut: true}})
 			member.run(1)
 			So(member.receivedWeights["f000"]["i000"], ShouldEqual, 0)
 			member.join("late")
@@ -164,10 +164,10 @@
 			So(member.receivedWeights["late"]["i000"], ShouldEqual, 0)
 		})
 		Convey("a draining replica leaves the table at once, and a new one ramps up", func() {
-			member.UpdateInstances(member.now, []registry.Instance{{ID: "i000", Service: "svc", Zone: "a", Slots: 4, Draining: true}})
+			member.UpdateInstances(member.now, []fleet.Instance{{ID: "i000", Service: "svc", Zone: "a", Slots: 4, Draining: true}})
 			member.run(1)
 			So(member.receivedWeights["f000"]["i000"], ShouldEqual, 0)
-			member.UpdateInstances(member.now, []registry.Instance{{ID: "new", Service: "svc", Zone: "a", Slots: 4, WarmupMillis: 3000}})
+			member.UpdateInstances(member.now, []fleet.Instance{{ID: "new", Service: "svc", Zone: "a", Slots: 4, WarmupMillis: 3000}})
 			member.load["new"] = 1
 			member.run(1)
 			early := member.receivedWeights["f000"]["new"]
--- a/controlplane/weighting/service.go
+++ b/controlplane/weighting/service.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/intake"
 	"zincloft.example/zincloft/rules"
 )
@@ -47,7 +47,7 @@
 }
 
 // replicaID is the number of an instance, which gets one unless it has ended before it was known.
-func (s *service) replicaID(instance registry.Instance) (rules.ReplicaID, bool) {
+func (s *service) replicaID(instance fleet.Instance) (rules.ReplicaID, bool) {
 	if id, known := s.replicaIDs[instance.ID]; known {
 		return id, true
 	}
--- a/dataplane/loadbalancer/balancer_test.go
+++ b/dataplane/loadbalancer/balancer_test.go
@@ -8,13 +8,13 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 const s = time.Second
 
-func instance(id, zone string) registry.Instance {
-	return registry.Instance{ID: id, Service: "svc", Addr: id + ":80", Zone: zone, Slots: 4}
+func instance(id, zone string) fleet.Instance {
+	return fleet.Instance{ID: id, Service: "svc", Addr: id + ":80", Zone: zone, Slots: 4}
 }
 
 func noneAttempted(string) bool { return false }
@@ -39,7 +39,7 @@
 func TestPick(t *testing.T) {
 	Convey("Given replicas in two zones", t, func() {
 		balancer := New("a")
-		balancer.UpdateInstances(0, true, []registry.Instance{instance("a1", "a"), instance("a2", "a"), instance("b1", "b")})
+		balancer.UpdateInstances(0, true, []fleet.Instance{instance("a1", "a"), instance("a2", "a"), instance("b1", "b")})
 		Convey("the own zone goes first, by weight", func() {
 			balancer.SetWeight("a1", 60)
 			balancer.SetWeight("a2", 20)
@@ -58,14 +58,14 @@
 		Convey("nothing goes to an endpoint that drains, is deregistered, or whose zone is evacuated", func() {
 			reported := instance("a1", "a")
 			reported.Draining = true
-			So(balancer.UpdateInstances(s, false, []registry.Instance{reported, {ID: "b1", Deregistered: true}}), ShouldResemble, []string{"a1", "b1"})
+			So(balancer.UpdateInstances(s, false, []fleet.Instance{reported, {ID: "b1", Deregistered: true}}), ShouldResemble, []string{"a1", "b1"})
 			So(picks(balancer, s, 100)["a2"], ShouldEqual, 100)
 			balancer.SetEvacuatedZones(s, []string{"a"})
 			So(picks(balancer, s, 100)[""], ShouldEqual, 100)
 			// Guards against a stale update from a member that had lost its state: what drained must not come back.
 			Convey("and a stale update does not bring it back", func() {
 				balancer.SetEvacuatedZones(s, nil)
-				balancer.UpdateInstances(2*s, false, []registry.Instance{instance("a1", "a"), instance("b1", "b")})
+				balancer.UpdateInstances(2*s, false, []fleet.Instance{instance("a1", "a"), instance("b1", "b")})
 				So(picks(balancer, 2*s, 100)[""], ShouldEqual, 100) // the evacuation of its zone ended just now
 				So(picks(balancer, s+restoredZoneWarmup, 100)["a2"], ShouldEqual, 100)
 			})
@@ -89,7 +89,7 @@
 		Convey("an endpoint whose heartbeat timed out is the last choice", func() {
 			reported := instance("a1", "a")
 			reported.HeartbeatTimedOut = true
-			balancer.UpdateInstances(s, false, []registry.Instance{reported})
+			balancer.UpdateInstances(s, false, []fleet.Instance{reported})
 			So(picks(balancer, s, 100)["a1"], ShouldEqual, 0)
 		})
 		Convey("the load that a replica reports of other gateways counts", func() {
@@ -109,7 +109,7 @@
 			balancer := New("a")
 			reported := instance("c1", "a")
 			reported.WarmupMillis = 60000
-			balancer.UpdateInstances(0, true, []registry.Instance{reported})
+			balancer.UpdateInstances(0, true, []fleet.Instance{reported})
 			all = append(all, balancer)
 		}
 		r := rand.New(rand.NewPCG(3, 4))
@@ -145,7 +145,7 @@
 		balancer := New("a")
 		reported := instance("c1", "a")
 		reported.WarmthUnknown = true
-		balancer.UpdateInstances(0, true, []registry.Instance{reported})
+		balancer.UpdateInstances(0, true, []fleet.Instance{reported})
 		So(fmt.Sprint(picks(balancer, s, 50)), ShouldEqual, "map[:50]")
 	})
 }
--- a/dataplane/loadbalancer/endpoint.go
+++ b/dataplane/loadbalancer/endpoint.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 // loadReportLifetime is how long a replica's report of its load counts, less with time.
@@ -52,8 +52,8 @@
 }
 
 // Instance returns what this gateway knows of the endpoint, as it reports it to a member.
-func (e *Endpoint) Instance(now time.Duration) registry.Instance {
-	return registry.Instance{
+func (e *Endpoint) Instance(now time.Duration) fleet.Instance {
+	return fleet.Instance{
 		ID:            e.ID,
 		Service:       e.Service,
 		Addr:          e.Addr,
--- a/dataplane/loadbalancer/instances.go
+++ b/dataplane/loadbalancer/instances.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 // removedRetention is how long a removed endpoint's ID is remembered, against stale updates.
@@ -12,7 +12,7 @@
 
 // UpdateInstances takes in what an update says of instances; a full one names all that there are. It returns the endpoints
 // to which no connection is wanted any more: removed and draining ones.
-func (b *Balancer) UpdateInstances(now time.Duration, full bool, instances []registry.Instance) []string {
+func (b *Balancer) UpdateInstances(now time.Duration, full bool, instances []fleet.Instance) []string {
 	var missing []string
 	if full {
 		missing = b.removeMissing(instances)
@@ -32,7 +32,7 @@
 
 // removeMissing removes the endpoints that a full update does not name, and returns them. The member may not know them
 // yet, so they may come back.
-func (b *Balancer) removeMissing(instances []registry.Instance) (missing []string) {
+func (b *Balancer) removeMissing(instances []fleet.Instance) (missing []string) {
 	named := map[string]bool{}
 	for _, instance := range instances {
 		named[instance.ID] = true
@@ -48,7 +48,7 @@
 
 // updateInstance takes in what an update says of one instance. It tells whether that ended the endpoint: it was removed, or
 // has begun to drain.
-func (b *Balancer) updateInstance(now time.Duration, instance registry.Instance) (ended bool) {
+func (b *Balancer) updateInstance(now time.Duration, instance fleet.Instance) (ended bool) {
 	endpoint := b.endpoints[instance.ID]
 	if instance.Deregistered {
 		if endpoint != nil {
--- a/dataplane/loadbalancer/warmup.go
+++ b/dataplane/loadbalancer/warmup.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 const (
@@ -61,7 +61,7 @@
 
 // update takes in what an update says of the endpoint. One that is older than what is known changes nothing, one of the
 // same heartbeat takes nothing back, and a stale one counts only where nothing is known, but for unknown warmth.
-func (w *warmup) update(now time.Duration, instance registry.Instance) {
+func (w *warmup) update(now time.Duration, instance fleet.Instance) {
 	until := now + time.Duration(instance.WarmupMillis)*time.Millisecond
 	known := w.sequence > 0 && !w.stale
 	if known && instance.Stale {
--- a/dataplane/loadbalancer/warmup_test.go
+++ b/dataplane/loadbalancer/warmup_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 // TestWarmthUpdates has updates of one instance come from members that know more or less of it.
@@ -17,7 +17,7 @@
 		update := func(now time.Duration, sequence uint64, warmupMillis int64, mark string) bool {
 			reported := instance("c1", "a")
 			reported.Sequence, reported.WarmupMillis, reported.WarmthUnknown, reported.Stale = sequence, warmupMillis, strings.Contains(mark, "unknown"), strings.Contains(mark, "stale")
-			balancer.UpdateInstances(now, mark == "stale", []registry.Instance{reported})
+			balancer.UpdateInstances(now, mark == "stale", []fleet.Instance{reported})
 			return balancer.Get("c1").WarmingUp(now)
 		}
 		update(0, 5, 3000, "")
@@ -64,7 +64,7 @@
 		heartbeat := func(now time.Duration, sequence uint64) bool {
 			reported := instance("c1", "a")
 			reported.Sequence = sequence
-			balancer.UpdateInstances(now, false, []registry.Instance{reported})
+			balancer.UpdateInstances(now, false, []fleet.Instance{reported})
 			return balancer.Get("c1").WarmingUp(now)
 		}
 		heartbeat(0, 5)
@@ -88,7 +88,7 @@
 		Convey("a member's unknown warmth holds for longer than the gateway's own", func() {
 			reported := instance("c1", "a")
 			reported.Sequence, reported.WarmthUnknown = 5, true
-			balancer.UpdateInstances(s, false, []registry.Instance{reported})
+			balancer.UpdateInstances(s, false, []fleet.Instance{reported})
 			balancer.SetEvacuatedZones(s, []string{"b"})
 			So(balancer.Get("c1").WarmingUp(s+restoredZoneWarmup), ShouldBeTrue)
 			So(heartbeat(s+restoredZoneWarmup, 6), ShouldBeFalse)
@@ -98,11 +98,11 @@
 		balancer := New("a")
 		reported := instance("c1", "a")
 		reported.Sequence, reported.Stale = 5, true
-		balancer.UpdateInstances(0, true, []registry.Instance{reported})
+		balancer.UpdateInstances(0, true, []fleet.Instance{reported})
 		Convey("the endpoint counts as warming up until there is a fresh update", func() {
 			So(balancer.Get("c1").WarmingUp(s), ShouldBeTrue)
 			reported.Stale = false
-			balancer.UpdateInstances(s, false, []registry.Instance{reported})
+			balancer.UpdateInstances(s, false, []fleet.Instance{reported})
 			So(balancer.Get("c1").WarmingUp(s), ShouldBeFalse)
 		})
 	})
--- a/dataplane/router/attempt.go
+++ b/dataplane/router/attempt.go
@@ -6,7 +6,7 @@
 
 	"zincloft.example/zincloft/dataplane/admission"
 	"zincloft.example/zincloft/dataplane/loadbalancer"
-	"zincloft.example/zincloft/dataplane/outlier"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/invariant"
 )
 
@@ -45,8 +45,8 @@
 
 // AttemptEffects is what the control plane must hear of an attempt's end at once.
 type AttemptEffects struct {
-	Observation         *outlier.Observation `cbor:"1,keyasint,omitempty"` // nil: none
-	MisdirectedEndpoint string               `cbor:"2,keyasint,omitempty"` // whose address is another instance's; empty: none
+	Observation         *fleet.Observation `cbor:"1,keyasint,omitempty"` // nil: none
+	MisdirectedEndpoint string             `cbor:"2,keyasint,omitempty"` // whose address is another instance's; empty: none
 }
 
 // attempt is an attempt in flight.
@@ -94,7 +94,7 @@
 	case loadbalancer.Success:
 		r.admission(ended.service).RecordAnswer(result.Latency, ended.utilization)
 	case loadbalancer.NoResponse, loadbalancer.ConnectFailed:
-		effects.Observation = r.observe(now, outlier.Observation{Replica: endpoint.ID, ConnectionRefused: result.ConnectionRefused})
+		effects.Observation = r.observe(now, fleet.Observation{Replica: endpoint.ID, ConnectionRefused: result.ConnectionRefused})
 	}
 	if result.Misdirected && r.balancer.RemoveMisdirected(now, endpoint.ID) {
 		effects.MisdirectedEndpoint = endpoint.ID
@@ -106,7 +106,7 @@
 }
 
 // observe returns the observation where the control plane is to hear of it: not again within observationInterval.
-func (r *Router) observe(now time.Duration, observation outlier.Observation) *outlier.Observation {
+func (r *Router) observe(now time.Duration, observation fleet.Observation) *fleet.Observation {
 	if at, ok := r.observedAt[observation.Replica]; ok && now-at < observationInterval {
 		return nil
 	}
--- a/dataplane/router/maintenance.go
+++ b/dataplane/router/maintenance.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"zincloft.example/zincloft/controlplane/maintenance"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/messages"
 )
 
@@ -11,12 +11,12 @@
 const minStatusPeriod = 0.1 // seconds
 
 // IsServing tells whether no maintenance window has this gateway drain: it is ready, as far as windows go.
-func (r *Router) IsServing() bool { return r.phase == maintenance.Serving }
+func (r *Router) IsServing() bool { return r.phase == fleet.PhaseServing }
 
 // RejectsRequests tells whether this gateway turns requests away for a maintenance window: once the platform has had the
 // time to send its clients elsewhere.
 func (r *Router) RejectsRequests(now time.Duration) bool {
-	return r.phase != maintenance.Serving && now-r.drainingSince > ReadinessPropagation
+	return r.phase != fleet.PhaseServing && now-r.drainingSince > ReadinessPropagation
 }
 
 // updateMaintenance applies this gateway's maintenance window. A window with an older fencing token is ignored; one that
@@ -24,13 +24,13 @@
 func (r *Router) updateMaintenance(now time.Duration, window messages.MaintenanceWindow) {
 	switch {
 	case window.Phase == "":
-		r.phase, r.fencingToken = maintenance.Serving, 0
-	case window.Phase == maintenance.Returning:
-		r.phase, r.fencingToken = maintenance.Serving, max(window.FencingToken, r.fencingToken)
-	case window.FencingToken > r.fencingToken || r.phase == maintenance.Serving && window.FencingToken == r.fencingToken:
+		r.phase, r.fencingToken = fleet.PhaseServing, 0
+	case window.Phase == fleet.PhaseReturning:
+		r.phase, r.fencingToken = fleet.PhaseServing, max(window.FencingToken, r.fencingToken)
+	case window.FencingToken > r.fencingToken || r.phase == fleet.PhaseServing && window.FencingToken == r.fencingToken:
 		r.fencingToken = window.FencingToken
-		if r.phase == maintenance.Serving {
-			r.phase, r.drainingSince = maintenance.Draining, now
+		if r.phase == fleet.PhaseServing {
+			r.phase, r.drainingSince = fleet.PhaseDraining, now
 		}
 	}
 }
@@ -38,8 +38,8 @@
 // gatewayStatus is what this gateway reports of itself where maintenance windows are used: over a period in which it was
 // busy from 0 to 1. It is drained once no request is in flight and none has come for ReadinessPropagation.
 func (r *Router) gatewayStatus(now, period time.Duration, busy float64) *messages.GatewayStatus {
-	if r.phase == maintenance.Draining && r.inFlight == 0 && now-r.drainingSince > ReadinessPropagation {
-		r.phase = maintenance.Drained
+	if r.phase == fleet.PhaseDraining && r.inFlight == 0 && now-r.drainingSince > ReadinessPropagation {
+		r.phase = fleet.PhaseDrained
 	}
 	status := &messages.GatewayStatus{
 		Ready:           r.config != nil && r.hasTable,
--- a/dataplane/router/request.go
+++ b/dataplane/router/request.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"time"
 
+	"zincloft.example/zincloft/capacity"
 	"zincloft.example/zincloft/dataplane/admission"
-	"zincloft.example/zincloft/dataplane/capacity"
 	"zincloft.example/zincloft/dataplane/retry"
 )
 
--- a/dataplane/router/router.go
+++ b/dataplane/router/router.go
@@ -11,12 +11,11 @@
 	"math/rand/v2"
 	"time"
 
-	"zincloft.example/zincloft/controlplane/maintenance"
-	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/capacity"
 	"zincloft.example/zincloft/dataplane/admission"
-	"zincloft.example/zincloft/dataplane/capacity"
 	"zincloft.example/zincloft/dataplane/loadbalancer"
 	"zincloft.example/zincloft/dataplane/retry"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/gatewayconfig"
 )
 
@@ -49,7 +48,7 @@
 	// What the control plane sent.
 	config              *gatewayconfig.Config // nil until the first one
 	sequence            uint64                // of the replicated register in force
-	members             []membership.Member   // of the control plane
+	members             []fleet.Member        // of the control plane
 	gateways            int                   // known over all members; 0: not known yet
 	mostGateways        int                   // that were ever known
 	gatewaysKnownSince  time.Duration         // when their number was first told
@@ -73,7 +72,7 @@
 
 	// Maintenance windows.
 	maintenanceEnabled bool
-	phase              maintenance.Phase
+	phase              fleet.Phase
 	fencingToken       uint64 // of the window last applied
 	drainingSince      time.Duration
 	meter              capacity.Meter
@@ -91,7 +90,7 @@
 		attempts:      map[uint64]attempt{},
 		requestCounts: map[string]int{},
 		observedAt:    map[string]time.Duration{},
-		phase:         maintenance.Serving,
+		phase:         fleet.PhaseServing,
 		groupRequests: map[string]int{},
 	}
 	r.random = rand.New(&r.source).Float64
@@ -99,7 +98,7 @@
 }
 
 // Members returns the control-plane members that were last sent.
-func (r *Router) Members() []membership.Member { return r.members }
+func (r *Router) Members() []fleet.Member { return r.members }
 
 // Sequence returns the number of the replicated register in force.
 func (r *Router) Sequence() uint64 { return r.sequence }
--- a/dataplane/router/router_test.go
+++ b/dataplane/router/router_test.go
@@ -7,8 +7,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"zincloft.example/zincloft/controlplane/registry"
 	"zincloft.example/zincloft/dataplane/admission"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/messages"
 )
 
@@ -17,12 +17,12 @@
 const body = `{"version":"00000002","services":[{"name":"svc","max_connections":100,"cold_start":"3s","cold_per_s":4}],"virtual_hosts":[{"hostname":"h","path_routes":[` +
 	`{"name":"r","path_prefix":"/","kind":"safe","timeout":"3s","target_latency":"1s","max_attempts":2,"service":"svc"}]}]}`
 
-func instance(id string, sequence uint64) registry.Instance {
-	return registry.Instance{ID: id, Service: "svc", Addr: "10.0.0." + id[1:] + ":80", Zone: "a", Slots: 4, Sequence: sequence}
+func instance(id string, sequence uint64) fleet.Instance {
+	return fleet.Instance{ID: id, Service: "svc", Addr: "10.0.0." + id[1:] + ":80", Zone: "a", Slots: 4, Sequence: sequence}
 }
 
 // fullUpdate is a member's first update to a gateway.
-func fullUpdate(instances ...registry.Instance) *messages.StateUpdate {
+func fullUpdate(instances ...fleet.Instance) *messages.StateUpdate {
 	return &messages.StateUpdate{Full: true, Sequence: 7, ConfigVersion: 2, Config: []byte(body), Instances: instances}
 }
 
@@ -94,7 +94,7 @@
 		Convey("an endpoint that the next member does not know is removed, and added once it does", func() {
 			f.Apply(1*s, fullUpdate(instance("i2", 4)))
 			So(f.Balancer().Get("i1"), ShouldBeNil)
-			f.Apply(1*s, &messages.StateUpdate{Instances: []registry.Instance{instance("i1", 10)}})
+			f.Apply(1*s, &messages.StateUpdate{Instances: []fleet.Instance{instance("i1", 10)}})
 			So(f.Balancer().Get("i1"), ShouldNotBeNil)
 		})
 	})
@@ -107,9 +107,9 @@
 		f := New(Settings{Zone: "a", Zones: 1, WarmupOverage: 1.5, WarmupSlack: 5, Seed: 1})
 		body := []byte(`{"version":"00000001","services":[{"name":"svc","cold_per_s":4}],"virtual_hosts":[{"hostname":"h","path_routes":[` +
 			`{"name":"r","path_prefix":"/","kind":"safe","timeout":"3s","target_latency":"1s","max_attempts":2,"service":"svc"}]}]}`)
-		var instances []registry.Instance
+		var instances []fleet.Instance
 		for _, id := range []string{"i1", "i2"} {
-			instances = append(instances, registry.Instance{ID: id, Service: "svc", Addr: id, Zone: "a", Slots: 100, Sequence: 1})
+			instances = append(instances, fleet.Instance{ID: id, Service: "svc", Addr: id, Zone: "a", Slots: 100, Sequence: 1})
 		}
 		const s = time.Second
 		f.Apply(s, &messages.StateUpdate{Full: true, Sequence: 1, ConfigVersion: 1, Config: body, Instances: instances, GatewayCount: 10,
--- a/dataplane/router/update.go
+++ b/dataplane/router/update.go
@@ -27,7 +27,7 @@
 	switch {
 	case update.Full:
 		r.streaming, r.silenceBeforeStream = true, now-r.lastUpdateAt
-	case r.streaming && now-r.lastUpdateAt > WarmupRateLifetime:
+	case r.streaming && now-r.lastUpdateAt > messages.WarmupRateLifetime:
 		r.StreamEnded(now)
 		return UpdateResult{Late: true}
 	}
--- a/dataplane/router/warmup.go
+++ b/dataplane/router/warmup.go
@@ -1,13 +1,12 @@
 package router
 
-import "time"
+import (
+	"time"
 
-const (
-	// WarmupRateLifetime is how long warm-up rates hold after the last update of the member that assigned them. It is also
-	// the longest silence between two updates of one stream, see Apply: the keepalive interval of package controller is
-	// less. A member that was isolated assigns no rates for longer than this (warmupRateDelay there).
-	WarmupRateLifetime = time.Second
+	"zincloft.example/zincloft/messages"
+)
 
+const (
 	// isolatedAfter is how long a gateway that hears no member sends to endpoints at any rate: as late as any update that
 	// says that one is warming up may be.
 	isolatedAfter = 2 * time.Second
@@ -25,7 +24,7 @@
 
 // expireWarmupRates drops the warm-up rates of a member that has been silent.
 func (r *Router) expireWarmupRates(now time.Duration) {
-	if r.hasWarmupRates && now-r.lastUpdateAt > WarmupRateLifetime {
+	if r.hasWarmupRates && now-r.lastUpdateAt > messages.WarmupRateLifetime {
 		r.setWarmupRates(now, nil)
 	}
 }
--- a/internal/compatibility/encoding_test.go
+++ b/internal/compatibility/encoding_test.go
@@ -15,14 +15,14 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"zincloft.example/zincloft/capacity"
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/controller"
 	"zincloft.example/zincloft/controlplane/coordinator"
 	"zincloft.example/zincloft/controlplane/maintenance"
 	"zincloft.example/zincloft/controlplane/membership"
-	"zincloft.example/zincloft/controlplane/registry"
-	"zincloft.example/zincloft/dataplane/capacity"
-	"zincloft.example/zincloft/dataplane/outlier"
+	"zincloft.example/zincloft/controlplane/peermessages"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/internal/emulate"
 	"zincloft.example/zincloft/internal/experiment"
 	"zincloft.example/zincloft/internal/peertransport"
@@ -66,9 +66,9 @@
 	of       reflect.Type
 }{
 	{"messages/hello", inCBOR, reflect.TypeFor[messages.Hello]()},
-	{"messages/propose", inCBOR, reflect.TypeFor[messages.ProposeRequest]()},
-	{"messages/proposed", inCBOR, reflect.TypeFor[messages.ProposeResponse]()},
-	{"messages/confirm", inCBOR, reflect.TypeFor[messages.ViewConfirmation]()},
+	{"messages/propose", inCBOR, reflect.TypeFor[peermessages.ProposeRequest]()},
+	{"messages/proposed", inCBOR, reflect.TypeFor[peermessages.ProposeResponse]()},
+	{"messages/confirm", inCBOR, reflect.TypeFor[peermessages.ViewConfirmation]()},
 	{"messages/endpoint-weight", inCBOR, reflect.TypeFor[messages.EndpointWeight]()},
 	{"messages/pair-ejection", inCBOR, reflect.TypeFor[messages.PairEjection]()},
 	{"messages/window", inCBOR, reflect.TypeFor[messages.MaintenanceWindow]()},
@@ -76,10 +76,10 @@
 	{"messages/state-update", inCBOR, reflect.TypeFor[messages.StateUpdate]()},
 	{"messages/endpoint-stats", inCBOR, reflect.TypeFor[messages.EndpointStats]()},
 	{"messages/load-report", inCBOR, reflect.TypeFor[messages.LoadReport]()},
-	{"messages/fleet", inCBOR, reflect.TypeFor[messages.GatewaySummary]()},
-	{"messages/load", inCBOR, reflect.TypeFor[messages.GroupLoad]()},
-	{"messages/committed", inCBOR, reflect.TypeFor[messages.CommitStatus]()},
-	{"membership/member", inCBOR, reflect.TypeFor[membership.Member]()},
+	{"messages/fleet", inCBOR, reflect.TypeFor[peermessages.GatewaySummary]()},
+	{"messages/load", inCBOR, reflect.TypeFor[peermessages.GroupLoad]()},
+	{"messages/committed", inCBOR, reflect.TypeFor[peermessages.CommitStatus]()},
+	{"membership/member", inCBOR, reflect.TypeFor[fleet.Member]()},
 	{"membership/view", inCBOR, reflect.TypeFor[membership.View]()},
 	{"membership/ballot", inCBOR, reflect.TypeFor[membership.Ballot]()},
 	{"membership/durable", inCBOR, reflect.TypeFor[membership.DurableState]()},
@@ -90,11 +90,11 @@
 	{"chainreplication/note", inCBOR, reflect.TypeFor[chainreplication.Record]()},
 	{"chainreplication/command", inCBOR, reflect.TypeFor[chainreplication.Command]()},
 	{"chainreplication/message", inCBOR, reflect.TypeFor[chainreplication.Message]()},
-	{"registry/instance", inCBOR, reflect.TypeFor[registry.Instance]()},
+	{"registry/instance", inCBOR, reflect.TypeFor[fleet.Instance]()},
 	{"coordinator/persistent-state", inCBOR, reflect.TypeFor[coordinator.PersistentState]()},
 	{"coordinator/message", inCBOR, reflect.TypeFor[coordinator.Message]()},
-	{"outlier/observation", inCBOR, reflect.TypeFor[outlier.Observation]()},
-	{"outlier/ejection", inCBOR, reflect.TypeFor[outlier.Ejection]()},
+	{"outlier/observation", inCBOR, reflect.TypeFor[fleet.Observation]()},
+	{"outlier/ejection", inCBOR, reflect.TypeFor[fleet.Ejection]()},
 	{"maintenance/window", inCBOR, reflect.TypeFor[maintenance.Window]()},
 	{"maintenance/state", inCBOR, reflect.TypeFor[maintenance.State]()},
 	{"maintenance/command", inCBOR, reflect.TypeFor[maintenance.Command]()},
@@ -109,7 +109,7 @@
 	{"calls/windows.command", inJSON, reflect.TypeFor[maintenance.Command]()},
 	{"calls/windows.describe", inJSON, reflect.TypeFor[controller.MaintenanceStatus]()},
 	{"calls/core.describe", inJSON, reflect.TypeFor[coordinator.Status]()},
-	{"exports/instance", inJSON, reflect.TypeFor[registry.Instance]()},
+	{"exports/instance", inJSON, reflect.TypeFor[fleet.Instance]()},
 	{"exports/view", inJSON, reflect.TypeFor[membership.View]()},
 	{"exports/governor-state", inJSON, reflect.TypeFor[recovery.State]()},
 
--- a/internal/controlserver/connections_test.go
+++ b/internal/controlserver/connections_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/internal/connlimit"
 	"zincloft.example/zincloft/internal/peertransport"
 	"zincloft.example/zincloft/messages"
@@ -143,7 +143,7 @@
 		silent := dial()
 		defer func() { _ = silent.Close() }() // the member may have closed it
 	}
-	hello, err := peertransport.EncodeFrame(&peertransport.Frame{Hello: &messages.Hello{Gateway: "g1", Member: membership.Member{Zone: "a"}}})
+	hello, err := peertransport.EncodeFrame(&peertransport.Frame{Hello: &messages.Hello{Gateway: "g1", Member: fleet.Member{Zone: "a"}}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/controlserver/instancecalls.go
+++ b/internal/controlserver/instancecalls.go
@@ -8,7 +8,7 @@
 	"github.com/tidwall/gjson"
 
 	"zincloft.example/zincloft/controlplane/controller"
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 const (
@@ -58,13 +58,13 @@
 
 // parseHeartbeat reads a heartbeat. Its numbers are checked strictly: a sequence read from what is no number could be higher than all later
 // ones.
-func parseHeartbeat(id string, document gjson.Result) (registry.Instance, error) {
+func parseHeartbeat(id string, document gjson.Result) (fleet.Instance, error) {
 	warmup, err := time.ParseDuration(document.Get("cold_remaining").String())
 	if err != nil {
 		warmup = 0 // absent, or not a time: the replica is warm
 	}
 	sequence := document.Get("sequence")
-	heartbeat := registry.Instance{
+	heartbeat := fleet.Instance{
 		ID:           id,
 		Service:      document.Get("service").String(),
 		Addr:         document.Get("address").String(),
@@ -75,12 +75,12 @@
 		Sequence:     sequence.Uint(),
 	}
 	if heartbeat.Addr == "" || heartbeat.Service == "" {
-		return registry.Instance{}, errHeartbeatIncomplete
+		return fleet.Instance{}, errHeartbeatIncomplete
 	}
 	validSequence := !sequence.Exists() || sequence.Type == gjson.Number && sequence.Num >= 0 && sequence.Num <= maxJSONInteger
 	validSlots := heartbeat.Slots >= 0 && heartbeat.Slots <= maxSlots
 	if !validSequence || !validSlots || warmup < 0 {
-		return registry.Instance{}, errHeartbeatNumber
+		return fleet.Instance{}, errHeartbeatNumber
 	}
 	return heartbeat, nil
 }
--- a/internal/controlserver/storage.go
+++ b/internal/controlserver/storage.go
@@ -13,7 +13,7 @@
 
 	"zincloft.example/zincloft/controlplane/controller"
 	"zincloft.example/zincloft/controlplane/coordinator"
-	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/internal/statestore"
 	"zincloft.example/zincloft/messages"
 )
@@ -65,7 +65,7 @@
 	}
 	seeds := s.settings.SeedPeerAddresses()
 	persisted.Initialize(s.peerAddr(), seeds, s.settings.FirstStart, hex.EncodeToString(nonce))
-	self := membership.Member{ID: persisted.DiskID, Addr: s.peerAddr(), Zone: s.settings.Zone, APIAddr: s.settings.ControlAddress}
+	self := fleet.Member{ID: persisted.DiskID, Addr: s.peerAddr(), Zone: s.settings.Zone, APIAddr: s.settings.ControlAddress}
 	s.controller = controller.New(s.now(), s.controllerOptions(seeds), self, persisted)
 	s.hello = messages.Hello{Member: self, Incarnation: mrand.Uint64()}
 	state, err := s.controller.PersistentState()
--- a/internal/demo/maintenance_test.go
+++ b/internal/demo/maintenance_test.go
@@ -13,9 +13,10 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"zincloft.example/zincloft/capacity"
 	"zincloft.example/zincloft/controlplane/controller"
 	"zincloft.example/zincloft/controlplane/maintenance"
-	"zincloft.example/zincloft/dataplane/capacity"
+	"zincloft.example/zincloft/fleet"
 )
 
 // operator makes an operator's calls to a cluster.
@@ -57,7 +58,7 @@
 }
 
 // phase is the phase of a node's window; empty where it has none.
-func (o operator) phase(node string) maintenance.Phase {
+func (o operator) phase(node string) fleet.Phase {
 	for _, window := range o.status().Windows {
 		if window.Node == node {
 			return window.Phase
@@ -169,12 +170,12 @@
 			return len(nodes) == 2 && nodes[0].Capacity[capacity.Orders] > 1 && nodes[1].Capacity[capacity.Orders] > 1
 		}), ShouldBeNil)
 		So(op.command(maintenance.Command{Verb: maintenance.VerbAsk, WindowName: "kernel", Nodes: []string{"gateway-1", "gateway-2"}}), ShouldEqual, http.StatusOK)
-		So(poll("the first drained", func() bool { return op.phase("gateway-1") == maintenance.Drained }), ShouldBeNil)
-		So(op.phase("gateway-2"), ShouldEqual, maintenance.Requested)
+		So(poll("the first drained", func() bool { return op.phase("gateway-1") == fleet.PhaseDrained }), ShouldBeNil)
+		So(op.phase("gateway-2"), ShouldEqual, fleet.PhaseRequested)
 		So(op.ready(0), ShouldBeFalse)
 		So(op.ready(1), ShouldBeTrue)
 		So(op.command(maintenance.Command{Verb: maintenance.VerbFinish, Nodes: []string{"gateway-1"}}), ShouldEqual, http.StatusOK)
-		So(poll("the second drained", func() bool { return op.phase("gateway-2") == maintenance.Drained }), ShouldBeNil)
+		So(poll("the second drained", func() bool { return op.phase("gateway-2") == fleet.PhaseDrained }), ShouldBeNil)
 		So(op.ready(0), ShouldBeTrue)
 		So(op.command(maintenance.Command{Verb: maintenance.VerbFinish, Nodes: []string{"gateway-2"}}), ShouldEqual, http.StatusOK)
 		So(poll("all serving", func() bool { return len(op.status().Windows) == 0 && op.ready(0) && op.ready(1) }), ShouldBeNil)
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/internal/nodesettings"
 	"zincloft.example/zincloft/internal/program"
 	"zincloft.example/zincloft/internal/standin/upstream"
@@ -57,7 +57,7 @@
 	}
 	f.frontOnce.Do(func() {})
 	update := &messages.StateUpdate{Full: true, Sequence: 1, ConfigVersion: 1, Config: configured(1, "safe"),
-		Instances: []registry.Instance{{ID: up.ID, Service: "svc", Addr: up.Addr(), Zone: "a", Slots: 4}}}
+		Instances: []fleet.Instance{{ID: up.ID, Service: "svc", Addr: up.Addr(), Zone: "a", Slots: 4}}}
 	for _, x := range []struct {
 		name string
 		h    http.Handler
--- a/internal/gateway/controlstream.go
+++ b/internal/gateway/controlstream.go
@@ -6,7 +6,7 @@
 	"net"
 	"time"
 
-	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/internal/peertransport"
 	"zincloft.example/zincloft/invariant"
 	"zincloft.example/zincloft/messages"
@@ -14,7 +14,7 @@
 )
 
 const (
-	streamTimeout       = time.Second // a member that is silent for so long is left; router.WarmupRateLifetime has the same length on purpose
+	streamTimeout       = time.Second // a member that is silent for so long is left; messages.WarmupRateLifetime has the same length on purpose
 	controlDialTimeout  = 300 * time.Millisecond
 	localMemberInterval = 4 * time.Second // after so long with a member of another zone, one of the own zone is tried again
 	reconnectDelay      = 100 * time.Millisecond
@@ -62,7 +62,7 @@
 	}
 	stream := &controlStream{gateway: g, member: member, conn: peertransport.NewConn(netConn), checkedAt: time.Now()}
 	defer stream.conn.Shutdown()
-	self := membership.Member{Addr: g.settings.IP.String(), Zone: g.settings.Zone}
+	self := fleet.Member{Addr: g.settings.IP.String(), Zone: g.settings.Zone}
 	stream.send(&peertransport.Frame{Hello: &messages.Hello{Gateway: g.settings.Name, Member: self}})
 	done := make(chan struct{})
 	defer close(done)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -16,7 +16,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/internal/nodesettings"
 	"zincloft.example/zincloft/internal/program"
 	"zincloft.example/zincloft/internal/standin/upstream"
@@ -80,8 +80,8 @@
 	}
 }
 
-func instanceOf(replica *upstream.Replica) registry.Instance {
-	return registry.Instance{ID: replica.ID, Service: "svc", Addr: replica.Addr(), Zone: "a", Slots: 4}
+func instanceOf(replica *upstream.Replica) fleet.Instance {
+	return fleet.Instance{ID: replica.ID, Service: "svc", Addr: replica.Addr(), Zone: "a", Slots: 4}
 }
 
 // request makes a client's request with an identity.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,8 +18,8 @@
 	"github.com/phuslu/log"
 	"golang.org/x/time/rate"
 
-	"zincloft.example/zincloft/dataplane/outlier"
 	"zincloft.example/zincloft/dataplane/router"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/gatewayconfig"
 	"zincloft.example/zincloft/internal/bodybuffer"
 	"zincloft.example/zincloft/internal/connlimit"
@@ -76,9 +76,9 @@
 	pool   *replica.Pool
 	gossip *gossip.Shuffler
 
-	observations  chan outlier.Observation // failures that the control plane is to hear of at once
-	misdirected   chan string              // endpoints whose address belongs to another instance
-	processorTime time.Duration            // used by the process until the last report; owned by the report loop
+	observations  chan fleet.Observation // failures that the control plane is to hear of at once
+	misdirected   chan string            // endpoints whose address belongs to another instance
+	processorTime time.Duration          // used by the process until the last report; owned by the report loop
 
 	logLimiter *rate.Limiter // bounds log lines that clients and replicas cause
 
@@ -109,7 +109,7 @@
 		readinessConns: connlimit.New("readiness", connlimit.Share(settings.FileDescriptors, readinessDescriptorShare), logger),
 		figureConns:    connlimit.New("figures", connlimit.Share(settings.FileDescriptors, figureDescriptorShare), logger),
 
-		observations: make(chan outlier.Observation, maxQueuedReports),
+		observations: make(chan fleet.Observation, maxQueuedReports),
 		misdirected:  make(chan string, maxQueuedReports),
 		logLimiter:   rate.NewLimiter(logRate, logBurst),
 		router: router.New(router.Settings{
--- a/internal/gateway/hostile_test.go
+++ b/internal/gateway/hostile_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/internal/nodesettings"
 	"zincloft.example/zincloft/internal/program"
 	"zincloft.example/zincloft/internal/standin/hostile"
@@ -83,7 +83,7 @@
 		for i, r := range replicas {
 			id := fmt.Sprintf("i%d.%d", i, n)
 			r.SetID(id)
-			st.Instances = append(st.Instances, registry.Instance{ID: id, Service: "svc", Addr: addrs[i], Zone: "a", Slots: 64})
+			st.Instances = append(st.Instances, fleet.Instance{ID: id, Service: "svc", Addr: addrs[i], Zone: "a", Slots: 64})
 		}
 		f.applyUpdate(st)
 	}
--- a/internal/gateway/promises_test.go
+++ b/internal/gateway/promises_test.go
@@ -14,7 +14,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/internal/nodesettings"
 	"zincloft.example/zincloft/internal/program"
 	"zincloft.example/zincloft/internal/standin/upstream"
@@ -143,7 +143,7 @@
 	instance.Service = "other"
 	config := strings.NewReplacer(`"service":"svc"`, `"service":"other"`, `{"name":"svc","cold_per_s":4}`, `{"name":"svc","cold_per_s":4},{"name":"other","cold_per_s":4}`).
 		Replace(string(limited(2, `"max_body_bytes":1000`)))
-	gateway.applyUpdate(&messages.StateUpdate{Sequence: 2, ConfigVersion: 2, Config: []byte(config), Instances: []registry.Instance{instance}})
+	gateway.applyUpdate(&messages.StateUpdate{Sequence: 2, ConfigVersion: 2, Config: []byte(config), Instances: []fleet.Instance{instance}})
 	send(t, conn, "cd")
 	readWithin(t, conn, 5*time.Second)
 	if status, _, err := readResponse(bufio.NewReader(conn)); err != nil || status != http.StatusOK {
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -4,7 +4,7 @@
 	"syscall"
 	"time"
 
-	"zincloft.example/zincloft/dataplane/outlier"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/internal/peertransport"
 	"zincloft.example/zincloft/messages"
 )
@@ -26,7 +26,7 @@
 		case <-done:
 			return
 		case observation := <-g.observations:
-			s.send(&peertransport.Frame{LoadReport: &messages.LoadReport{Observations: []outlier.Observation{observation}}})
+			s.send(&peertransport.Frame{LoadReport: &messages.LoadReport{Observations: []fleet.Observation{observation}}})
 		case endpoint := <-g.misdirected:
 			g.pool.CloseIdle(endpoint)
 			s.send(&peertransport.Frame{LoadReport: &messages.LoadReport{Deregistered: []string{endpoint}}})
--- a/internal/maintenancefile/file.go
+++ b/internal/maintenancefile/file.go
@@ -6,9 +6,9 @@
 	"os"
 	"time"
 
+	"zincloft.example/zincloft/capacity"
 	"zincloft.example/zincloft/controlplane/maintenance"
 	"zincloft.example/zincloft/controlplane/maintenanceplanner"
-	"zincloft.example/zincloft/dataplane/capacity"
 )
 
 // File is a valid file.
--- a/internal/maintenancefile/parse.go
+++ b/internal/maintenancefile/parse.go
@@ -8,8 +8,8 @@
 	"github.com/goccy/go-yaml"
 	"github.com/tidwall/gjson"
 
+	"zincloft.example/zincloft/capacity"
 	"zincloft.example/zincloft/controlplane/maintenanceplanner"
-	"zincloft.example/zincloft/dataplane/capacity"
 )
 
 const (
--- a/internal/peertransport/frame.go
+++ b/internal/peertransport/frame.go
@@ -14,8 +14,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"zincloft.example/zincloft/controlplane/coordinator"
-	"zincloft.example/zincloft/controlplane/registry"
-	"zincloft.example/zincloft/dataplane/outlier"
+	"zincloft.example/zincloft/controlplane/peermessages"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/messages"
 )
 
@@ -36,14 +36,14 @@
 
 	// Coordinator, Instances, GatewaySummary and Ejections go from member to member.
 	Coordinator *coordinator.Message `cbor:"2,keyasint,omitempty"`
-	Instances   []registry.Instance  `cbor:"3,keyasint,omitempty"`
+	Instances   []fleet.Instance     `cbor:"3,keyasint,omitempty"`
 
 	// StateUpdate goes from a member to a gateway; LoadReport goes the other way.
 	StateUpdate *messages.StateUpdate `cbor:"4,keyasint,omitempty"`
 	LoadReport  *messages.LoadReport  `cbor:"5,keyasint,omitempty"`
 
-	GatewaySummary *messages.GatewaySummary `cbor:"6,keyasint,omitempty"`
-	Ejections      []outlier.Ejection       `cbor:"7,keyasint,omitempty"`
+	GatewaySummary *peermessages.GatewaySummary `cbor:"6,keyasint,omitempty"`
+	Ejections      []fleet.Ejection             `cbor:"7,keyasint,omitempty"`
 
 	// PersistRequest goes from member to member beside Instances.
 	PersistRequest uint64 `cbor:"8,keyasint,omitempty"`
--- a/internal/peertransport/frame_test.go
+++ b/internal/peertransport/frame_test.go
@@ -7,8 +7,7 @@
 	"runtime"
 	"testing"
 
-	"zincloft.example/zincloft/controlplane/membership"
-	"zincloft.example/zincloft/dataplane/outlier"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/messages"
 )
 
@@ -59,9 +58,9 @@
 func FuzzReadFrame(f *testing.F) {
 	for _, frame := range []*Frame{
 		{},
-		{Hello: &messages.Hello{Gateway: "f", Member: membership.Member{ID: "d", Addr: "a:1", Zone: "z"}}},
+		{Hello: &messages.Hello{Gateway: "f", Member: fleet.Member{ID: "d", Addr: "a:1", Zone: "z"}}},
 		{StateUpdate: &messages.StateUpdate{Full: true, Sequence: 4, Config: []byte("{}")}},
-		{Ejections: []outlier.Ejection{{}}},
+		{Ejections: []fleet.Ejection{{}}},
 	} {
 		raw, err := EncodeFrame(frame)
 		if err != nil {
--- a/internal/peertransport/inbound_test.go
+++ b/internal/peertransport/inbound_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/messages"
 )
 
@@ -16,7 +16,7 @@
 func TestInboundConnsNewestConnectionWins(t *testing.T) {
 	var conns InboundConns
 	hello := func(incarnation, dialedAt uint64) *messages.Hello {
-		return &messages.Hello{Member: membership.Member{Addr: "a"}, Incarnation: incarnation, DialedAt: dialedAt}
+		return &messages.Hello{Member: fleet.Member{Addr: "a"}, Incarnation: incarnation, DialedAt: dialedAt}
 	}
 	first, second, late, restarted := &countingCloser{}, &countingCloser{}, &countingCloser{}, &countingCloser{}
 	if !conns.Admit(hello(7, 10), first) || !conns.IsCurrent("a", first) {
--- a/internal/simulation/gatewayrequest.go
+++ b/internal/simulation/gatewayrequest.go
@@ -6,8 +6,8 @@
 
 	"zincloft.example/zincloft/dataplane/admission"
 	"zincloft.example/zincloft/dataplane/loadbalancer"
-	"zincloft.example/zincloft/dataplane/outlier"
 	"zincloft.example/zincloft/dataplane/router"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/messages"
 )
 
@@ -93,6 +93,6 @@
 		c.history.add(entryAttempt, c.now, historyGateways+g.index, result, ended)
 	}
 	if ended.Observation != nil && g.member != nil {
-		c.sendReport(g.member, g, g.stream, &messages.LoadReport{Observations: []outlier.Observation{*ended.Observation}})
+		c.sendReport(g.member, g, g.stream, &messages.LoadReport{Observations: []fleet.Observation{*ended.Observation}})
 	}
 }
--- a/internal/simulation/generatewindows.go
+++ b/internal/simulation/generatewindows.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"zincloft.example/zincloft/capacity"
 	"zincloft.example/zincloft/controlplane/maintenanceplanner"
-	"zincloft.example/zincloft/dataplane/capacity"
 )
 
 // Schedules with maintenance windows.
--- a/internal/simulation/invariant_acknowledgement.go
+++ b/internal/simulation/invariant_acknowledgement.go
@@ -6,7 +6,7 @@
 
 	"zincloft.example/zincloft/controlplane/controller"
 	"zincloft.example/zincloft/controlplane/coordinator"
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 // checkCallAnswered: a call that is made when all has been calm for long is answered before its deadline. It is checked
@@ -81,7 +81,7 @@
 // checkDrainDurability: so is the acknowledged drain of a replica. It binds whatever becomes of the member that acknowledged it.
 func (c *cluster) checkDrainDurability(m *member, r *replica) {
 	copies := c.countDisks(func(state *coordinator.PersistentState) bool {
-		return slices.ContainsFunc(state.Instances, func(instance registry.Instance) bool {
+		return slices.ContainsFunc(state.Instances, func(instance fleet.Instance) bool {
 			return instance.ID == r.id && (instance.Draining || instance.Deregistered)
 		})
 	})
--- a/internal/simulation/invariant_window.go
+++ b/internal/simulation/invariant_window.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/maintenance"
+	"zincloft.example/zincloft/fleet"
 )
 
 const (
@@ -22,7 +23,7 @@
 func (c *cluster) checkGatewaysOut(m *member, state maintenance.State) {
 	out := map[string]int{}
 	for _, window := range state.Windows {
-		if window.Phase != maintenance.Requested {
+		if window.Phase != fleet.PhaseRequested {
 			out[c.zoneName(c.gatewayByID(window.Node).index)]++
 		}
 	}
@@ -44,7 +45,7 @@
 	if !hasWindow && !g.router.IsServing() {
 		c.violationf("%s does not serve, though it has no window any more", g.name)
 	}
-	if hasWindow && (window.Phase == maintenance.Draining || window.Phase == maintenance.Returning) {
+	if hasWindow && (window.Phase == fleet.PhaseDraining || window.Phase == fleet.PhaseReturning) {
 		c.violationf("the window of %s is still %s, %.1f s after the last change", g.name, window.Phase, (c.now - c.windowsChangedAt).Seconds())
 	}
 }
--- a/internal/simulation/maintenance.go
+++ b/internal/simulation/maintenance.go
@@ -6,9 +6,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"zincloft.example/zincloft/capacity"
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/maintenance"
-	"zincloft.example/zincloft/dataplane/capacity"
+	"zincloft.example/zincloft/fleet"
 )
 
 const (
@@ -49,7 +50,7 @@
 	c.checkFencingTokenRises(m, state)
 	for _, window := range state.Windows {
 		before := c.windowState.Instructions()[window.Node]
-		if before.Phase != window.Phase && window.Phase != maintenance.Requested {
+		if before.Phase != window.Phase && window.Phase != fleet.PhaseRequested {
 			c.windowChanged(m, window)
 		}
 	}
@@ -61,9 +62,9 @@
 func (c *cluster) windowChanged(m *member, window maintenance.Window) {
 	c.tracef("%s: the window of %s is %s (fencing token %d) %s", m.name, c.gatewayByID(window.Node).name, window.Phase, window.FencingToken, window.Reason)
 	switch window.Phase {
-	case maintenance.Drained:
+	case fleet.PhaseDrained:
 		c.result.DrainedWindows++
-	case maintenance.Draining:
+	case fleet.PhaseDraining:
 		c.injectNextAt(&c.onWindowGrant, m)
 	}
 }
--- a/internal/simulation/memberlifecycle.go
+++ b/internal/simulation/memberlifecycle.go
@@ -6,7 +6,7 @@
 
 	"zincloft.example/zincloft/controlplane/controller"
 	"zincloft.example/zincloft/controlplane/coordinator"
-	"zincloft.example/zincloft/controlplane/membership"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/internal/statestore"
 )
 
@@ -96,7 +96,7 @@
 		HeartbeatInterval: heartbeatInterval,
 		RandomSeed:        c.random.Uint64(),
 	}
-	self := membership.Member{ID: state.DiskID, Addr: m.address, Zone: zone, APIAddr: m.address}
+	self := fleet.Member{ID: state.DiskID, Addr: m.address, Zone: zone, APIAddr: m.address}
 	return controller.New(c.monotonicTime(&m.process), options, self, state)
 }
 
--- a/internal/simulation/plantedbug.go
+++ b/internal/simulation/plantedbug.go
@@ -5,8 +5,8 @@
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/controller"
-	"zincloft.example/zincloft/controlplane/registry"
 	"zincloft.example/zincloft/dataplane/router"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/messages"
 )
 
@@ -42,7 +42,7 @@
 func (c *cluster) plantInMessage(m *member, event controller.Event) controller.Event {
 	if event.Message != nil && c.hasBug(ForgetDrains) {
 		message := *event.Message
-		message.Instances = slices.DeleteFunc(slices.Clone(message.Instances), func(instance registry.Instance) bool { return instance.Draining })
+		message.Instances = slices.DeleteFunc(slices.Clone(message.Instances), func(instance fleet.Instance) bool { return instance.Draining })
 		event.Message = &message
 		return event
 	}
--- a/internal/simulation/replica.go
+++ b/internal/simulation/replica.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/controller"
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 const (
@@ -99,8 +99,8 @@
 }
 
 // instance is a replica as its heartbeat tells of it.
-func (c *cluster) instance(r *replica) registry.Instance {
-	return registry.Instance{
+func (c *cluster) instance(r *replica) fleet.Instance {
+	return fleet.Instance{
 		ID:           r.id,
 		Service:      serviceName,
 		Addr:         "10.9.0." + r.id[1:] + ":80",
--- a/internal/sizes/sizes.go
+++ b/internal/sizes/sizes.go
@@ -1,5 +1,5 @@
-// Package sizes generates fleets and configurations of a wanted size, alike from run to run, for benchmarks and for the scale
-// experiment (internal/scalerun). Names and addresses have the lengths of those that production sites have.
+// Package sizes generates fleets and configurations of a wanted size, alike from run to run, for the capacity benchmarks. Names and addresses have
+// the lengths of those that production sites have.
 package sizes
 
 import (
@@ -7,7 +7,7 @@
 	"strconv"
 	"strings"
 
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 )
 
 // Fleet is how much there is of each thing.
@@ -51,10 +51,10 @@
 func PathPrefix(i int) string { return fmt.Sprintf("/path-%05d/", i) }
 
 // Instances are the replicas of a fleet, dealt over services and zones in turn. All are warm and known by one heartbeat.
-func (f Fleet) Instances() []registry.Instance {
-	instances := make([]registry.Instance, f.Replicas)
+func (f Fleet) Instances() []fleet.Instance {
+	instances := make([]fleet.Instance, f.Replicas)
 	for i := range instances {
-		instances[i] = registry.Instance{
+		instances[i] = fleet.Instance{
 			ID:       fmt.Sprintf("i-%08x", uint32(i)*2654435761), // spread by Knuth's multiplicative hash
 			Service:  ServiceName(i % f.Services),
 			Addr:     fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255),
--- a/internal/statestore/capacity_test.go
+++ b/internal/statestore/capacity_test.go
@@ -14,8 +14,7 @@
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/coordinator"
-	"zincloft.example/zincloft/controlplane/membership"
-	"zincloft.example/zincloft/controlplane/registry"
+	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/internal/peertransport"
 	"zincloft.example/zincloft/internal/sizes"
 	"zincloft.example/zincloft/internal/statestore"
@@ -62,15 +61,15 @@
 
 type hints struct {
 	revision  uint64
-	instances []registry.Instance
+	instances []fleet.Instance
 }
 
-func (h *hints) Revision() uint64               { return h.revision }
-func (h *hints) Instances() []registry.Instance { return h.instances }
+func (h *hints) Revision() uint64            { return h.revision }
+func (h *hints) Instances() []fleet.Instance { return h.instances }
 
 type clusterMember struct {
 	coordinator *coordinator.Coordinator
-	self        membership.Member
+	self        fleet.Member
 	disk        *countingDisk
 	store       *statestore.Store
 	down        bool
@@ -97,7 +96,7 @@
 	for i, addr := range seeds {
 		member := &clusterMember{
 			disk: &countingDisk{files: map[string][]byte{}},
-			self: membership.Member{ID: addr + "/0", Addr: addr, Zone: sizes.ZoneName(i), APIAddr: addr},
+			self: fleet.Member{ID: addr + "/0", Addr: addr, Zone: sizes.ZoneName(i), APIAddr: addr},
 		}
 		var err error
 		if member.store, err = statestore.Open(member.disk); err != nil {
--- a/messages/gateway.go
+++ b/messages/gateway.go
@@ -1,9 +1,7 @@
 package messages
 
 import (
-	"zincloft.example/zincloft/controlplane/maintenance"
-	"zincloft.example/zincloft/controlplane/registry"
-	"zincloft.example/zincloft/dataplane/outlier"
+	"zincloft.example/zincloft/fleet"
 )
 
 // LoadReport is what a gateway reports to the member that holds its stream: once per report period, and at once, with a
@@ -21,13 +19,13 @@
 
 	// Instances are those the gateway knows of. They are set only in the first report on a stream, because the member may
 	// have started since and know fewer.
-	Instances []registry.Instance `cbor:"5,keyasint,omitempty"`
+	Instances []fleet.Instance `cbor:"5,keyasint,omitempty"`
 
 	// Sequence is that of the register which is in force at the gateway. It is set as Instances are.
 	Sequence uint64 `cbor:"6,keyasint,omitempty"`
 
 	// Observations are replicas at which connections failed.
-	Observations []outlier.Observation `cbor:"8,keyasint,omitempty"`
+	Observations []fleet.Observation `cbor:"8,keyasint,omitempty"`
 
 	// Deregistered lists the IDs of replicas at whose addresses another replica answered.
 	Deregistered []string `cbor:"7,keyasint,omitempty"`
@@ -61,8 +59,8 @@
 	Ready bool `cbor:"1,keyasint,omitempty"`
 
 	// Phase is the phase of its maintenance window that the gateway has reached, and FencingToken that of the window.
-	Phase        maintenance.Phase `cbor:"2,keyasint,omitempty"`
-	FencingToken uint64            `cbor:"3,keyasint,omitempty"`
+	Phase        fleet.Phase `cbor:"2,keyasint,omitempty"`
+	FencingToken uint64      `cbor:"3,keyasint,omitempty"`
 
 	// CapacityByGroup estimates how many requests a second the gateway can carry, by traffic group.
 	CapacityByGroup map[string]float64 `cbor:"4,keyasint,omitempty"`
--- a/messages/handshake.go
+++ b/messages/handshake.go
@@ -1,11 +1,13 @@
 package messages
 
-import "zincloft.example/zincloft/controlplane/membership"
+import (
+	"zincloft.example/zincloft/fleet"
+)
 
 // Hello is the first message on every connection. The process that dials sends it.
 type Hello struct {
 	// Member is the sending control-plane member. A gateway sets only Addr and Zone.
-	Member membership.Member `cbor:"1,keyasint"`
+	Member fleet.Member `cbor:"1,keyasint"`
 
 	// Gateway is the sending gateway's name. It is empty if a control-plane member sends the message.
 	Gateway string `cbor:"2,keyasint,omitempty"`
--- a/messages/stateupdate.go
+++ b/messages/stateupdate.go
@@ -1,12 +1,16 @@
 package messages
 
 import (
-	"zincloft.example/zincloft/controlplane/maintenance"
-	"zincloft.example/zincloft/controlplane/membership"
-	"zincloft.example/zincloft/controlplane/registry"
-	"zincloft.example/zincloft/dataplane/outlier"
+	"time"
+
+	"zincloft.example/zincloft/fleet"
 )
 
+// WarmupRateLifetime is how long warm-up rates hold after the last update of the member that assigned them. It is also the longest silence
+// between two updates of one stream, see router.Apply: the keepalive interval of package controller is less. A member that was isolated assigns
+// no rates for longer than this (warmupRateDelay there).
+const WarmupRateLifetime = time.Second
+
 // StateUpdate tells a gateway what is in force. The first on a stream is full, those that follow carry what has changed.
 // Only the member that holds the gateway's stream sends it.
 type StateUpdate struct {
@@ -24,13 +28,13 @@
 	EvacuatedZones []string `cbor:"5,keyasint,omitempty"`
 
 	// Instances are the registered instances that have changed, all of them in a full update.
-	Instances []registry.Instance `cbor:"6,keyasint,omitempty"`
+	Instances []fleet.Instance `cbor:"6,keyasint,omitempty"`
 
 	// Weights are the entries of the endpoint tables that have changed, all of them in a full update.
 	Weights []EndpointWeight `cbor:"7,keyasint,omitempty"`
 
 	// Members lists the control-plane members that the gateway may connect to. It is empty if they have not changed.
-	Members []membership.Member `cbor:"8,keyasint,omitempty"`
+	Members []fleet.Member `cbor:"8,keyasint,omitempty"`
 
 	// GatewayCount is the number of gateways connected to all members together. Zero means unchanged.
 	GatewayCount int `cbor:"9,keyasint,omitempty"`
@@ -43,7 +47,7 @@
 	WarmupRatesComplete bool `cbor:"11,keyasint,omitempty"`
 
 	// Ejections are outlier ejections that were decided since the last update.
-	Ejections []outlier.Ejection `cbor:"13,keyasint,omitempty"`
+	Ejections []fleet.Ejection `cbor:"13,keyasint,omitempty"`
 
 	// MaintenanceEnabled reports that maintenance windows are in use and that Maintenance is valid. It is set only together
 	// with Sequence.
@@ -83,7 +87,7 @@
 // MaintenanceWindow tells a gateway about its own maintenance window. The zero value means that it has none.
 type MaintenanceWindow struct {
 	// Phase is the phase that the gateway is to reach.
-	Phase maintenance.Phase `cbor:"1,keyasint,omitempty"`
+	Phase fleet.Phase `cbor:"1,keyasint,omitempty"`
 
 	// FencingToken rises with each window that is granted. The gateway ignores a window with a lower one than it has seen.
 	FencingToken uint64 `cbor:"2,keyasint,omitempty"`
