--- a/cmd/controlplane/main.go
+++ b/cmd/controlplane/main.go
@@ -2,8 +2,8 @@
 package main
 
 import (
-	"zincloft.example/zincloft/internal/controlserver"
-	"zincloft.example/zincloft/internal/program"
+	"zincloft.example/zincloft/internal/daemons/controlserver"
+	"zincloft.example/zincloft/internal/daemons/program"
 )
 
 func main() {
--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -2,8 +2,8 @@
 package main
 
 import (
-	"zincloft.example/zincloft/internal/gateway"
-	"zincloft.example/zincloft/internal/program"
+	"zincloft.example/zincloft/internal/daemons/gateway"
+	"zincloft.example/zincloft/internal/daemons/program"
 )
 
 func main() {
--- a/cmd/simadapter/main.go
+++ b/cmd/simadapter/main.go
@@ -8,7 +8,7 @@
 	"io"
 	"os"
 
-	"zincloft.example/zincloft/internal/simadapter"
+	"zincloft.example/zincloft/internal/tools/simadapter"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/cmd/simadapter/main_test.go
+++ b/cmd/simadapter/main_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"zincloft.example/zincloft/internal/simadapter"
+	"zincloft.example/zincloft/internal/tools/simadapter"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/cmd/zinclab/days.go
+++ b/cmd/zinclab/days.go
@@ -9,7 +9,7 @@
 
 	"github.com/spf13/cobra"
 
-	"zincloft.example/zincloft/internal/daydraw"
+	"zincloft.example/zincloft/internal/tools/daydraw"
 )
 
 const (
--- a/cmd/zinclab/emulate.go
+++ b/cmd/zinclab/emulate.go
@@ -10,7 +10,7 @@
 
 	"github.com/spf13/cobra"
 
-	"zincloft.example/zincloft/internal/emulate"
+	"zincloft.example/zincloft/internal/tools/emulate"
 )
 
 // emulation is what the emulate command's flags describe.
--- a/cmd/zinclab/emulate_test.go
+++ b/cmd/zinclab/emulate_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"zincloft.example/zincloft/internal/emulate"
+	"zincloft.example/zincloft/internal/tools/emulate"
 )
 
 // TestParseFault parses the faults of the command line; an error names the key.
--- a/cmd/zinclab/experiment.go
+++ b/cmd/zinclab/experiment.go
@@ -11,8 +11,8 @@
 	"github.com/schollz/progressbar/v3"
 	"github.com/spf13/cobra"
 
-	"zincloft.example/zincloft/internal/emulate"
-	"zincloft.example/zincloft/internal/experiment"
+	"zincloft.example/zincloft/internal/tools/emulate"
+	"zincloft.example/zincloft/internal/tools/experiment"
 )
 
 // experimentFlags are the flags of the commands that run an experiment or write its page.
--- a/cmd/zinclab/load.go
+++ b/cmd/zinclab/load.go
@@ -7,7 +7,7 @@
 
 	"github.com/spf13/cobra"
 
-	"zincloft.example/zincloft/internal/load"
+	"zincloft.example/zincloft/internal/tools/load"
 )
 
 // loadRuns are the runs of a load command: each size with each program, so many times.
--- a/cmd/zinclab/restart.go
+++ b/cmd/zinclab/restart.go
@@ -10,7 +10,7 @@
 
 	"github.com/spf13/cobra"
 
-	"zincloft.example/zincloft/internal/load"
+	"zincloft.example/zincloft/internal/tools/load"
 )
 
 const operatorFileMode = 0o600
--- a/cmd/zinclab/soak.go
+++ b/cmd/zinclab/soak.go
@@ -13,7 +13,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/spf13/cobra"
 
-	"zincloft.example/zincloft/internal/soak"
+	"zincloft.example/zincloft/internal/testbeds/soak"
 )
 
 // soakFlags are the flags of the soak command.
--- a/cmd/zincloft/export_test.go
+++ b/cmd/zincloft/export_test.go
@@ -10,7 +10,7 @@
 // package compatibility.
 func TestStateExport(t *testing.T) {
 	dir := t.TempDir() // the database is opened on a copy
-	if err := os.CopyFS(dir, os.DirFS("../../internal/compatibility/testdata/governorstore")); err != nil {
+	if err := os.CopyFS(dir, os.DirFS("../../internal/testbeds/compatibility/testdata/governorstore")); err != nil {
 		t.Fatal(err)
 	}
 	var got bytes.Buffer
--- a/cmd/zincloft/linkage_test.go
+++ b/cmd/zincloft/linkage_test.go
@@ -10,7 +10,7 @@
 	"slices"
 	"testing"
 
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 )
 
 // TestLinkage builds the governor with the flags of the deploy file: the platform preloads a library, which reaches only
--- a/cmd/zincloft/main.go
+++ b/cmd/zincloft/main.go
@@ -15,8 +15,8 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
-	"zincloft.example/zincloft/internal/config"
-	"zincloft.example/zincloft/internal/daemon"
+	"zincloft.example/zincloft/internal/governor/config"
+	"zincloft.example/zincloft/internal/governor/daemon"
 )
 
 // Exit statuses.
--- a/cmd/zincloft/state.go
+++ b/cmd/zincloft/state.go
@@ -10,8 +10,8 @@
 
 	"github.com/spf13/cobra"
 
-	"zincloft.example/zincloft/internal/config"
-	"zincloft.example/zincloft/internal/store"
+	"zincloft.example/zincloft/internal/governor/config"
+	"zincloft.example/zincloft/internal/governor/store"
 	"zincloft.example/zincloft/recovery"
 )
 
--- a/cmd/zincloftctl/call.go
+++ b/cmd/zincloftctl/call.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"zincloft.example/zincloft/internal/controlclient"
+	"zincloft.example/zincloft/internal/daemons/controlclient"
 )
 
 // How long a call is repeated without a clear answer: a configuration has a version and may come late, anything else may not.
--- a/cmd/zincloftctl/demo.go
+++ b/cmd/zincloftctl/demo.go
@@ -9,7 +9,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"zincloft.example/zincloft/internal/demo"
+	"zincloft.example/zincloft/internal/tools/demo"
 )
 
 // demoArguments are the arguments of the demo.
--- a/cmd/zincloftctl/export_test.go
+++ b/cmd/zincloftctl/export_test.go
@@ -10,7 +10,7 @@
 // compatibility.
 func TestStoreExport(t *testing.T) {
 	var got bytes.Buffer
-	if err := run([]string{"store", "export", "../../internal/compatibility/testdata/statestore"}, &got); err != nil {
+	if err := run([]string{"store", "export", "../../internal/testbeds/compatibility/testdata/statestore"}, &got); err != nil {
 		t.Fatal(err)
 	}
 	want, err := os.ReadFile("testdata/store-export.json")
--- a/cmd/zincloftctl/main.go
+++ b/cmd/zincloftctl/main.go
@@ -8,7 +8,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"zincloft.example/zincloft/internal/program"
+	"zincloft.example/zincloft/internal/daemons/program"
 )
 
 func main() {
--- a/cmd/zincloftctl/main_test.go
+++ b/cmd/zincloftctl/main_test.go
@@ -11,7 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"zincloft.example/zincloft/internal/demo"
+	"zincloft.example/zincloft/internal/tools/demo"
 )
 
 func TestCommands(t *testing.T) {
--- a/cmd/zincloftctl/store.go
+++ b/cmd/zincloftctl/store.go
@@ -10,7 +10,7 @@
 	"zincloft.example/zincloft/controlplane/coordinator"
 	"zincloft.example/zincloft/controlplane/membership"
 	"zincloft.example/zincloft/fleet"
-	"zincloft.example/zincloft/internal/statestore"
+	"zincloft.example/zincloft/internal/daemons/statestore"
 )
 
 // stateKey is the key under which a member's store holds the coordinator's state.
--- a/cmd/zincloftctl/windows.go
+++ b/cmd/zincloftctl/windows.go
@@ -15,7 +15,7 @@
 
 	"zincloft.example/zincloft/controlplane/maintenance"
 	"zincloft.example/zincloft/controlplane/maintenanceplanner"
-	"zincloft.example/zincloft/internal/maintenancefile"
+	"zincloft.example/zincloft/internal/tools/maintenancefile"
 )
 
 // windowsArguments are the arguments of the commands on maintenance windows.
--- a/cmd/zincloftctl/windows_follow.go
+++ b/cmd/zincloftctl/windows_follow.go
@@ -11,7 +11,7 @@
 	"zincloft.example/zincloft/controlplane/controller"
 	"zincloft.example/zincloft/controlplane/maintenance"
 	"zincloft.example/zincloft/controlplane/maintenanceplanner"
-	"zincloft.example/zincloft/internal/maintenancefile"
+	"zincloft.example/zincloft/internal/tools/maintenancefile"
 )
 
 // followInterval is the time between two looks at the windows.
--- a/controlplane/coordinator/leave_test.go
+++ b/controlplane/coordinator/leave_test.go
@@ -65,7 +65,7 @@
 }
 
 // TestLeaverOfFourKeepsOddVoters guards against a member that leaves while it still makes the number of voters even: the next
-// loss left two of four. Found by internal/modelcheck/membershipmodel.
+// loss left two of four. Found by internal/testbeds/modelcheck/membershipmodel.
 func TestLeaverOfFourKeepsOddVoters(t *testing.T) {
 	cluster := newTestCluster(t, "a", "b", "c")
 	cluster.start("d", false)
--- a/controlplane/coordinator/replacement_test.go
+++ b/controlplane/coordinator/replacement_test.go
@@ -205,7 +205,7 @@
 
 // TestHeadLostInUnsettledView guards against views that follow one another before the head has forwarded its register: members
 // that joined in the last one were marked as unsynced again, and if the head was lost nobody could lead, though all held
-// everything. Found by internal/modelcheck/membershipmodel.
+// everything. Found by internal/testbeds/modelcheck/membershipmodel.
 func TestHeadLostInUnsettledView(t *testing.T) {
 	for at := time.Duration(0); at < 1200*time.Millisecond; at += 7 * time.Millisecond {
 		cluster := newTestCluster(t, "a", "b", "c")
--- a/controlplane/registry/capacity_test.go
+++ b/controlplane/registry/capacity_test.go
@@ -10,7 +10,7 @@
 
 	"zincloft.example/zincloft/controlplane/registry"
 	"zincloft.example/zincloft/fleet"
-	"zincloft.example/zincloft/internal/sizes"
+	"zincloft.example/zincloft/internal/testbeds/sizes"
 )
 
 var usersSize = flag.Bool("users", false, "run the capacity benchmarks at the users' size too; filling the registry takes ten minutes of a core")
--- a/controlplane/weighting/capacity_test.go
+++ b/controlplane/weighting/capacity_test.go
@@ -9,7 +9,7 @@
 	"zincloft.example/zincloft/controlplane/weighting"
 	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/gatewayconfig"
-	"zincloft.example/zincloft/internal/sizes"
+	"zincloft.example/zincloft/internal/testbeds/sizes"
 	"zincloft.example/zincloft/messages"
 )
 
--- a/dataplane/loadbalancer/capacity_test.go
+++ b/dataplane/loadbalancer/capacity_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"zincloft.example/zincloft/dataplane/loadbalancer"
-	"zincloft.example/zincloft/internal/sizes"
+	"zincloft.example/zincloft/internal/testbeds/sizes"
 )
 
 var capacitySizes = []int{1740, 5220, 15700, 47000}
--- a/dataplane/overflow/lease.go
+++ b/dataplane/overflow/lease.go
@@ -5,7 +5,7 @@
 // it is used. A site that rejects requests of its own clients, or borrows itself, lends nothing; a guest request is never
 // forwarded again. So no two sites overflow into each other, and every request makes one hop at most.
 //
-// The daemons do not use this package yet; only internal/simulation drives it. See docs/design/overflow.md.
+// The daemons do not use this package yet; only internal/testbeds/simulation drives it. See docs/design/overflow.md.
 package overflow
 
 import "time"
--- a/dataplane/router/router.go
+++ b/dataplane/router/router.go
@@ -3,7 +3,7 @@
 // and dataplane/retry with what the control plane sends.
 //
 // It is a state machine without I/O: the time is a parameter of every call, randomness comes from a seed, and the same
-// calls always have the same results. internal/gateway gives it sockets and a clock, internal/simulation drives it with
+// calls always have the same results. internal/daemons/gateway gives it sockets and a clock, internal/testbeds/simulation drives it with
 // neither.
 package router
 
--- a/gatewayconfig/capacity_test.go
+++ b/gatewayconfig/capacity_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"zincloft.example/zincloft/gatewayconfig"
-	"zincloft.example/zincloft/internal/sizes"
+	"zincloft.example/zincloft/internal/testbeds/sizes"
 )
 
 var capacityRoutes = []int{8, 500, 5000, 51000}
--- a/intake/pairs_test.go
+++ b/intake/pairs_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/controlserver/actions.go
+++ b/internal/daemons/controlserver/actions.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/controller"
-	"zincloft.example/zincloft/internal/peertransport"
-	"zincloft.example/zincloft/internal/program"
+	"zincloft.example/zincloft/internal/daemons/peertransport"
+	"zincloft.example/zincloft/internal/daemons/program"
 )
 
 // step has the controller decide about an event and carries out its actions, in the order of their kinds. It is called by the goroutine of Run
--- a/internal/controlserver/calls.go
+++ b/internal/daemons/controlserver/calls.go
@@ -10,7 +10,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"zincloft.example/zincloft/controlplane/controller"
-	"zincloft.example/zincloft/internal/bodybuffer"
+	"zincloft.example/zincloft/internal/daemons/bodybuffer"
 )
 
 const (
--- a/internal/controlserver/calls_test.go
+++ b/internal/daemons/controlserver/calls_test.go
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
-	"zincloft.example/zincloft/internal/nodesettings"
-	"zincloft.example/zincloft/internal/program"
+	"zincloft.example/zincloft/internal/daemons/nodesettings"
+	"zincloft.example/zincloft/internal/daemons/program"
 )
 
 const testSettings = `
--- a/internal/controlserver/connections.go
+++ b/internal/daemons/controlserver/connections.go
@@ -4,7 +4,7 @@
 	"errors"
 	"net"
 
-	"zincloft.example/zincloft/internal/connlimit"
+	"zincloft.example/zincloft/internal/daemons/connlimit"
 )
 
 // Parts of the process's file descriptors. What is left is for the disk, the connections to other members and the gossip.
--- a/internal/controlserver/connections_test.go
+++ b/internal/daemons/controlserver/connections_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"zincloft.example/zincloft/fleet"
-	"zincloft.example/zincloft/internal/connlimit"
-	"zincloft.example/zincloft/internal/peertransport"
+	"zincloft.example/zincloft/internal/daemons/connlimit"
+	"zincloft.example/zincloft/internal/daemons/peertransport"
 	"zincloft.example/zincloft/messages"
 )
 
--- a/internal/controlserver/figures.go
+++ b/internal/daemons/controlserver/figures.go
@@ -6,8 +6,8 @@
 
 	metrics "github.com/VictoriaMetrics/metrics"
 
-	"zincloft.example/zincloft/internal/connlimit"
-	"zincloft.example/zincloft/internal/telemetry"
+	"zincloft.example/zincloft/internal/daemons/connlimit"
+	"zincloft.example/zincloft/internal/daemons/telemetry"
 )
 
 // figuresTimeout bounds how long the reader of the figures waits for the goroutine of Run, which has them.
--- a/internal/controlserver/peers.go
+++ b/internal/daemons/controlserver/peers.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/controller"
-	"zincloft.example/zincloft/internal/connlimit"
-	"zincloft.example/zincloft/internal/nodesettings"
-	"zincloft.example/zincloft/internal/peertransport"
+	"zincloft.example/zincloft/internal/daemons/connlimit"
+	"zincloft.example/zincloft/internal/daemons/nodesettings"
+	"zincloft.example/zincloft/internal/daemons/peertransport"
 	"zincloft.example/zincloft/messages"
 	"zincloft.example/zincloft/peersampling"
 )
--- a/internal/controlserver/storage.go
+++ b/internal/daemons/controlserver/storage.go
@@ -14,7 +14,7 @@
 	"zincloft.example/zincloft/controlplane/controller"
 	"zincloft.example/zincloft/controlplane/coordinator"
 	"zincloft.example/zincloft/fleet"
-	"zincloft.example/zincloft/internal/statestore"
+	"zincloft.example/zincloft/internal/daemons/statestore"
 	"zincloft.example/zincloft/messages"
 )
 
--- a/internal/gateway/attempt.go
+++ b/internal/daemons/gateway/attempt.go
@@ -9,7 +9,7 @@
 	"zincloft.example/zincloft/dataplane/loadbalancer"
 	"zincloft.example/zincloft/dataplane/retry"
 	"zincloft.example/zincloft/dataplane/router"
-	"zincloft.example/zincloft/internal/replica"
+	"zincloft.example/zincloft/internal/daemons/replica"
 )
 
 // maxReportedLoad bounds the requests and slots that a replica reports; more is not believed.
--- a/internal/gateway/attempt_test.go
+++ b/internal/daemons/gateway/attempt_test.go
@@ -6,7 +6,7 @@
 
 	"zincloft.example/zincloft/dataplane/loadbalancer"
 	"zincloft.example/zincloft/dataplane/retry"
-	"zincloft.example/zincloft/internal/replica"
+	"zincloft.example/zincloft/internal/daemons/replica"
 )
 
 // Guards outlier detection: an endpoint is blamed for what it did, not for a client that left or a deadline that passed
--- a/internal/gateway/clientconn.go
+++ b/internal/daemons/gateway/clientconn.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"zincloft.example/zincloft/dataplane/framing"
-	"zincloft.example/zincloft/internal/connlimit"
+	"zincloft.example/zincloft/internal/daemons/connlimit"
 )
 
 // clientListener wraps the connections that it accepts, which the front's limiter bounds, as clientConn.
--- a/internal/gateway/controlstream.go
+++ b/internal/daemons/gateway/controlstream.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"zincloft.example/zincloft/fleet"
-	"zincloft.example/zincloft/internal/peertransport"
+	"zincloft.example/zincloft/internal/daemons/peertransport"
 	"zincloft.example/zincloft/invariant"
 	"zincloft.example/zincloft/messages"
 	"zincloft.example/zincloft/peersampling"
--- a/internal/gateway/crowd_test.go
+++ b/internal/daemons/gateway/crowd_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
-	"zincloft.example/zincloft/internal/nodesettings"
-	"zincloft.example/zincloft/internal/program"
-	"zincloft.example/zincloft/internal/standin/upstream"
+	"zincloft.example/zincloft/internal/daemons/nodesettings"
+	"zincloft.example/zincloft/internal/daemons/program"
+	"zincloft.example/zincloft/internal/testbeds/standin/upstream"
 	"zincloft.example/zincloft/messages"
 )
 
--- a/internal/gateway/failures.go
+++ b/internal/daemons/gateway/failures.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"zincloft.example/zincloft/internal/replica"
+	"zincloft.example/zincloft/internal/daemons/replica"
 )
 
 const (
--- a/internal/gateway/failures_test.go
+++ b/internal/daemons/gateway/failures_test.go
@@ -8,8 +8,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"zincloft.example/zincloft/internal/replica"
-	"zincloft.example/zincloft/internal/standin/upstream"
+	"zincloft.example/zincloft/internal/daemons/replica"
+	"zincloft.example/zincloft/internal/testbeds/standin/upstream"
 )
 
 // TestFailedRequestIsExplained asks what is kept of requests that failed: whom they were sent to, what came of it and why there was
--- a/internal/gateway/figures.go
+++ b/internal/daemons/gateway/figures.go
@@ -3,8 +3,8 @@
 import (
 	figures "github.com/VictoriaMetrics/metrics"
 
-	"zincloft.example/zincloft/internal/connlimit"
-	"zincloft.example/zincloft/internal/telemetry"
+	"zincloft.example/zincloft/internal/daemons/connlimit"
+	"zincloft.example/zincloft/internal/daemons/telemetry"
 )
 
 // gatewayFigures are the figures that the gateway tells of itself. What is counted on the way of every request has a counter here;
--- a/internal/gateway/forward.go
+++ b/internal/daemons/gateway/forward.go
@@ -11,7 +11,7 @@
 	"zincloft.example/zincloft/dataplane/retry"
 	"zincloft.example/zincloft/dataplane/router"
 	"zincloft.example/zincloft/gatewayconfig"
-	"zincloft.example/zincloft/internal/replica"
+	"zincloft.example/zincloft/internal/daemons/replica"
 )
 
 // forwarding carries one client's request through its attempts at replicas. It is used by the request's goroutine alone;
--- a/internal/gateway/forward_test.go
+++ b/internal/daemons/gateway/forward_test.go
@@ -8,7 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"zincloft.example/zincloft/internal/standin/upstream"
+	"zincloft.example/zincloft/internal/testbeds/standin/upstream"
 )
 
 func TestExecutionPromises(t *testing.T) {
--- a/internal/gateway/forwardchecks.go
+++ b/internal/daemons/gateway/forwardchecks.go
@@ -5,7 +5,7 @@
 	"net/http"
 
 	"zincloft.example/zincloft/dataplane/retry"
-	"zincloft.example/zincloft/internal/replica"
+	"zincloft.example/zincloft/internal/daemons/replica"
 	"zincloft.example/zincloft/invariant"
 )
 
--- a/internal/gateway/gateway.go
+++ b/internal/daemons/gateway/gateway.go
@@ -3,7 +3,7 @@
 // observed.
 //
 // All decisions are made by dataplane/router, a state machine without I/O; this package owns the sockets, the clock and
-// the lock around that state machine. internal/replica speaks HTTP/1.1 to the replicas.
+// the lock around that state machine. internal/daemons/replica speaks HTTP/1.1 to the replicas.
 package gateway
 
 import (
@@ -21,12 +21,12 @@
 	"zincloft.example/zincloft/dataplane/router"
 	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/gatewayconfig"
-	"zincloft.example/zincloft/internal/bodybuffer"
-	"zincloft.example/zincloft/internal/connlimit"
-	"zincloft.example/zincloft/internal/gossip"
-	"zincloft.example/zincloft/internal/nodesettings"
-	"zincloft.example/zincloft/internal/replica"
-	"zincloft.example/zincloft/internal/telemetry"
+	"zincloft.example/zincloft/internal/daemons/bodybuffer"
+	"zincloft.example/zincloft/internal/daemons/connlimit"
+	"zincloft.example/zincloft/internal/daemons/gossip"
+	"zincloft.example/zincloft/internal/daemons/nodesettings"
+	"zincloft.example/zincloft/internal/daemons/replica"
+	"zincloft.example/zincloft/internal/daemons/telemetry"
 )
 
 const (
--- a/internal/gateway/handler_test.go
+++ b/internal/daemons/gateway/handler_test.go
@@ -12,10 +12,10 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"zincloft.example/zincloft/internal/bodybuffer"
-	"zincloft.example/zincloft/internal/nodesettings"
-	"zincloft.example/zincloft/internal/program"
-	"zincloft.example/zincloft/internal/standin/upstream"
+	"zincloft.example/zincloft/internal/daemons/bodybuffer"
+	"zincloft.example/zincloft/internal/daemons/nodesettings"
+	"zincloft.example/zincloft/internal/daemons/program"
+	"zincloft.example/zincloft/internal/testbeds/standin/upstream"
 	"zincloft.example/zincloft/messages"
 )
 
--- a/internal/gateway/lifecycle.go
+++ b/internal/daemons/gateway/lifecycle.go
@@ -16,9 +16,9 @@
 
 	"zincloft.example/zincloft/dataplane/router"
 	"zincloft.example/zincloft/gatewayconfig"
-	"zincloft.example/zincloft/internal/gossip"
-	"zincloft.example/zincloft/internal/nodesettings"
-	"zincloft.example/zincloft/internal/telemetry"
+	"zincloft.example/zincloft/internal/daemons/gossip"
+	"zincloft.example/zincloft/internal/daemons/nodesettings"
+	"zincloft.example/zincloft/internal/daemons/telemetry"
 	"zincloft.example/zincloft/peersampling"
 )
 
--- a/internal/gateway/promises_test.go
+++ b/internal/daemons/gateway/promises_test.go
@@ -15,9 +15,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"zincloft.example/zincloft/fleet"
-	"zincloft.example/zincloft/internal/nodesettings"
-	"zincloft.example/zincloft/internal/program"
-	"zincloft.example/zincloft/internal/standin/upstream"
+	"zincloft.example/zincloft/internal/daemons/nodesettings"
+	"zincloft.example/zincloft/internal/daemons/program"
+	"zincloft.example/zincloft/internal/testbeds/standin/upstream"
 	"zincloft.example/zincloft/messages"
 )
 
--- a/internal/gateway/reports.go
+++ b/internal/daemons/gateway/reports.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"zincloft.example/zincloft/fleet"
-	"zincloft.example/zincloft/internal/peertransport"
+	"zincloft.example/zincloft/internal/daemons/peertransport"
 	"zincloft.example/zincloft/messages"
 )
 
--- a/internal/gateway/requestbody.go
+++ b/internal/daemons/gateway/requestbody.go
@@ -9,8 +9,8 @@
 	"syscall"
 	"time"
 
-	"zincloft.example/zincloft/internal/bodybuffer"
-	"zincloft.example/zincloft/internal/connlimit"
+	"zincloft.example/zincloft/internal/daemons/bodybuffer"
+	"zincloft.example/zincloft/internal/daemons/connlimit"
 )
 
 // receiveBody reads a request's body completely, by the deadline. What it returns must be released from bodies, also
--- a/internal/gateway/response.go
+++ b/internal/daemons/gateway/response.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"zincloft.example/zincloft/internal/replica"
+	"zincloft.example/zincloft/internal/daemons/replica"
 )
 
 // writeGrace is how long beyond its deadline a client may take to read its response.
--- a/internal/gateway/silentclients_test.go
+++ b/internal/daemons/gateway/silentclients_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"zincloft.example/zincloft/internal/nodesettings"
-	"zincloft.example/zincloft/internal/program"
+	"zincloft.example/zincloft/internal/daemons/nodesettings"
+	"zincloft.example/zincloft/internal/daemons/program"
 	"zincloft.example/zincloft/messages"
 )
 
--- a/internal/peertransport/capacity_test.go
+++ b/internal/daemons/peertransport/capacity_test.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"testing"
 
-	"zincloft.example/zincloft/internal/peertransport"
-	"zincloft.example/zincloft/internal/sizes"
+	"zincloft.example/zincloft/internal/daemons/peertransport"
+	"zincloft.example/zincloft/internal/testbeds/sizes"
 	"zincloft.example/zincloft/messages"
 )
 
--- a/internal/program/main.go
+++ b/internal/daemons/program/main.go
@@ -14,7 +14,7 @@
 	"github.com/integrii/flaggy"
 	"github.com/phuslu/log"
 
-	"zincloft.example/zincloft/internal/nodesettings"
+	"zincloft.example/zincloft/internal/daemons/nodesettings"
 )
 
 // Version is printed by --version.
--- a/internal/replica/pool.go
+++ b/internal/daemons/replica/pool.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"zincloft.example/zincloft/dataplane/retry"
-	"zincloft.example/zincloft/internal/peertransport"
+	"zincloft.example/zincloft/internal/daemons/peertransport"
 )
 
 const (
--- a/internal/replica/pool_test.go
+++ b/internal/daemons/replica/pool_test.go
@@ -9,7 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"zincloft.example/zincloft/dataplane/retry"
-	"zincloft.example/zincloft/internal/standin/upstream"
+	"zincloft.example/zincloft/internal/testbeds/standin/upstream"
 )
 
 const testMaxOpen = 100 // more connections than any test here needs
--- a/internal/statestore/capacity_test.go
+++ b/internal/daemons/statestore/capacity_test.go
@@ -15,9 +15,9 @@
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/coordinator"
 	"zincloft.example/zincloft/fleet"
-	"zincloft.example/zincloft/internal/peertransport"
-	"zincloft.example/zincloft/internal/sizes"
-	"zincloft.example/zincloft/internal/statestore"
+	"zincloft.example/zincloft/internal/daemons/peertransport"
+	"zincloft.example/zincloft/internal/daemons/statestore"
+	"zincloft.example/zincloft/internal/testbeds/sizes"
 )
 
 // countingDisk is a file system in memory that counts the bytes written to it.
@@ -82,7 +82,7 @@
 	members          []*clusterMember
 	transferredBytes int            // from member to member, without heartbeats
 	largestFrame     int            // in bytes
-	oversizedFrames  int            // frames that internal/peertransport refuses
+	oversizedFrames  int            // frames that internal/daemons/peertransport refuses
 	statuses         map[uint64]int // of responses, by request ID
 	hints            *hints
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/daemons/telemetry/telemetry.go
@@ -18,8 +18,8 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/go-chi/chi/v5"
 
-	"zincloft.example/zincloft/internal/connlimit"
-	"zincloft.example/zincloft/internal/nodesettings"
+	"zincloft.example/zincloft/internal/daemons/connlimit"
+	"zincloft.example/zincloft/internal/daemons/nodesettings"
 	"zincloft.example/zincloft/invariant"
 )
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/daemons/telemetry/telemetry_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/phuslu/log"
 
-	"zincloft.example/zincloft/internal/connlimit"
-	"zincloft.example/zincloft/internal/nodesettings"
+	"zincloft.example/zincloft/internal/daemons/connlimit"
+	"zincloft.example/zincloft/internal/daemons/nodesettings"
 )
 
 // TestFiguresAreServedBesideSilentReaders guards the figures, and the process's descriptors, against readers that hold connections and say nothing.
--- a/internal/clients/codec.go
+++ b/internal/governor/clients/codec.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"zincloft.example/zincloft/internal/config"
-	"zincloft.example/zincloft/internal/eventqueue"
+	"zincloft.example/zincloft/internal/governor/config"
+	"zincloft.example/zincloft/internal/governor/eventqueue"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/clients/codec_test.go
+++ b/internal/governor/clients/codec_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"zincloft.example/zincloft/intake"
-	"zincloft.example/zincloft/internal/config"
-	"zincloft.example/zincloft/internal/resp"
+	"zincloft.example/zincloft/internal/governor/config"
+	"zincloft.example/zincloft/internal/governor/resp"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/clients/conn.go
+++ b/internal/governor/clients/conn.go
@@ -12,8 +12,8 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
-	"zincloft.example/zincloft/internal/eventqueue"
-	"zincloft.example/zincloft/internal/resp"
+	"zincloft.example/zincloft/internal/governor/eventqueue"
+	"zincloft.example/zincloft/internal/governor/resp"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/clients/conn_test.go
+++ b/internal/governor/clients/conn_test.go
@@ -8,9 +8,9 @@
 	"testing/synctest"
 	"time"
 
-	"zincloft.example/zincloft/internal/config"
-	"zincloft.example/zincloft/internal/resp"
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/governor/config"
+	"zincloft.example/zincloft/internal/governor/resp"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 )
 
 // TestStreamReplacement has a proxy come by a new stream: what the old one still sends is ignored.
--- a/internal/clients/decode.go
+++ b/internal/governor/clients/decode.go
@@ -5,8 +5,8 @@
 	"math"
 
 	"zincloft.example/zincloft/intake"
-	"zincloft.example/zincloft/internal/config"
-	"zincloft.example/zincloft/internal/resp"
+	"zincloft.example/zincloft/internal/governor/config"
+	"zincloft.example/zincloft/internal/governor/resp"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/clients/encode.go
+++ b/internal/governor/clients/encode.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"strings"
 
-	"zincloft.example/zincloft/internal/resp"
+	"zincloft.example/zincloft/internal/governor/resp"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/clients/play_test.go
+++ b/internal/governor/clients/play_test.go
@@ -11,11 +11,11 @@
 
 	"github.com/rs/zerolog"
 
-	"zincloft.example/zincloft/internal/config"
-	"zincloft.example/zincloft/internal/counts"
-	"zincloft.example/zincloft/internal/eventqueue"
-	"zincloft.example/zincloft/internal/resp"
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/governor/config"
+	"zincloft.example/zincloft/internal/governor/counts"
+	"zincloft.example/zincloft/internal/governor/eventqueue"
+	"zincloft.example/zincloft/internal/governor/resp"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/clients/routingstate_test.go
+++ b/internal/governor/clients/routingstate_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"zincloft.example/zincloft/internal/config"
+	"zincloft.example/zincloft/internal/governor/config"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/clients/server.go
+++ b/internal/governor/clients/server.go
@@ -13,9 +13,9 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
-	"zincloft.example/zincloft/internal/config"
-	"zincloft.example/zincloft/internal/counts"
-	"zincloft.example/zincloft/internal/eventqueue"
+	"zincloft.example/zincloft/internal/governor/config"
+	"zincloft.example/zincloft/internal/governor/counts"
+	"zincloft.example/zincloft/internal/governor/eventqueue"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/collectd/parser_test.go
+++ b/internal/governor/collectd/parser_test.go
@@ -14,8 +14,8 @@
 	"collectd.org/network"
 
 	"zincloft.example/zincloft/intake"
-	"zincloft.example/zincloft/internal/standin"
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/testbeds/standin"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 )
 
 // users are the known users and their passwords.
--- a/internal/collectd/server.go
+++ b/internal/governor/collectd/server.go
@@ -13,8 +13,8 @@
 	"golang.org/x/time/rate"
 
 	"zincloft.example/zincloft/intake"
-	"zincloft.example/zincloft/internal/counts"
-	"zincloft.example/zincloft/internal/eventqueue"
+	"zincloft.example/zincloft/internal/governor/counts"
+	"zincloft.example/zincloft/internal/governor/eventqueue"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/collectd/server_test.go
+++ b/internal/governor/collectd/server_test.go
@@ -15,10 +15,10 @@
 	"collectd.org/network"
 
 	"zincloft.example/zincloft/intake"
-	"zincloft.example/zincloft/internal/counts"
-	"zincloft.example/zincloft/internal/eventqueue"
-	"zincloft.example/zincloft/internal/standin"
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/governor/counts"
+	"zincloft.example/zincloft/internal/governor/eventqueue"
+	"zincloft.example/zincloft/internal/testbeds/standin"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/config/config_test.go
+++ b/internal/governor/config/config_test.go
@@ -17,7 +17,7 @@
 // example returns a complete configuration, the one that README names.
 func example(t *testing.T) string {
 	t.Helper()
-	text, err := os.ReadFile("../../deploy/example.json")
+	text, err := os.ReadFile("../../../deploy/example.json")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/config/derived.go
+++ b/internal/governor/config/derived.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"zincloft.example/zincloft/intake"
-	"zincloft.example/zincloft/internal/collectd"
-	"zincloft.example/zincloft/internal/graphite"
+	"zincloft.example/zincloft/internal/governor/collectd"
+	"zincloft.example/zincloft/internal/governor/graphite"
 )
 
 const (
--- a/internal/config/operator.go
+++ b/internal/governor/config/operator.go
@@ -11,7 +11,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"zincloft.example/zincloft/internal/collectd"
+	"zincloft.example/zincloft/internal/governor/collectd"
 )
 
 // Operator holds the options of the operator file: what goes beyond the platform's protocol. All of it is off by default.
--- a/internal/config/operator_test.go
+++ b/internal/governor/config/operator_test.go
@@ -11,7 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"zincloft.example/zincloft/intake"
-	"zincloft.example/zincloft/internal/collectd"
+	"zincloft.example/zincloft/internal/governor/collectd"
 )
 
 // operatorFileOf writes an operator file and returns its path.
@@ -26,7 +26,7 @@
 
 // TestOperatorDefaults checks that the file in deploy has every key, at its default.
 func TestOperatorDefaults(t *testing.T) {
-	kept, err := ReadOperator("../../deploy/operator.toml")
+	kept, err := ReadOperator("../../../deploy/operator.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -38,7 +38,7 @@
 	if d := cmp.Diff(none, kept, cmp.Comparer(func(a, b netip.Prefix) bool { return a == b })); d != "" {
 		t.Error(d)
 	}
-	text, err := os.ReadFile("../../deploy/operator.toml")
+	text, err := os.ReadFile("../../../deploy/operator.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/config/operatorfile.go
+++ b/internal/governor/config/operatorfile.go
@@ -9,7 +9,7 @@
 	"github.com/pelletier/go-toml/v2/unstable"
 
 	"zincloft.example/zincloft/intake"
-	"zincloft.example/zincloft/internal/collectd"
+	"zincloft.example/zincloft/internal/governor/collectd"
 )
 
 // operatorFile is the operator file in TOML. Its fields have no further meaning than those of Operator.
--- a/internal/daemon/fronts.go
+++ b/internal/governor/daemon/fronts.go
@@ -7,8 +7,8 @@
 
 	"collectd.org/network"
 
-	"zincloft.example/zincloft/internal/collectd"
-	"zincloft.example/zincloft/internal/graphite"
+	"zincloft.example/zincloft/internal/governor/collectd"
+	"zincloft.example/zincloft/internal/governor/graphite"
 )
 
 // startCollectd receives load reports until ctx ends, where there is a connection for them.
--- a/internal/daemon/fronts_test.go
+++ b/internal/governor/daemon/fronts_test.go
@@ -11,11 +11,11 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"zincloft.example/zincloft/intake"
-	"zincloft.example/zincloft/internal/collectd"
-	"zincloft.example/zincloft/internal/config"
-	"zincloft.example/zincloft/internal/eventqueue"
-	"zincloft.example/zincloft/internal/standin"
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/governor/collectd"
+	"zincloft.example/zincloft/internal/governor/config"
+	"zincloft.example/zincloft/internal/governor/eventqueue"
+	"zincloft.example/zincloft/internal/testbeds/standin"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 	"zincloft.example/zincloft/rules"
 
 	"context"
@@ -26,7 +26,7 @@
 // TestFrontsOffByDefault runs a governor without an operator file, and with one that has the defaults: there is no intake,
 // nothing is sent and no further address is opened.
 func TestFrontsOffByDefault(t *testing.T) {
-	for _, path := range []string{"", "../../deploy/operator.toml"} {
+	for _, path := range []string{"", "../../../deploy/operator.toml"} {
 		c := conf()
 		var err error
 		if c.Operator, err = config.ReadOperator(path); err != nil {
--- a/internal/daemon/loop.go
+++ b/internal/governor/daemon/loop.go
@@ -5,7 +5,7 @@
 	"math"
 	"time"
 
-	"zincloft.example/zincloft/internal/eventqueue"
+	"zincloft.example/zincloft/internal/governor/eventqueue"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/daemon/reports.go
+++ b/internal/governor/daemon/reports.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"zincloft.example/zincloft/intake"
-	"zincloft.example/zincloft/internal/eventqueue"
+	"zincloft.example/zincloft/internal/governor/eventqueue"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/daemon/state.go
+++ b/internal/governor/daemon/state.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"zincloft.example/zincloft/internal/discoveryclient"
-	"zincloft.example/zincloft/internal/store"
+	"zincloft.example/zincloft/internal/governor/discoveryclient"
+	"zincloft.example/zincloft/internal/governor/store"
 	"zincloft.example/zincloft/recovery"
 	"zincloft.example/zincloft/rules"
 )
--- a/internal/daemon/state_test.go
+++ b/internal/governor/daemon/state_test.go
@@ -14,10 +14,10 @@
 
 	"github.com/rs/zerolog"
 
-	"zincloft.example/zincloft/internal/config"
-	"zincloft.example/zincloft/internal/discoveryclient"
-	"zincloft.example/zincloft/internal/store"
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/governor/config"
+	"zincloft.example/zincloft/internal/governor/discoveryclient"
+	"zincloft.example/zincloft/internal/governor/store"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 	"zincloft.example/zincloft/recovery"
 	"zincloft.example/zincloft/rules"
 )
--- a/internal/discoveryclient/client.go
+++ b/internal/governor/discoveryclient/client.go
@@ -11,7 +11,7 @@
 
 	"github.com/rs/zerolog"
 
-	"zincloft.example/zincloft/internal/config"
+	"zincloft.example/zincloft/internal/governor/config"
 	"zincloft.example/zincloft/recovery"
 	"zincloft.example/zincloft/rules"
 )
--- a/internal/discoveryclient/client_test.go
+++ b/internal/governor/discoveryclient/client_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/rs/zerolog"
 
-	"zincloft.example/zincloft/internal/config"
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/governor/config"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/graphite/plaintext_test.go
+++ b/internal/governor/graphite/plaintext_test.go
@@ -8,7 +8,7 @@
 
 	"go.uber.org/goleak"
 
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/graphite/queue_test.go
+++ b/internal/governor/graphite/queue_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"testing/synctest"
 
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 )
 
 // TestQueueDropsOldest overfills the queue while nobody reads: the newest points are left, in order, and each point is counted
--- a/internal/graphite/sender_test.go
+++ b/internal/governor/graphite/sender_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"zincloft.example/zincloft/internal/standin"
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/testbeds/standin"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/store/benchmark_test.go
+++ b/internal/governor/store/benchmark_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 	"zincloft.example/zincloft/recovery"
 	"zincloft.example/zincloft/rules"
 )
--- a/internal/store/crash_test.go
+++ b/internal/governor/store/crash_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 	"zincloft.example/zincloft/recovery"
 	"zincloft.example/zincloft/rules"
 )
--- a/internal/store/store_test.go
+++ b/internal/governor/store/store_test.go
@@ -14,7 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 	"go.etcd.io/bbolt"
 
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 	"zincloft.example/zincloft/recovery"
 	"zincloft.example/zincloft/rules"
 )
--- a/internal/store/writer_test.go
+++ b/internal/governor/store/writer_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 )
 
 // TestWriterLogsFailureOnce takes the database away from a writer: it logs one failure and the recovery, and what was offered
--- a/internal/compatibility/disk_test.go
+++ b/internal/testbeds/compatibility/disk_test.go
@@ -14,10 +14,10 @@
 	"encoding/json"
 	"zincloft.example/zincloft/controlplane/coordinator"
 	"zincloft.example/zincloft/controlplane/maintenanceplanner"
-	"zincloft.example/zincloft/internal/maintenancefile"
-	"zincloft.example/zincloft/internal/statestore"
-	"zincloft.example/zincloft/internal/store"
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/daemons/statestore"
+	"zincloft.example/zincloft/internal/governor/store"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
+	"zincloft.example/zincloft/internal/tools/maintenancefile"
 	"zincloft.example/zincloft/recovery"
 )
 
--- a/internal/compatibility/doc.go
+++ b/internal/testbeds/compatibility/doc.go
@@ -6,7 +6,7 @@
 // the same bytes and decode the bytes to the same values. A file of testdata is therefore never rewritten to make a
 // test pass. A new type gets its files by
 //
-//	go test ./internal/compatibility -record
+//	go test ./internal/testbeds/compatibility -record
 //
 // which writes the files that do not exist yet and leaves all others as they are. See testdata/README.md.
 //
--- a/internal/modelcheck/requestmodel/gateway.go
+++ b/internal/testbeds/modelcheck/requestmodel/gateway.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// readMessage is what internal/replica makes of the next message on a connection that carries an attempt.
+// readMessage is what internal/daemons/replica makes of the next message on a connection that carries an attempt.
 func (e *explorer) readMessage(s state, k int) {
 	c := &s.conns[k]
 	m := pop(&c.buffer)
@@ -121,7 +121,7 @@
 	}
 }
 
-// endAttempt takes the execution of the attempt on a connection and goes on as internal/gateway does.
+// endAttempt takes the execution of the attempt on a connection and goes on as internal/daemons/gateway does.
 func (e *explorer) endAttempt(s state, k int, execution retry.Execution, keepConn bool, label string) {
 	i, n := int(s.conns[k].client), int(s.conns[k].attempt)
 	if keepConn {
--- a/internal/modelcheck/requestmodel/model.go
+++ b/internal/testbeds/modelcheck/requestmodel/model.go
@@ -3,7 +3,7 @@
 // happen between them: deliveries; responses that are complete, truncated, surplus, late, nameless or another request's;
 // resets and silence; clients that leave; connections that the replica forgets.
 //
-// The decisions are those of dataplane/retry; what internal/replica makes of a connection's bytes is stated here once more,
+// The decisions are those of dataplane/retry; what internal/daemons/replica makes of a connection's bytes is stated here once more,
 // as rules (gateway.go). Faults can be planted to see that the check finds them.
 //
 // In one point the model trusts replicas: they reject only what they do not execute.
--- a/internal/simulation/disk.go
+++ b/internal/testbeds/simulation/disk.go
@@ -8,7 +8,7 @@
 	"slices"
 
 	"zincloft.example/zincloft/controlplane/coordinator"
-	"zincloft.example/zincloft/internal/statestore"
+	"zincloft.example/zincloft/internal/daemons/statestore"
 )
 
 // sectorSize is the unit that a disk writes completely or not at all.
--- a/internal/simulation/doc.go
+++ b/internal/testbeds/simulation/doc.go
@@ -1,7 +1,7 @@
 // Package simulation tests the gateway by deterministic simulation, after the example of FoundationDB and TigerBeetle.
 //
 // A run has control-plane members, which are the decisions of production (controlplane/controller) on the store of
-// production (internal/statestore), and gateways (dataplane/router). Their links, disks, clocks, replicas and operators are
+// production (internal/daemons/statestore), and gateways (dataplane/router). Their links, disks, clocks, replicas and operators are
 // simulated, in simulated time and on one goroutine. What happens is given by a Schedule: the faults and the actions, each
 // with its time, and the seed of every other random choice (delays, losses, torn writes). The same schedule always leads
 // to the same history.
--- a/internal/simulation/gatewaystream.go
+++ b/internal/testbeds/simulation/gatewaystream.go
@@ -9,7 +9,7 @@
 
 // Streams of gateways.
 const (
-	streamTimeout     = time.Second // a gateway leaves a member that is silent for so long; as in internal/gateway
+	streamTimeout     = time.Second // a gateway leaves a member that is silent for so long; as in internal/daemons/gateway
 	dialTimeout       = 300 * time.Millisecond
 	refusedDialTime   = time.Millisecond
 	minFollowInterval = 50 * time.Millisecond
--- a/internal/simulation/history_test.go
+++ b/internal/testbeds/simulation/history_test.go
@@ -151,7 +151,7 @@
 // and disk write as it was: the same seeds have the same histories as with commit 2705c65, which wrote the file. It says
 // nothing of whether a history is good; the other tests do. Whoever means to change what is decided writes the file anew by
 //
-//	go test ./internal/simulation -run TestHistories -update
+//	go test ./internal/testbeds/simulation -run TestHistories -update
 //
 // and says so in the commit.
 //
@@ -176,7 +176,7 @@
 
 // TestManyHistories writes the checksums of many histories for a comparison of two builds, one a line:
 //
-//	HISTORY_SEEDS=200 HISTORY_OUT=/tmp/histories.txt go test ./internal/simulation -run TestManyHistories -timeout 1h
+//	HISTORY_SEEDS=200 HISTORY_OUT=/tmp/histories.txt go test ./internal/testbeds/simulation -run TestManyHistories -timeout 1h
 //
 // HISTORY_PARALLEL is how many are run at once, 4 if it is not set. HISTORY_FIRST is the first seed.
 func TestManyHistories(t *testing.T) {
--- a/internal/simulation/member.go
+++ b/internal/testbeds/simulation/member.go
@@ -8,7 +8,7 @@
 
 	"zincloft.example/zincloft/controlplane/controller"
 	"zincloft.example/zincloft/controlplane/membership"
-	"zincloft.example/zincloft/internal/statestore"
+	"zincloft.example/zincloft/internal/daemons/statestore"
 )
 
 // stateKey is the key under which a member's store keeps its state.
--- a/internal/simulation/memberlifecycle.go
+++ b/internal/testbeds/simulation/memberlifecycle.go
@@ -7,7 +7,7 @@
 	"zincloft.example/zincloft/controlplane/controller"
 	"zincloft.example/zincloft/controlplane/coordinator"
 	"zincloft.example/zincloft/fleet"
-	"zincloft.example/zincloft/internal/statestore"
+	"zincloft.example/zincloft/internal/daemons/statestore"
 )
 
 const (
--- a/internal/soak/process.go
+++ b/internal/testbeds/soak/process.go
@@ -16,7 +16,7 @@
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
 
-	"zincloft.example/zincloft/internal/nodesettings"
+	"zincloft.example/zincloft/internal/daemons/nodesettings"
 )
 
 const (
--- a/internal/soak/replica.go
+++ b/internal/testbeds/soak/replica.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"zincloft.example/zincloft/internal/standin/upstream"
+	"zincloft.example/zincloft/internal/testbeds/standin/upstream"
 )
 
 const (
--- a/internal/soak/soak_run_test.go
+++ b/internal/testbeds/soak/soak_run_test.go
@@ -14,11 +14,11 @@
 
 // The tests of this file start processes and are judged by real time, so CI runs them by themselves:
 //
-//	go test -tags soak -run Soak ./internal/soak
+//	go test -tags soak -run Soak ./internal/testbeds/soak
 //
 // A folder in SOAK_KEEP has the records and logs kept there.
 
-const moduleRoot = "../.."
+const moduleRoot = "../../.."
 
 func keepDir(t *testing.T) string {
 	if dir := os.Getenv("SOAK_KEEP"); dir != "" {
--- a/internal/demo/calls.go
+++ b/internal/tools/demo/calls.go
@@ -11,7 +11,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"zincloft.example/zincloft/internal/standin/upstream"
+	"zincloft.example/zincloft/internal/testbeds/standin/upstream"
 )
 
 const (
--- a/internal/demo/cluster.go
+++ b/internal/tools/demo/cluster.go
@@ -11,12 +11,12 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"zincloft.example/zincloft/internal/controlserver"
-	"zincloft.example/zincloft/internal/gateway"
-	"zincloft.example/zincloft/internal/nodesettings"
-	"zincloft.example/zincloft/internal/program"
-	"zincloft.example/zincloft/internal/standin/hostile"
-	"zincloft.example/zincloft/internal/standin/upstream"
+	"zincloft.example/zincloft/internal/daemons/controlserver"
+	"zincloft.example/zincloft/internal/daemons/gateway"
+	"zincloft.example/zincloft/internal/daemons/nodesettings"
+	"zincloft.example/zincloft/internal/daemons/program"
+	"zincloft.example/zincloft/internal/testbeds/standin/hostile"
+	"zincloft.example/zincloft/internal/testbeds/standin/upstream"
 )
 
 const (
--- a/internal/demo/faults_test.go
+++ b/internal/tools/demo/faults_test.go
@@ -4,7 +4,7 @@
 	"io"
 	"testing"
 
-	"zincloft.example/zincloft/internal/standin/hostile"
+	"zincloft.example/zincloft/internal/testbeds/standin/hostile"
 )
 
 // With replicas that misbehave the demo comes up, and no client receives the response to another's request.
--- a/internal/experiment/chart.go
+++ b/internal/tools/experiment/chart.go
@@ -15,7 +15,7 @@
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
 
-	"zincloft.example/zincloft/internal/emulate"
+	"zincloft.example/zincloft/internal/tools/emulate"
 )
 
 const (
--- a/internal/experiment/plan.go
+++ b/internal/tools/experiment/plan.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"zincloft.example/zincloft/internal/emulate"
+	"zincloft.example/zincloft/internal/tools/emulate"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/experiment/planfile.go
+++ b/internal/tools/experiment/planfile.go
@@ -10,7 +10,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"zincloft.example/zincloft/internal/emulate"
+	"zincloft.example/zincloft/internal/tools/emulate"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/internal/experiment/record.go
+++ b/internal/tools/experiment/record.go
@@ -14,7 +14,7 @@
 
 	"github.com/google/renameio/v2"
 
-	"zincloft.example/zincloft/internal/emulate"
+	"zincloft.example/zincloft/internal/tools/emulate"
 )
 
 const (
--- a/internal/experiment/run.go
+++ b/internal/tools/experiment/run.go
@@ -7,7 +7,7 @@
 	"slices"
 	"sync"
 
-	"zincloft.example/zincloft/internal/emulate"
+	"zincloft.example/zincloft/internal/tools/emulate"
 )
 
 // Run runs what of a plan a folder has no result for, on so many cores, and returns all records in order. Each record is kept
--- a/internal/experiment/search.go
+++ b/internal/tools/experiment/search.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"zincloft.example/zincloft/internal/emulate"
+	"zincloft.example/zincloft/internal/tools/emulate"
 )
 
 const (
--- a/internal/experiment/shrink.go
+++ b/internal/tools/experiment/shrink.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"zincloft.example/zincloft/internal/emulate"
+	"zincloft.example/zincloft/internal/tools/emulate"
 )
 
 // maxHalvings is how often a figure of a fault is halved.
--- a/internal/experiment/shrink_test.go
+++ b/internal/tools/experiment/shrink_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"zincloft.example/zincloft/internal/emulate"
+	"zincloft.example/zincloft/internal/tools/emulate"
 )
 
 // TestShrinkKeepsViolation has a scenario of two faults violate an invariant by one of them alone: what is left is that one, shorter
--- a/internal/load/flows.go
+++ b/internal/tools/load/flows.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"zincloft.example/zincloft/internal/resp"
+	"zincloft.example/zincloft/internal/governor/resp"
 )
 
 const (
--- a/internal/load/proxy.go
+++ b/internal/tools/load/proxy.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"zincloft.example/zincloft/internal/resp"
+	"zincloft.example/zincloft/internal/governor/resp"
 )
 
 // Bounds of a message to a proxy.
--- a/internal/maintenancefile/parse_test.go
+++ b/internal/tools/maintenancefile/parse_test.go
@@ -13,7 +13,7 @@
 
 func TestParse(t *testing.T) {
 	Convey("The worked week of the operators' page", t, func() {
-		raw, err := os.ReadFile("../../examples/windows.yaml")
+		raw, err := os.ReadFile("../../../examples/windows.yaml")
 		So(err, ShouldBeNil)
 		file, err := Parse(raw)
 		So(err, ShouldBeNil)
--- a/internal/simadapter/events.go
+++ b/internal/tools/simadapter/events.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"math"
 
-	"zincloft.example/zincloft/internal/config"
+	"zincloft.example/zincloft/internal/governor/config"
 	"zincloft.example/zincloft/rules"
 )
 
--- a/rules/trace_test.go
+++ b/rules/trace_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"zincloft.example/zincloft/internal/testkit"
+	"zincloft.example/zincloft/internal/testbeds/testkit"
 )
 
 // play hands events to one governor and keeps a trace of what it orders, wake-ups left out.
