--- a/controlplane/controller/actions.go
+++ b/controlplane/controller/actions.go
@@ -40,6 +40,8 @@
 const (
 	reasonStalled  = "this member has stalled, the call may be older than it seems"
 	reasonNoQuorum = "no contact with a quorum of the control plane"
+
+	reasonInstancesFull = "as many instances are remembered as there may be"
 )
 
 // LogEvent is a line for the log.
--- a/controlplane/controller/controller.go
+++ b/controlplane/controller/controller.go
@@ -35,6 +35,10 @@
 	RandomSeed        uint64        `cbor:"8,keyasint"`
 
 	RegionByZone map[string]string `cbor:"9,keyasint,omitempty"`
+
+	// MaxInstances bounds the instances that are remembered, with those that were deregistered lately; 0: there is no bound. Calls that would add
+	// one more are refused, what other members report is not.
+	MaxInstances int `cbor:"10,keyasint,omitempty"`
 }
 
 // Controller is the state machine of one control-plane member. Its methods must not be called concurrently.
--- a/controlplane/controller/figures.go
+++ b/controlplane/controller/figures.go
@@ -20,6 +20,9 @@
 	Instances         int // registered, of which some drain and some are timed out
 	DrainingInstances int
 	TimedOutInstances int
+
+	RememberedInstances int // with those that were deregistered lately
+	MaxInstances        int // that may be remembered; 0: there is no bound
 }
 
 // Figures reads the member's figures.
@@ -36,6 +39,9 @@
 		ConfigVersion:     register.Version,
 		EvacuatedZones:    len(register.EvacuatedZones),
 		GatewayStreams:    len(c.streams),
+
+		RememberedInstances: c.registry.Len(),
+		MaxInstances:        c.options.MaxInstances,
 	}
 	c.registry.Each(now, func(instance fleet.Instance) {
 		figures.Instances++
--- a/controlplane/controller/instances.go
+++ b/controlplane/controller/instances.go
@@ -13,6 +13,10 @@
 		c.respond(Response{Token: token, Status: http.StatusServiceUnavailable, Reason: reasonNoQuorum})
 		return
 	}
+	if !c.hasRoomFor(heartbeat.ID) {
+		c.respond(Response{Token: token, Status: http.StatusServiceUnavailable, Reason: reasonInstancesFull})
+		return
+	}
 	if change := c.registry.Heartbeat(now, heartbeat); change.Changed {
 		if change.Urgent {
 			c.logInfo("draining", "instance", heartbeat.ID)
@@ -30,6 +34,11 @@
 	c.respond(Response{Token: token, Status: http.StatusOK, Address: address})
 }
 
+// hasRoomFor reports whether an instance is remembered, or may be: whoever calls by ever new names would else fill the member's memory.
+func (c *Controller) hasRoomFor(id string) bool {
+	return c.options.MaxInstances == 0 || c.registry.Len() < c.options.MaxInstances || c.registry.Remembers(id)
+}
+
 // heartbeatTarget is where a replica is to send its further heartbeats: a member in its own zone, as traffic between zones costs. It is empty
 // where no such member can be reached.
 func (c *Controller) heartbeatTarget(now time.Duration, zone string) string {
@@ -50,6 +59,10 @@
 		c.respond(Response{Token: token, Status: http.StatusServiceUnavailable, Reason: reasonNoQuorum})
 		return
 	}
+	if !c.hasRoomFor(id) {
+		c.respond(Response{Token: token, Status: http.StatusServiceUnavailable, Reason: reasonInstancesFull})
+		return
+	}
 	c.endInstance(now, id, "itself")
 	c.acknowledgeEnding(now, endingCall{
 		ending:   ending{id: id, deregistered: true},
--- a/controlplane/controller/instances_test.go
+++ b/controlplane/controller/instances_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -146,3 +147,35 @@
 		}
 	}
 }
+
+// TestRememberedInstancesAreBounded guards a member's memory against calls by ever new names: each was remembered for a minute and a half.
+func TestRememberedInstancesAreBounded(t *testing.T) {
+	const limit = 5
+	c := newCluster()
+	for _, member := range c.controllers {
+		member.options.MaxInstances = limit
+	}
+	heartbeat := func(id string) int {
+		return c.call(0, Event{Heartbeat: &fleet.Instance{ID: id, Service: "svc", Addr: "10.9.0.1:" + id, Zone: "a", Slots: 4, Sequence: 1}})
+	}
+	for i := range limit {
+		if status := heartbeat(fmt.Sprint(100 + i)); status != http.StatusOK {
+			t.Fatalf("instance %d: %d", i, status)
+		}
+	}
+	if status := heartbeat("200"); status != http.StatusServiceUnavailable {
+		t.Errorf("one more is answered %d", status)
+	}
+	if status := c.call(0, Event{Deregister: "201"}); status != http.StatusServiceUnavailable {
+		t.Errorf("the end of an unknown one is answered %d", status)
+	}
+	if status := heartbeat("100"); status != http.StatusOK {
+		t.Errorf("a known one is answered %d", status)
+	}
+	if status := c.call(0, Event{Deregister: "101"}); status != http.StatusOK {
+		t.Errorf("the end of a known one is answered %d", status)
+	}
+	if remembered := c.controllers[0].Figures(c.now).RememberedInstances; remembered != limit {
+		t.Error(remembered, "are remembered")
+	}
+}
--- a/controlplane/registry/registry.go
+++ b/controlplane/registry/registry.go
@@ -83,6 +83,9 @@
 	return fleet.Instance{}, false
 }
 
+// Len is how many instances are remembered: those that are registered, and those that were deregistered not long ago.
+func (r *Registry) Len() int { return len(r.records) }
+
 // Remembers reports whether an instance is registered, or was deregistered not long ago.
 func (r *Registry) Remembers(id string) bool { return r.records[id] != nil }
 
--- a/internal/daemons/controlserver/figures.go
+++ b/internal/daemons/controlserver/figures.go
@@ -46,6 +46,9 @@
 			{"zincloft_controlplane_instances", float64(figures.Instances)},
 			{"zincloft_controlplane_instances_draining", float64(figures.DrainingInstances)},
 			{"zincloft_controlplane_instances_timed_out", float64(figures.TimedOutInstances)},
+			{"zincloft_controlplane_instances_remembered", float64(figures.RememberedInstances)},
+			{"zincloft_controlplane_instances_limit", float64(figures.MaxInstances)},
+			{"zincloft_controlplane_call_body_bytes", float64(s.bodies.Used())},
 			{"zincloft_controlplane_pending_calls", float64(len(s.pendingCalls))},
 		}
 	}
--- a/internal/daemons/controlserver/instancecalls.go
+++ b/internal/daemons/controlserver/instancecalls.go
@@ -1,6 +1,7 @@
 package controlserver
 
 import (
+	"cmp"
 	"errors"
 	"net/http"
 	"time"
@@ -50,7 +51,7 @@
 	response := s.call(r, controller.Event{Heartbeat: &heartbeat})
 	noteReason(w, response.Reason)
 	if response.Status != http.StatusOK {
-		s.writeResult(w, response.Status, noQuorumText)
+		s.writeResult(w, response.Status, cmp.Or(response.Reason, noQuorumText))
 		return
 	}
 	s.writeJSON(w, http.StatusOK, heartbeatBody{HeartbeatTarget: response.Address})
@@ -94,7 +95,7 @@
 	response := s.call(r, controller.Event{Deregister: id})
 	noteReason(w, response.Reason)
 	if response.Status != http.StatusOK {
-		s.writeResult(w, response.Status, noQuorumText)
+		s.writeResult(w, response.Status, cmp.Or(response.Reason, noQuorumText))
 		return
 	}
 	s.writeResult(w, http.StatusOK, "")
--- a/internal/daemons/controlserver/peers.go
+++ b/internal/daemons/controlserver/peers.go
@@ -117,18 +117,26 @@
 	return peertransport.ReadFrame(conn)
 }
 
+// readHello reads what a connection begins with.
+func readHello(conn net.Conn) (*messages.Hello, error) {
+	if err := conn.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return nil, err
+	}
+	return peertransport.ReadHello(conn)
+}
+
 // serveConnection serves a connection from a gateway or from another member, by its Hello.
 func (s *Server) serveConnection(conn *connlimit.Conn) {
 	defer s.close(conn)
-	first, err := readFrame(conn, helloTimeout)
-	if err != nil || first.Hello == nil || !conn.BeginRequest() {
+	hello, err := readHello(conn)
+	if err != nil || !conn.BeginRequest() {
 		return
 	}
-	if first.Hello.Gateway != "" {
-		s.serveGateway(conn, first.Hello)
+	if hello.Gateway != "" {
+		s.serveGateway(conn, hello)
 		return
 	}
-	s.servePeer(conn, first.Hello)
+	s.servePeer(conn, hello)
 }
 
 // servePeer takes the messages of another member until the connection ends. Only its newest connection counts.
--- a/internal/daemons/controlserver/server.go
+++ b/internal/daemons/controlserver/server.go
@@ -48,6 +48,9 @@
 	// bodyMemoryRatio is the part of the machine's memory bound that bodies of calls may hold at once.
 	bodyMemoryRatio = 0.25
 
+	// instancesPerMB of the machine's memory bound may be remembered: each takes about a kilobyte, with its place in what is sent and written.
+	instancesPerMB = 200
+
 	maxHeaderBytes = 16 << 10 // of a call: many callers may send a head at once
 
 	taskQueueSize = 1024
--- a/internal/daemons/controlserver/storage.go
+++ b/internal/daemons/controlserver/storage.go
@@ -105,6 +105,7 @@
 		HeartbeatInterval: s.settings.HeartbeatInterval,
 		RandomSeed:        mrand.Uint64(),
 		RegionByZone:      s.settings.ZoneRegions,
+		MaxInstances:      int(s.settings.MemoryMB) * instancesPerMB,
 	}
 }
 
--- a/internal/daemons/peertransport/frame.go
+++ b/internal/daemons/peertransport/frame.go
@@ -22,6 +22,7 @@
 const (
 	lengthSize      = 4
 	maxFrameSize    = 24 << 20 // bytes: a configuration of 16 MB, the largest that is accepted, and what goes with it
+	maxHelloSize    = 4 << 10
 	initialReadSize = 64 << 10 // bytes that are allocated before any has come
 	maxElements     = 1 << 20  // in one array or map of a frame
 )
@@ -29,6 +30,9 @@
 // ErrFrameTooLarge means that a peer announced a frame of more bytes than any message needs.
 var ErrFrameTooLarge = errors.New("frame is too large")
 
+// ErrNoHello means that a connection did not begin with a Hello.
+var ErrNoHello = errors.New("the first frame is no hello")
+
 // Frame is one unit of transport. The fields that are set say what it carries; an empty one only shows that its sender is alive.
 type Frame struct {
 	// Hello is the first frame on a connection, from whoever dialed it.
@@ -67,10 +71,24 @@
 	return append(raw, body...), nil
 }
 
+// ReadHello reads the first frame of a connection, by whoever dialed it: it is short, as nobody is known to be there yet.
+func ReadHello(reader io.Reader) (*messages.Hello, error) {
+	frame, err := readFrame(reader, maxHelloSize)
+	if err != nil {
+		return nil, err
+	}
+	if frame.Hello == nil {
+		return nil, ErrNoHello
+	}
+	return frame.Hello, nil
+}
+
 // ReadFrame reads and decodes one frame. It returns io.EOF if the connection ended between two frames, io.ErrUnexpectedEOF if it
 // ended within one, and an error that is ErrFrameTooLarge before it reads one that is too large.
-func ReadFrame(reader io.Reader) (*Frame, error) {
-	body, err := readBody(reader)
+func ReadFrame(reader io.Reader) (*Frame, error) { return readFrame(reader, maxFrameSize) }
+
+func readFrame(reader io.Reader, maxSize uint32) (*Frame, error) {
+	body, err := readBody(reader, maxSize)
 	if err != nil {
 		return nil, err
 	}
@@ -83,13 +101,13 @@
 
 // readBody reads a frame's encoded body. Memory is allocated for what has come, not for what the length announces: whoever
 // reaches the port could otherwise claim megabytes by four bytes.
-func readBody(reader io.Reader) ([]byte, error) {
+func readBody(reader io.Reader, maxSize uint32) ([]byte, error) {
 	var length [lengthSize]byte
 	if _, err := io.ReadFull(reader, length[:]); err != nil {
 		return nil, err
 	}
 	size := binary.BigEndian.Uint32(length[:])
-	if size > maxFrameSize {
+	if size > maxSize {
 		return nil, fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, size)
 	}
 	body := make([]byte, min(size, initialReadSize))
--- a/internal/daemons/peertransport/frame_test.go
+++ b/internal/daemons/peertransport/frame_test.go
@@ -54,6 +54,27 @@
 	}
 }
 
+// TestReadHelloIsShort guards memory against callers that nobody knows yet: each could send a frame of 24 MB before it had said who it is.
+func TestReadHelloIsShort(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		frame Frame
+		want  error
+	}{
+		{"a hello", Frame{Hello: &messages.Hello{Gateway: "g", Member: fleet.Member{Zone: "a"}}}, nil},
+		{"a long first frame", Frame{Hello: &messages.Hello{}, StateUpdate: &messages.StateUpdate{Config: make([]byte, maxHelloSize)}}, ErrFrameTooLarge},
+		{"another first frame", Frame{}, ErrNoHello},
+	} {
+		raw, err := EncodeFrame(&test.frame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ReadHello(bytes.NewReader(raw)); !errors.Is(err, test.want) {
+			t.Errorf("%s: %v, want %v", test.name, err, test.want)
+		}
+	}
+}
+
 // FuzzReadFrame reads what another process may send: it ends in a frame that can be sent on, or in an error.
 func FuzzReadFrame(f *testing.F) {
 	for _, frame := range []*Frame{
