--- a/internal/daemons/connlimit/reclaim.go
+++ b/internal/daemons/connlimit/reclaim.go
@@ -15,7 +15,7 @@
 	// Finished: its last response is written, and it only waits for the caller to close it.
 	Finished Rule = iota
 
-	// NeverUsed: no request was ever read from it. The bytes of an incomplete head change nothing: who sends them one by one uses the
+	// NeverUsed: no request of it was ever answered. The bytes of an incomplete head change nothing: who sends them one by one uses the
 	// connection no more than who sends none.
 	NeverUsed
 
