Types and design of the ownership of shard keys

Cause: nothing in the code grants shard keys to replicas, so a sharded service serves nobody.

Nothing uses them yet.

--- a/controlplane/controller/actions.go
+++ b/controlplane/controller/actions.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"zincloft.example/zincloft/controlplane/ownership"
 	"zincloft.example/zincloft/messages"
 )
 
@@ -13,6 +14,9 @@
 	CloseStreams     []uint64      `cbor:"5,keyasint,omitempty"`
 	LogEvents        []LogEvent    `cbor:"6,keyasint,omitempty"`
 	ShutdownComplete bool          `cbor:"7,keyasint,omitempty"` // after Shutdown: the process may exit
+
+	// Calls are made to replicas of sharded services. Each ends with one CallResult event.
+	Calls []ownership.Call `cbor:"8,keyasint,omitempty"`
 }
 
 // Send is a message to the control-plane member at an address.
--- a/controlplane/controller/events.go
+++ b/controlplane/controller/events.go
@@ -6,6 +6,7 @@
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/coordinator"
 	"zincloft.example/zincloft/controlplane/maintenance"
+	"zincloft.example/zincloft/controlplane/ownership"
 	"zincloft.example/zincloft/controlplane/peermessages"
 	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/messages"
@@ -31,6 +32,8 @@
 
 	MaintenanceCommand *maintenance.Command `cbor:"15,keyasint,omitempty"` // command received from an operator
 
+	CallResult *ownership.CallResult `cbor:"18,keyasint,omitempty"` // outcome of one of Actions.Calls
+
 	Shutdown  bool          `cbor:"16,keyasint,omitempty"` // graceful shutdown was requested
 	WallClock time.Duration `cbor:"17,keyasint,omitempty"` // with any event: time of day; 0 if unknown
 }
@@ -54,6 +57,8 @@
 	Fleet       *peermessages.GatewaySummary `cbor:"3,keyasint,omitempty"`
 	Ejections   []fleet.Ejection             `cbor:"4,keyasint,omitempty"`
 
+	KeyLoads []messages.ServiceKeyLoad `cbor:"6,keyasint,omitempty"` // reported by the sender's gateways, for the head of the chain
+
 	// PersistRequest, if not 0, asks the receiver to persist Instances and to confirm this request ID in coordinator.Message.HintsPersisted.
 	PersistRequest uint64 `cbor:"5,keyasint,omitempty"`
 }
--- a/gatewayconfig/config.go
+++ b/gatewayconfig/config.go
@@ -30,6 +30,8 @@
 	MaxConnections  int
 	WarmupDuration  time.Duration // duration of the warm-up of a replica after its start
 	WarmupRate      float64       // requests per second that a replica can serve while it is warming up
+	Sharded         bool          // each replica serves only requests on the shard keys that it was granted
+	ShardWarmup     time.Duration // how long keys are slow at a replica that received them without a handover
 }
 
 // Limits are the limits on client requests and connections.
--- a/gatewayconfig/fields.go
+++ b/gatewayconfig/fields.go
@@ -67,6 +67,15 @@
 	return field.Num
 }
 
+// boolField parses an optional boolean, false by default.
+func (p *parser) boolField(value gjson.Result, prefix, key string) bool {
+	field := value.Get(key)
+	if !isAbsent(field) && !field.IsBool() {
+		p.fail(prefix+key, "must be true or false")
+	}
+	return field.Type == gjson.True
+}
+
 // serviceField parses the name of a service, which must be defined in the configuration.
 func (p *parser) serviceField(value gjson.Result, prefix, key string) string {
 	name := p.stringField(value, prefix, key, true)
--- a/gatewayconfig/parse.go
+++ b/gatewayconfig/parse.go
@@ -70,6 +70,8 @@
 			MaxConnections:  int(p.numberField(value, prefix, "max_connections", 0, 0)),
 			WarmupDuration:  p.durationField(value, prefix, "cold_start", 0),
 			WarmupRate:      p.numberField(value, prefix, "cold_per_s", 0, 0),
+			Sharded:         p.boolField(value, prefix, "sharded"),
+			ShardWarmup:     p.durationField(value, prefix, "warm_up", 0),
 		}
 		if _, exists := p.config.Services[service.Name]; exists {
 			p.fail(prefix+"name", "must be unique")
--- a/internal/daemons/controlserver/peers.go
+++ b/internal/daemons/controlserver/peers.go
@@ -67,6 +67,7 @@
 		Instances:      message.Instances,
 		GatewaySummary: message.Fleet,
 		Ejections:      message.Ejections,
+		KeyLoads:       message.KeyLoads,
 		PersistRequest: message.PersistRequest,
 	}
 }
@@ -78,6 +79,7 @@
 		Instances:   frame.Instances,
 		Fleet:       frame.GatewaySummary,
 		Ejections:   frame.Ejections,
+		KeyLoads:    frame.KeyLoads,
 
 		PersistRequest: frame.PersistRequest,
 	}
--- a/internal/daemons/nodesettings/parse.go
+++ b/internal/daemons/nodesettings/parse.go
@@ -151,5 +151,7 @@
 		RetryBudgetSlack:   r.number(boundsSection+"retry_budget_slack", 0, 10),
 		WarmupOverage:      r.number(boundsSection+"cold_overage", 1, 1.5),
 		WarmupSlack:        r.number(boundsSection+"cold_slack", 0, 5),
+		MaxLeaseDuration:   r.positiveDuration(boundsSection+"max_hold", 10*time.Second),
+		ThawSlack:          r.nonNegativeDuration(boundsSection+"thaw_slack", 0),
 	}
 }
--- a/internal/daemons/nodesettings/settings.go
+++ b/internal/daemons/nodesettings/settings.go
@@ -83,4 +83,7 @@
 	RetryBudgetSlack   float64 // retries per window in addition to RetryBudgetRatio, over all gateways
 	WarmupOverage      float64 // maximum requests per second to a replica that is warming up, as a multiple of cold_per_s
 	WarmupSlack        float64 // requests per second in addition to that maximum
+
+	MaxLeaseDuration time.Duration // of a grant of shard keys to a replica
+	ThawSlack        time.Duration // after a machine has resumed or a link has healed, during which delayed grants may arrive
 }
--- a/internal/daemons/peertransport/frame.go
+++ b/internal/daemons/peertransport/frame.go
@@ -49,6 +49,8 @@
 	GatewaySummary *peermessages.GatewaySummary `cbor:"6,keyasint,omitempty"`
 	Ejections      []fleet.Ejection             `cbor:"7,keyasint,omitempty"`
 
+	KeyLoads []messages.ServiceKeyLoad `cbor:"9,keyasint,omitempty"`
+
 	// PersistRequest is sent between members along with Instances.
 	PersistRequest uint64 `cbor:"8,keyasint,omitempty"`
 }
--- a/messages/gateway.go
+++ b/messages/gateway.go
@@ -30,6 +30,9 @@
 	// Deregistered lists the IDs of replicas at whose address a different replica responded.
 	Deregistered []string `cbor:"7,keyasint,omitempty"`
 
+	// KeyLoads lists the requests of sharded services by key in the period.
+	KeyLoads []ServiceKeyLoad `cbor:"10,keyasint,omitempty"`
+
 	// Status describes the gateway itself. It is nil unless maintenance windows are in use.
 	Status *GatewayStatus `cbor:"9,keyasint,omitempty"`
 }
--- a/messages/stateupdate.go
+++ b/messages/stateupdate.go
@@ -56,6 +56,9 @@
 	// PairEjections lists the replicas that were ejected or readmitted at this gateway only since the last update.
 	PairEjections []PairEjection `cbor:"14,keyasint,omitempty"`
 
+	// Ownership lists the changed ranges of sharded services, or all ranges in a full update.
+	Ownership []ServiceOwnership `cbor:"17,keyasint,omitempty"`
+
 	// Bootstrapping reports that the sender has just started or was isolated and may not know all instances yet.
 	Bootstrapping bool `cbor:"12,keyasint,omitempty"`
 }
