Granter of shard leases at the head of the chain

Cause: nothing decides which replica is granted which shard keys.

Change: controlplane/granter decides calls and changes of the ownership table; the controller confirms the head's authority by linearizable reads, commits the table in the record "owners" of the register, publishes it to gateways and forwards their key loads to the head.

--- a/controlplane/controller/controller.go
+++ b/controlplane/controller/controller.go
@@ -39,6 +39,8 @@
 	// MaxInstances limits the number of tracked instances, including recently deregistered ones; 0 means unlimited. Calls that would exceed it are
 	// rejected; instances reported by other members are always accepted.
 	MaxInstances int `cbor:"10,keyasint,omitempty"`
+
+	MaxLease time.Duration `cbor:"11,keyasint,omitempty"` // longest lease of shard keys that replicas accept; 0 means no limit
 }
 
 // Controller is the state machine of one control-plane member. Its methods must not be called concurrently.
@@ -49,6 +51,7 @@
 	registry    *registry.Registry
 	outliers    *outlier.Detector
 	maintenance maintenanceTracker
+	owners      ownershipTracker
 
 	weights         *weighting.Manager
 	weightsRevision uint64 // registry revision last passed to weights
@@ -98,6 +101,7 @@
 		registry:           registry.New(time.Duration(heartbeatTimeoutIntervals * float64(options.HeartbeatInterval))),
 		outliers:           outlier.New(),
 		maintenance:        newMaintenanceTracker(),
+		owners:             newOwnershipTracker(options),
 		callTokens:         map[uint64]uint64{},
 		removalCalls:       map[uint64]*removalCall{},
 		replicatedRemovals: map[removal]bool{},
@@ -174,6 +178,8 @@
 		}
 	case event.WriteResult != nil:
 		c.applyCoordinatorActions(now, c.coordinator.StatePersisted(now, event.WriteResult.Error))
+	case event.CallResult != nil:
+		c.handleCallResult(now, *event.CallResult)
 	case event.DiscoveredAddrs != nil:
 		c.coordinator.SetSeeds(event.DiscoveredAddrs)
 	case event.Shutdown:
@@ -190,5 +196,8 @@
 	c.logInfo("shutdown_started")
 }
 
+// sortedKeyCounts returns the keys of a map of counts in sorted order.
+func sortedKeyCounts(m map[uint16]uint32) []uint16 { return slices.Sorted(maps.Keys(m)) }
+
 // sortedKeys returns the keys of a map in sorted order, which keeps decisions deterministic.
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/controlplane/controller/gossip.go
+++ b/controlplane/controller/gossip.go
@@ -34,6 +34,7 @@
 			c.maintenance.peerSummaries[from.ID] = peerSummary{now, *message.Fleet}
 		}
 	}
+	c.recordKeyLoads(message.KeyLoads)
 	for _, ejection := range message.Ejections {
 		c.outliers.RecordRemote(now, ejection)
 		c.publishEjection(ejection)
--- a/controlplane/controller/publication.go
+++ b/controlplane/controller/publication.go
@@ -88,6 +88,7 @@
 		needed = true
 	}
 	needed = c.addRegister(&update, round, stream) || needed
+	needed = c.addOwnership(&update, stream) || needed
 	if !round.complete {
 		return update, needed
 	}
--- a/controlplane/controller/replication.go
+++ b/controlplane/controller/replication.go
@@ -72,6 +72,15 @@
 		c.completeJoins(now, response.Err)
 		return
 	}
+	if response.RequestID == c.owners.authorityRequest {
+		c.completeAuthority(now, response)
+		return
+	}
+	if response.RequestID == c.owners.proposalRequest {
+		c.owners.proposalRequest = 0
+		c.advanceOwnership(now)
+		return
+	}
 	if call, ok := c.removalCalls[response.RequestID]; ok {
 		delete(c.removalCalls, response.RequestID)
 		c.completeRemoval(call, response)
@@ -96,6 +105,7 @@
 	}
 	c.updateEvacuations(now, register)
 	c.publish(now, true)
+	c.advanceOwnership(now)
 }
 
 // applyConfiguration applies a committed configuration. If it cannot be parsed, the previous one stays in effect.
@@ -106,6 +116,7 @@
 		return
 	}
 	c.config = config
+	c.owners.services = config.ShardedServices()
 	c.weights.Configure(now, config, c.gatewayCount())
 	c.weightsRevision = registry.AllRevisions
 	c.logInfo("config_committed", "version", register.Version, "sequence", register.Sequence, "routes", config.RouteCount)
--- a/controlplane/controller/streams.go
+++ b/controlplane/controller/streams.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/coordinator"
+	"zincloft.example/zincloft/controlplane/ownership"
 	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/messages"
 )
@@ -26,6 +27,9 @@
 	warmupRates       map[string]float32 // by instance
 	lastSentAt        time.Duration
 
+	owners         ownership.Table // as last published
+	ownersRevision uint64
+
 	status   *messages.GatewayStatus // reported if maintenance windows are in use; nil if not yet reported
 	statusAt time.Duration
 }
@@ -108,6 +112,7 @@
 		return
 	}
 	c.weights.RecordReport(now, stream.gateway, report)
+	c.owners.keyLoads.add(report.KeyLoads)
 	if report.Status != nil {
 		stream.status = report.Status
 		stream.statusAt = now
--- a/controlplane/controller/tick.go
+++ b/controlplane/controller/tick.go
@@ -70,6 +70,8 @@
 	c.gossip(now)
 	c.resendRemovals(now)
 	c.advanceMaintenance(now)
+	c.forwardKeyLoads(now)
+	c.advanceOwnership(now)
 	c.weights.Tick(now)
 	c.publish(now, false)
 	c.actions.ShutdownComplete = c.shuttingDown && c.coordinator.LeaveComplete(now)
--- /dev/null
+++ b/controlplane/granter/plan.go
@@ -0,0 +1,58 @@
+package granter
+
+import (
+	"slices"
+	"time"
+
+	"zincloft.example/zincloft/controlplane/ownership"
+)
+
+const (
+	rangesPerReplica = 8 // of the first division
+
+	planInterval    = time.Second
+	maxMovesPerPlan = 48
+
+	// The first division waits until no replica has been added for divisionQuietPeriod.
+	divisionQuietPeriod = 1600 * time.Millisecond
+)
+
+// divide makes the first division of a service's keys.
+func (g *Granter) divide(now time.Duration, service *serviceState, name string, pool *replicaPool, input Input, changes *changes) {
+	if count := len(pool.eligible); count > service.replicaCount {
+		service.replicaCount = count
+		service.replicaCountedAt = now
+	}
+	if len(pool.eligible) == 0 || input.Bootstrapping || now-service.replicaCountedAt < divisionQuietPeriod {
+		return
+	}
+	changes.divide(name, pool.eligible)
+}
+
+// plan starts the moves of ranges whose owners have to give them up and, once per planInterval, those that balance the load.
+func (g *Granter) plan(now time.Duration, name string, service *serviceState, pool *replicaPool, input Input, changes *changes) {
+	if len(pool.eligible) == 0 || input.ProposalPending {
+		return
+	}
+	ranges := changes.table.Services[name]
+	evicting := !input.Bootstrapping && slices.ContainsFunc(ranges, func(r ownership.Range) bool {
+		return r.Phase == ownership.PhaseGranted && !pool.keeps[r.Owner]
+	})
+	if !evicting && now < service.nextPlanAt || input.Bootstrapping {
+		return
+	}
+	if now >= service.nextPlanAt {
+		service.load.update(now)
+		service.nextPlanAt = now + planInterval
+	}
+	moves := ownership.PlanMoves(ownership.PlanInput{
+		Ranges:   ranges,
+		Replicas: pool.eligible,
+		Keeps:    pool.keeps,
+		Load:     service.load.rates(),
+		MaxMoves: maxMovesPerPlan,
+	})
+	if len(moves) > 0 {
+		changes.release(name, moves)
+	}
+}
--- /dev/null
+++ b/controlplane/granter/pool.go
@@ -0,0 +1,69 @@
+package granter
+
+import (
+	"slices"
+	"time"
+
+	"zincloft.example/zincloft/controlplane/ownership"
+	"zincloft.example/zincloft/fleet"
+)
+
+// unreachableAfter is how long calls to a replica must have failed before its ranges are given to others.
+const unreachableAfter = 1200 * time.Millisecond
+
+// replicaPool is what a step knows about the replicas of one service.
+type replicaPool struct {
+	eligible  []ownership.Replica // may receive ranges, ordered by ID
+	keeps     map[string]bool     // may keep the ranges that they own, by ID
+	addresses map[string]string   // of all registered replicas, by ID
+}
+
+// newReplicaPool classifies the registered replicas of a service. A replica that is draining, in an evacuated zone or unreachable loses its ranges; one
+// that is warming up keeps them and receives none.
+func newReplicaPool(g *Granter, now time.Duration, input Input, service string) *replicaPool {
+	pool := &replicaPool{keeps: map[string]bool{}, addresses: map[string]string{}}
+	for _, instance := range input.Instances {
+		if instance.Service != service {
+			continue
+		}
+		pool.addresses[instance.ID] = instance.Addr
+		leaving := instance.Deregistered || instance.Draining || slices.Contains(input.EvacuatedZones, instance.Zone)
+		if leaving || g.isUnreachable(now, instance.ID) {
+			continue
+		}
+		pool.keeps[instance.ID] = true
+		if g.isSuitable(instance) {
+			replica := ownership.Replica{ID: instance.ID, Zone: instance.Zone, Slots: max(instance.Slots, 1)}
+			pool.eligible = append(pool.eligible, replica)
+		}
+	}
+	return pool
+}
+
+// isUnreachable reports whether calls to a replica have failed for too long.
+func (g *Granter) isUnreachable(now time.Duration, id string) bool {
+	replica := g.replicas[id]
+	if replica == nil {
+		return false
+	}
+	return replica.misdirected || replica.failures > 1 && now-replica.failingSince >= unreachableAfter
+}
+
+// isSuitable reports whether a replica that stays may receive ranges.
+func (g *Granter) isSuitable(instance fleet.Instance) bool {
+	warmingUp := instance.WarmupMillis > 0 || instance.WarmupStateUnknown
+	failing := g.replicas[instance.ID] != nil && g.replicas[instance.ID].failures > 0
+	return !warmingUp && !instance.HeartbeatTimedOut && !failing
+}
+
+func (p *replicaPool) isEligible(id string) bool {
+	return id != "" && slices.ContainsFunc(p.eligible, func(replica ownership.Replica) bool { return replica.ID == id })
+}
+
+// chooseTarget returns the eligible replica that a range fits best, or an empty string if there is none.
+func (p *replicaPool) chooseTarget(ranges []ownership.Range, load ownership.Load, from, to uint16) string {
+	if len(p.eligible) == 0 {
+		return ""
+	}
+	return ownership.ChooseTarget(ownership.PlanInput{Ranges: ranges, Replicas: p.eligible, Load: load}, from, to)
+}
--- a/gatewayconfig/routing.go
+++ b/gatewayconfig/routing.go
@@ -6,6 +6,18 @@
 	"strings"
 )
 
+// ShardedServices returns the names of the sharded services, sorted.
+func (c *Config) ShardedServices() []string {
+	var names []string
+	for name, service := range c.Services {
+		if service.Sharded {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // FindRoute returns the route of a host with the longest matching path prefix. The host may include a port.
 func (c *Config) FindRoute(host, path string) (Route, bool) {
 	routes := c.routesByHost[strings.ToLower(withoutPort(host))]
--- a/internal/daemons/controlserver/storage.go
+++ b/internal/daemons/controlserver/storage.go
@@ -95,6 +95,7 @@
 
 func (s *Server) controllerOptions(seeds []string) controller.Options {
 	return controller.Options{
+		MaxLease:          s.settings.Bounds.MaxLeaseDuration,
 		Zone:              s.settings.Zone,
 		ControlAddr:       s.settings.ControlAddress,
 		Zones:             slices.Sorted(maps.Keys(s.settings.ZoneRegions)),
