Gateways route sharded services by the owners of their keys

Gateways sent a sharded service's requests to any replica. They now keep an immutable table of the owners per service (dataplane/shardmap), pick the owner alone, wait a bounded time while a key moves, and tell a replica that does not hold a key (421 with X-Not-Executed) from one that has another's address. A missing or malformed X-Shard-Key gets 400 that names the header. Load reports count requests by key.

--- a/dataplane/loadbalancer/endpoint.go
+++ b/dataplane/loadbalancer/endpoint.go
@@ -41,6 +41,9 @@
 	consecutiveFailures int
 	failureRate         float64 // moving average, from 0 to 1
 
+	connectFailed   bool          // the last attempt that ended found no connection
+	connectFailedAt time.Duration // valid if connectFailed is set
+
 	// Statistics since the last ResetStats.
 	Attempts     int // started attempts
 	Successes    int
--- a/dataplane/loadbalancer/result.go
+++ b/dataplane/loadbalancer/result.go
@@ -21,6 +21,7 @@
 	NoResponse                  // no response, or the connection was lost
 	ConnectFailed               // no connection could be opened
 	Canceled                    // the client disconnected, or another attempt completed first
+	NotOwner                    // the endpoint does not hold the request's shard key and did not execute it
 )
 
 // StartAttempt counts an attempt that is about to be sent to an endpoint. It must be followed by EndAttempt.
@@ -37,6 +38,9 @@
 // EndAttempt records the result of an attempt.
 func (b *Balancer) EndAttempt(now time.Duration, endpoint *Endpoint, result Result, latency time.Duration) {
 	endpoint.inFlight--
+	if endpoint.connectFailed = result == ConnectFailed; endpoint.connectFailed {
+		endpoint.connectFailedAt = now
+	}
 	switch result {
 	case Success:
 		endpoint.Successes++
--- a/dataplane/router/attempt.go
+++ b/dataplane/router/attempt.go
@@ -21,6 +21,10 @@
 	Attempted []string          `cbor:"2,keyasint,omitempty"` // IDs of endpoints that were already tried
 	Admission admission.Request `cbor:"3,keyasint"`
 	OnlyIdle  bool              `cbor:"4,keyasint,omitempty"` // pick only a healthy endpoint with free slots
+
+	// Sharded limits the pick to the owner of Key, whether or not it was already tried.
+	Sharded bool   `cbor:"5,keyasint,omitempty"`
+	Key     uint16 `cbor:"6,keyasint,omitempty"`
 }
 
 // PickResult is the endpoint that was picked, if any. If there is one, the attempt must be ended with EndAttempt.
@@ -31,6 +35,10 @@
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"` // if no endpoint was picked: when the client should retry
 
 	NoEndpointKnown bool `cbor:"5,keyasint,omitempty"` // no endpoint was picked because the service has none
+
+	// OwnerPending reports that no endpoint was picked because the shard key has no owner that can be reached: the key is being
+	// moved, or will be. The request does not count as rejected.
+	OwnerPending bool `cbor:"6,keyasint,omitempty"`
 }
 
 // AttemptResult is the outcome of an attempt.
@@ -63,7 +71,12 @@
 	controller := r.admission(request.Service)
 	attempted := func(id string) bool { return slices.Contains(request.Attempted, id) }
 	var endpoint *loadbalancer.Endpoint
-	if request.OnlyIdle {
+	if request.Sharded {
+		var pending bool
+		if endpoint, pending = r.pickOwner(now, request, controller.MaxQueueDepth(request.Admission)); pending {
+			return PickResult{OwnerPending: true}
+		}
+	} else if request.OnlyIdle {
 		endpoint = r.balancer.PickIdle(now, request.Service, attempted, r.random)
 	} else {
 		endpoint = r.balancer.Pick(now, request.Service, attempted, controller.MaxQueueDepth(request.Admission), r.random)
--- a/dataplane/router/report.go
+++ b/dataplane/router/report.go
@@ -18,6 +18,7 @@
 		report.Status = r.gatewayStatus(now, period, cpuUtilization)
 	}
 	r.requestCounts = map[string]int{}
+	report.KeyLoads = r.takeKeyLoads()
 	for _, endpoint := range r.balancer.All() {
 		if endpoint.Attempts == 0 && endpoint.Successes == 0 && endpoint.Failures == 0 {
 			continue
--- a/dataplane/router/router.go
+++ b/dataplane/router/router.go
@@ -15,6 +15,7 @@
 	"zincloft.example/zincloft/dataplane/admission"
 	"zincloft.example/zincloft/dataplane/loadbalancer"
 	"zincloft.example/zincloft/dataplane/retry"
+	"zincloft.example/zincloft/dataplane/shardmap"
 	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/gatewayconfig"
 )
@@ -60,6 +61,8 @@
 	hasWarmupRates     bool          // some warm-up rate has not expired
 	isolated           bool          // no member is reachable, so send rates are limited; see updateIsolation
 
+	ownership map[string]*shardmap.Table // by sharded service
+
 	// Requests and attempts.
 	balancer      *loadbalancer.Balancer
 	admissions    map[string]*admission.Controller // by service
@@ -68,6 +71,7 @@
 	lastAttemptID uint64
 	inFlight      int                      // client requests
 	requestCounts map[string]int           // requests since the last report, by service
+	keyCounts     map[string]keyCounts     // requests since the last report, by sharded service
 	observedAt    map[string]time.Duration // time of the last reported observation, by endpoint ID
 
 	// Maintenance windows.
@@ -89,6 +93,8 @@
 		retryBudgets:  map[string]*retry.Budget{},
 		attempts:      map[uint64]attempt{},
 		requestCounts: map[string]int{},
+		keyCounts:     map[string]keyCounts{},
+		ownership:     map[string]*shardmap.Table{},
 		observedAt:    map[string]time.Duration{},
 		phase:         fleet.PhaseServing,
 		groupRequests: map[string]int{},
--- a/dataplane/router/update.go
+++ b/dataplane/router/update.go
@@ -16,6 +16,8 @@
 	ConfigError      string                `cbor:"3,keyasint,omitempty"` // reason why a new configuration was rejected
 	FullTable        bool                  `cbor:"4,keyasint,omitempty"` // the update was a full update
 	Stale            bool                  `cbor:"5,keyasint,omitempty"` // the update may be stale and was not applied; the stream must be closed
+	OwnershipChanged bool                  `cbor:"6,keyasint,omitempty"` // some shard keys have changed their owner or begun to move
+	OwnershipError   string                `cbor:"7,keyasint,omitempty"` // reason why an ownership table was rejected
 }
 
 // Apply applies an update from a control-plane member. A register or configuration that is older than the one in force is
@@ -37,6 +39,7 @@
 	result.FullTable = update.Full
 	r.hasTable = r.hasTable || update.Full
 	result.RemovedEndpoints = r.balancer.UpdateInstances(now, update.Full && !update.Bootstrapping, update.Instances)
+	result.OwnershipChanged, result.OwnershipError = r.applyOwnership(now, update.Ownership)
 	r.applyRegister(now, update)
 	r.applyEndpointTable(now, update)
 	if len(update.Members) > 0 {
@@ -102,9 +105,14 @@
 func (r *Router) updateMaxInFlight() {
 	limits := map[string]int{}
 	for name, service := range r.config.Services {
-		if service.MaxConnections > 0 {
-			limits[name] = loadbalancer.ConnectionShare(service.MaxConnections, r.gateways, r.settings.Zones)
+		if service.MaxConnections <= 0 {
+			continue
 		}
+		zones := r.settings.Zones
+		if service.Sharded {
+			zones = 1 // the gateways of all zones send to a key's owner
+		}
+		limits[name] = loadbalancer.ConnectionShare(service.MaxConnections, r.gateways, zones)
 	}
 	r.balancer.SetMaxInFlight(limits)
 }
--- a/internal/daemons/gateway/attempt.go
+++ b/internal/daemons/gateway/attempt.go
@@ -42,9 +42,12 @@
 		ConnectionRefused: outcome.ConnectionRefused,
 	}
 	if outcome.Response != nil {
-		result.Misdirected = outcome.Response.Status == http.StatusMisdirectedRequest
+		result.Misdirected = outcome.Response.Status == http.StatusMisdirectedRequest && !outcome.NotOwner
 		result.Load = parseLoad(outcome.Response.Header)
 	}
+	if outcome.NotOwner {
+		g.count(countNotOwner)
+	}
 	if outcome.Cause != "" {
 		g.count(countAttemptPrefix + counter(outcome.Cause))
 	}
@@ -66,6 +69,8 @@
 		return loadbalancer.Canceled
 	case outcome.NotSent:
 		return loadbalancer.ConnectFailed
+	case outcome.NotOwner:
+		return loadbalancer.NotOwner
 	case outcome.Rejected:
 		return loadbalancer.Rejected
 	case canceled && outcome.Execution != retry.Answered:
--- a/internal/daemons/gateway/badrequest.go
+++ b/internal/daemons/gateway/badrequest.go
@@ -9,6 +9,7 @@
 	causeHeadTooLarge     badRequestCause = "head_too_large"
 	causeBodyLate         badRequestCause = "body_late"    // body incomplete at the deadline
 	causeBodyFraming      badRequestCause = "body_framing" // body rejected by net/http
+	causeShardKey         badRequestCause = "shard_key"    // shard key missing or malformed
 )
 
 // maxServerCauseBytes limits the logged part of an error response of net/http.
--- a/internal/daemons/gateway/controlstream.go
+++ b/internal/daemons/gateway/controlstream.go
@@ -152,6 +152,9 @@
 func (g *Gateway) applyUpdate(update *messages.StateUpdate) (stale bool) {
 	g.mu.Lock()
 	result := g.router.Apply(g.now(), update)
+	if result.OwnershipChanged {
+		g.ownership.broadcast()
+	}
 	draining := !g.router.IsServing()
 	g.mu.Unlock()
 	if g.draining.Swap(draining) != draining {
@@ -160,6 +163,9 @@
 	if result.ConfigError != "" {
 		g.logger.Error().Str("event", "config_rejected").Uint64("version", update.ConfigVersion).Str("error", result.ConfigError).Msg("invalid configuration rejected; the previous one stays in effect")
 	}
+	if result.OwnershipError != "" && g.logLimiter.Allow() {
+		g.logger.Error().Str("event", "ownership_rejected").Str("error", result.OwnershipError).Msg("invalid table of shard-key owners rejected; the previous one stays in effect")
+	}
 	for _, endpoint := range result.RemovedEndpoints {
 		g.pool.CloseIdle(endpoint)
 	}
--- a/internal/daemons/gateway/counters.go
+++ b/internal/daemons/gateway/counters.go
@@ -26,6 +26,9 @@
 	countDeadlineTooClose     counter = "deadline_too_close"     // not enough time left for an attempt
 	countOverloaded           counter = "overloaded"             // no endpoint could take the request
 	countNoEndpoint           counter = "no_endpoint_known"      // the endpoint table has no endpoint of the service
+	countOwnerWait            counter = "owner_wait"             // waited for an owner of its shard key
+	countOwnerPending         counter = "owner_pending"          // answered 503, as the shard key had no owner in time
+	countNotOwner             counter = "not_owner"              // the replica did not hold the shard key
 	countHedged               counter = "hedged"                 // sent to a second replica while the first attempt is pending
 	countRetryBudgetExhausted counter = "retry_budget_exhausted" // retry denied by the retry budget
 
--- a/internal/daemons/gateway/forward.go
+++ b/internal/daemons/gateway/forward.go
@@ -20,14 +20,18 @@
 	gateway *Gateway
 	route   gatewayconfig.Route
 	service string
+	sharded bool   // only the owner of the shard key can serve the request
+	key     uint16 // shard key; valid if sharded is set
 
 	request   replica.Request    // template of each attempt, without InstanceID
 	attempted []string           // endpoints tried so far
 	results   chan attemptResult // buffered for all attempts, so that no send blocks
 	pending   int                // attempts without a result
 
+	notOwnerAnswers int // attempts at replicas that did not hold the shard key
+
 	progress    retry.State
-	attemptTime time.Duration // total duration of the ended attempts
+	attemptTime time.Duration // total duration of the ended attempts and of waits for an owner
 
 	arrivedAt      time.Time
 	configVersion  uint64
@@ -53,21 +57,27 @@
 // forward makes attempts at replicas until one returns a response or no retry is allowed.
 //
 // An idempotent request without a response after the hedge delay is sent to a second replica, in case the first one hangs
-// or its response was lost. The first response wins; the other attempt is canceled by closing its connection.
+// or its response was lost. The first response wins; the other attempt is canceled by closing its connection. A request with a
+// shard key is not hedged, as only the owner of the key can serve it.
 func (g *Gateway) forward(w http.ResponseWriter, r *http.Request, request clientRequest) {
 	f := newForwarding(g, r, request)
+	if rejected := f.readShardKey(r); rejected.isRejection() {
+		f.reject(w, r, rejected)
+		return
+	}
 	var hedge <-chan time.Time
 	if f.route.Idempotent { // canceled when the client disconnects; other requests run to completion
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
 		f.request.Cancel = ctx
-		if delay, ok := retry.HedgeDelay(f.route.LatencyTarget, f.timeLeft()); ok && f.route.MaxAttempts > 1 {
+		if delay, ok := retry.HedgeDelay(f.route.LatencyTarget, f.timeLeft()); ok && f.route.MaxAttempts > 1 && !f.sharded {
 			timer := time.NewTimer(delay)
 			defer timer.Stop()
 			hedge = timer.C
 		}
 	}
 	g.startRequest(f.service)
+	f.countKey()
 	startedAt := time.Now()
 	defer func() { g.endRequest(f.route.Idempotent, time.Since(startedAt), f.attemptTime) }()
 	defer f.discardResponses()
@@ -87,9 +97,7 @@
 				f.writeReplicaResponse(w, r, result.Response)
 				return
 			case retryRequest:
-				if !f.startAttempt(f.pickEndpoint(false)) {
-					f.reason = reasonNoEndpoint
-				}
+				f.retry(r.Context(), result)
 			case abortClient:
 				f.gateway.metrics.failed.Inc()
 				f.recordFailure(0, endedByClient)
@@ -108,6 +116,7 @@
 		gateway: g,
 		route:   route,
 		service: service,
+		sharded: request.config.Services[service].Sharded,
 		request: replica.Request{
 			Method:          r.Method,
 			URI:             request.target,
@@ -123,7 +132,7 @@
 		progress:      retry.State{Idempotent: route.Idempotent, MaxAttempts: route.MaxAttempts, LatencyTarget: route.LatencyTarget},
 		strongest:     replica.Outcome{Execution: retry.NotExecuted},
 		arrivedAt:     request.arrivedAt,
-		configVersion: request.configVersion,
+		configVersion: request.config.Version,
 	}
 }
 
@@ -138,10 +147,13 @@
 	if !retry.EnoughTime(f.timeLeft(), f.route.LatencyTarget) {
 		return rejection{status: http.StatusServiceUnavailable, counter: countDeadlineTooClose, retryAfter: defaultRetryAfter}
 	}
-	picked := f.pickEndpoint(false)
+	picked := f.awaitEndpoint(client)
 	if f.startAttempt(picked) {
 		return rejection{}
 	}
+	if picked.OwnerPending {
+		return f.ownerPendingRejection(client)
+	}
 	rejected := rejection{status: http.StatusServiceUnavailable, counter: countOverloaded, retryAfter: picked.RetryAfter}
 	if picked.NoEndpointKnown {
 		rejected.counter = countNoEndpoint
@@ -149,12 +161,15 @@
 	return rejected
 }
 
-// pickEndpoint picks an endpoint that has not been tried, with free slots if onlyIdle is set.
+// pickEndpoint picks an endpoint that has not been tried, with free slots if onlyIdle is set. The owner of a shard key is picked
+// even if it has been tried.
 func (f *forwarding) pickEndpoint(onlyIdle bool) pickedEndpoint {
 	return f.gateway.pick(router.PickRequest{
 		Service:   f.service,
 		Attempted: f.attempted,
 		OnlyIdle:  onlyIdle,
+		Sharded:   f.sharded,
+		Key:       f.key,
 		Admission: admission.Request{
 			Route:         f.route.Name,
 			LatencyTarget: f.route.LatencyTarget,
@@ -179,6 +194,23 @@
 	return true
 }
 
+// retry starts another attempt after one that has ended with the given result.
+func (f *forwarding) retry(client context.Context, last attemptResult) {
+	if last.NotOwner {
+		f.pauseAfterNotOwner(client, last.picked)
+	}
+	picked := f.awaitEndpoint(client)
+	switch {
+	case f.startAttempt(picked):
+	case client.Err() != nil:
+		f.reason = string(countClientGone)
+	case picked.OwnerPending:
+		f.reason = string(countOwnerPending)
+	default:
+		f.reason = reasonNoEndpoint
+	}
+}
+
 // startHedge starts a second concurrent attempt if the attempt limit, the retry budget and an idle endpoint allow it.
 func (f *forwarding) startHedge() {
 	if f.progress.Attempts < f.progress.MaxAttempts && f.pending == 1 && f.gateway.tryRetry(f.service) {
@@ -223,6 +255,9 @@
 	}
 	refusal := retry.RefusalOf(outcome.Execution, f.progress)
 	f.reason = string(refusal)
+	if outcome.NotOwner && refusal == retry.RefusedAttempts {
+		f.reason = reasonNotOwner
+	}
 	if refusal != "" || f.pending > 0 {
 		return waitForPending
 	}
--- a/internal/daemons/gateway/forwardfailure.go
+++ b/internal/daemons/gateway/forwardfailure.go
@@ -7,8 +7,10 @@
 	"time"
 )
 
-// reasonNoEndpoint is recorded if a retry was allowed but no endpoint was available.
-const reasonNoEndpoint = "no_endpoint"
+const (
+	reasonNoEndpoint = "no_endpoint" // a retry was allowed but no endpoint was available
+	reasonNotOwner   = "not_owner"   // the last attempt the route allows met a replica that did not hold the shard key
+)
 
 // reject answers a request that no replica has executed and records the failure.
 func (f *forwarding) reject(w http.ResponseWriter, r *http.Request, rejected rejection) {
--- a/internal/daemons/gateway/gateway.go
+++ b/internal/daemons/gateway/gateway.go
@@ -85,8 +85,9 @@
 	counters *eventCounters
 	failures failureLog
 
-	mu     sync.Mutex // guards router and settings.Seeds
-	router *router.Router
+	mu        sync.Mutex // guards router, settings.Seeds and ownership.changed
+	router    *router.Router
+	ownership ownershipWaits
 }
 
 // New creates a gateway from its settings without opening sockets. It returns ErrMissingListener if a listen address is
@@ -122,7 +123,8 @@
 			WarmupSlack:   settings.Bounds.WarmupSlack,
 			Seed:          rand.Uint64(),
 		}),
-		counters: newEventCounters(set),
+		counters:  newEventCounters(set),
+		ownership: ownershipWaits{changed: make(chan struct{})},
 	}
 	g.metrics = newGatewayMetrics(set, g)
 	return g, nil
@@ -135,13 +137,15 @@
 type pickedEndpoint struct {
 	router.PickResult
 	tableUpdate uint64
+
+	ownershipChanged <-chan struct{} // closed once the owners of shard keys have changed since the pick
 }
 
 // pick selects the endpoint for an attempt.
 func (g *Gateway) pick(request router.PickRequest) pickedEndpoint {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return pickedEndpoint{g.router.Pick(g.now(), request), g.router.UpdateCount()}
+	return pickedEndpoint{g.router.Pick(g.now(), request), g.router.UpdateCount(), g.ownership.changed}
 }
 
 // startRequest counts a client request. Each call must be followed by endRequest.
--- a/internal/daemons/gateway/handler.go
+++ b/internal/daemons/gateway/handler.go
@@ -23,12 +23,12 @@
 
 // clientRequest is a routed request with a complete body.
 type clientRequest struct {
-	target        string // path and query
-	route         gatewayconfig.Route
-	configVersion uint64 // used to route the request
-	body          []byte
-	arrivedAt     time.Time
-	deadline      time.Time // for starting to send the response
+	target    string // path and query
+	route     gatewayconfig.Route
+	config    *gatewayconfig.Config // used to route the request
+	body      []byte
+	arrivedAt time.Time
+	deadline  time.Time // for starting to send the response
 }
 
 // handleRequest admits a client request, routes it, reads its body and forwards it. A request rejected before forwarding
@@ -97,7 +97,7 @@
 	if !ok {
 		return request, rejection{status: http.StatusNotFound, counter: countNoRoute}
 	}
-	return clientRequest{target: target, route: route, configVersion: config.Version}, rejection{}
+	return clientRequest{target: target, route: route, config: config}, rejection{}
 }
 
 // requestTarget returns the path and query of a request target in origin or absolute form (RFC 9112, 3.2), and whether it
--- a/internal/daemons/gateway/response.go
+++ b/internal/daemons/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,6 +21,7 @@
 	retryAfter time.Duration   // 0 to send no Retry-After
 	closesConn bool            // close the connection after the response
 	aborts     bool            // close the connection without a response
+	message    string          // body of the response; empty if there is none
 }
 
 func (r rejection) isRejection() bool { return r.status != 0 || r.aborts }
@@ -70,14 +72,21 @@
 	if rejected.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(rejected.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	writeEmptyResponse(w, rejected.status)
+	writeShortResponse(w, rejected.status, rejected.message)
 }
 
 // writeEmptyResponse sends a response without a body.
-func writeEmptyResponse(w http.ResponseWriter, status int) {
+func writeEmptyResponse(w http.ResponseWriter, status int) { writeShortResponse(w, status, "") }
+
+// writeShortResponse sends a response with a body of text, or without one if the text is empty.
+func writeShortResponse(w http.ResponseWriter, status int, text string) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(responseWriteGrace)) // fails on a closed connection only, as the write does then
-	w.Header().Set("Content-Length", "0")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if text != "" {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	}
 	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text) // fails on a closed connection only
 }
 
 // writeResponse sends a replica's response to the client. On an error, the response is truncated and the connection must be
--- a/internal/daemons/replica/replica.go
+++ b/internal/daemons/replica/replica.go
@@ -56,6 +56,7 @@
 	DeadlineExceeded  bool
 	ConnectionRefused bool // dialing failed with ECONNREFUSED
 	Rejected          bool // the replica stated that it did not execute the request
+	NotOwner          bool // it did so because it does not hold the request's shard key; Rejected is set as well
 
 	ConnID           uint64 // number of the connection in its pool; 0 if there was none
 	ConnRequestCount int    // requests sent on the connection, including this one
--- a/internal/daemons/replica/response.go
+++ b/internal/daemons/replica/response.go
@@ -136,7 +136,13 @@
 	belongs := id != "" || request.AttemptID == "" && !c.tainted
 	switch {
 	case rejected && response.Status >= 400 && belongs:
-		return Outcome{Execution: retry.NotExecuted, Response: response, Cause: rejectionCause(response.Status), Rejected: true}
+		return Outcome{
+			Execution: retry.NotExecuted,
+			Response:  response,
+			Cause:     rejectionCause(response.Status),
+			Rejected:  true,
+			NotOwner:  isNotOwner(request, response),
+		}
 	case rejected && !belongs:
 		return Outcome{Execution: retry.MayHaveExecuted, Cause: CauseMissingAttemptID}
 	case rejected, !belongs, !delimited, response.Header.Get("Content-Encoding") != "", response.Status/100 == 2 && response.Header.Get("X-Response-Seal") == "":
@@ -147,6 +153,14 @@
 	return Outcome{Execution: retry.Answered, Response: response}
 }
 
+// isNotOwner reports whether a rejection means that the replica does not hold the request's shard key. The rejection of a
+// request that was meant for another instance has the same status and names the instance that has the address.
+func isNotOwner(request *Request, response *Response) bool {
+	instance := response.Header.Get("X-Instance-Id")
+	return response.Status == http.StatusMisdirectedRequest && response.Header.Get("X-Not-Executed") != "" &&
+		(instance == "" || instance == request.InstanceID)
+}
+
 func invalidResponse() Outcome {
 	return Outcome{Execution: retry.MayHaveExecuted, Cause: CauseInvalid}
 }
