Calls to replicas of sharded services: client, run by the control-plane member

The control plane has to grant and release shard keys by calls to replicas. The member hands Actions.Calls to it and passes the results to the controller. The share of descriptors for callers falls from 0.6 to 0.55; calls to replicas get 0.1.

--- a/internal/daemons/controlserver/actions.go
+++ b/internal/daemons/controlserver/actions.go
@@ -36,6 +36,9 @@
 			stream.Shutdown()
 		}
 	}
+	if len(actions.Calls) > 0 {
+		s.replicaCalls.Start(actions.Calls)
+	}
 }
 
 func (s *Server) writeLog(line controller.LogEvent) {
--- a/internal/daemons/controlserver/connections.go
+++ b/internal/daemons/controlserver/connections.go
@@ -9,8 +9,9 @@
 
 // Shares of the process's file descriptors per listener. The rest is for files, outbound connections to other members and gossip.
 const (
-	callerDescriptorShare  = 0.6
+	callerDescriptorShare  = 0.55
 	peerDescriptorShare    = 0.25
+	replicaDescriptorShare = 0.1 // outbound connections to replicas of sharded services
 	metricsDescriptorShare = 0.01
 )
 
--- a/internal/daemons/controlserver/metrics.go
+++ b/internal/daemons/controlserver/metrics.go
@@ -19,6 +19,7 @@
 	for _, conns := range []*connlimit.Limiter{s.callerConns, s.peerConns, s.metricsConns} {
 		set.RegisterMetricsWriter(conns.WriteMetrics)
 	}
+	set.RegisterMetricsWriter(s.replicaCalls.WriteMetrics)
 	return set
 }
 
--- a/internal/daemons/controlserver/server.go
+++ b/internal/daemons/controlserver/server.go
@@ -24,6 +24,7 @@
 	"zincloft.example/zincloft/internal/daemons/bodybuffer"
 	"zincloft.example/zincloft/internal/daemons/connlimit"
 	"zincloft.example/zincloft/internal/daemons/gossip"
+	"zincloft.example/zincloft/internal/daemons/grantclient"
 	"zincloft.example/zincloft/internal/daemons/nodesettings"
 	"zincloft.example/zincloft/internal/daemons/peertransport"
 	"zincloft.example/zincloft/internal/daemons/statestore"
@@ -90,6 +91,8 @@
 	lastToken    uint64
 	pendingCalls map[uint64]chan controller.Response
 	streams      map[uint64]*peertransport.Conn
+
+	replicaCalls *grantclient.Client // calls to replicas of sharded services
 }
 
 // New returns a member with the given settings, which must include a control address and a data directory.
@@ -117,6 +120,7 @@
 		peerConns:      connlimit.New("peers", connlimit.Share(settings.FileDescriptors, peerDescriptorShare), logger),
 		metricsConns:   connlimit.New("figures", connlimit.Share(settings.FileDescriptors, metricsDescriptorShare), logger),
 	}
+	s.replicaCalls = s.newReplicaCalls()
 	s.metricSet = s.newMetrics()
 	return s, nil
 }
@@ -211,12 +215,15 @@
 	return nil
 }
 
-// shutdown waits up to responseDrainTimeout for calls in progress and closes all listeners and streams.
+// shutdown waits up to responseDrainTimeout for calls in progress and closes all listeners and streams. Calls to replicas end at once.
 func (s *Server) shutdown(httpServer *http.Server, peerListener net.Listener) {
 	ctx, cancel := context.WithTimeout(context.Background(), responseDrainTimeout)
 	defer cancel()
 	done := make(chan error)
-	go func() { done <- httpServer.Shutdown(ctx) }()
+	go func() {
+		s.replicaCalls.Close()
+		done <- httpServer.Shutdown(ctx)
+	}()
 	for open := true; open; {
 		select {
 		case task := <-s.tasks:
