Owners that may not receive keys can keep theirs; free ranges get targets together

Cause: a replica that warms up is no target for keys, but its own must not move away.

Change: ownership.PlanInput.Keeps; the granter chooses the targets of free ranges in one call and tells the planner how noisy the load is.

--- a/controlplane/granter/load.go
+++ b/controlplane/granter/load.go
@@ -9,7 +9,10 @@
 )
 
 // loadSmoothing is the time constant of the moving average of the request rates.
-const loadSmoothing = 2500 * time.Millisecond
+const loadSmoothing = 1500 * time.Millisecond
+
+// loadWindow is the time over which a plain count has the same variance as the moving average.
+const loadWindow = 2 * loadSmoothing
 
 // keyLoad is a moving average of the request rate of each key of a service.
 type keyLoad struct {
--- a/controlplane/granter/plan.go
+++ b/controlplane/granter/plan.go
@@ -50,7 +50,9 @@
 		Replicas: pool.eligible,
 		Keeps:    pool.keeps,
 		Load:     service.load.rates(),
-		MaxMoves: maxMovesPerPlan,
+
+		LoadWindow: loadWindow,
+		MaxMoves:   maxMovesPerPlan,
 	})
 	if len(moves) > 0 {
 		changes.release(name, moves)
--- a/controlplane/granter/pool.go
+++ b/controlplane/granter/pool.go
@@ -60,10 +60,21 @@
 	return id != "" && slices.ContainsFunc(p.eligible, func(replica ownership.Replica) bool { return replica.ID == id })
 }
 
-// chooseTarget returns the eligible replica that a range fits best, or an empty string if there is none.
-func (p *replicaPool) chooseTarget(ranges []ownership.Range, load ownership.Load, from, to uint16) string {
-	if len(p.eligible) == 0 {
-		return ""
+// chooseTargets replaces the targets of free ranges that are not eligible. A target is empty if no replica is eligible.
+func (p *replicaPool) chooseTargets(ranges, free []ownership.Range, load ownership.Load) {
+	var unplaced []ownership.Range
+	var positions []int
+	for i, r := range free {
+		if !p.isEligible(r.Target) {
+			unplaced = append(unplaced, r)
+			positions = append(positions, i)
+		}
+	}
+	if len(unplaced) == 0 {
+		return
+	}
+	targets := ownership.ChooseTargets(ownership.PlanInput{Ranges: ranges, Replicas: p.eligible, Load: load}, unplaced)
+	for i, target := range targets {
+		free[positions[i]].Target = target
 	}
-	return ownership.ChooseTarget(ownership.PlanInput{Ranges: ranges, Replicas: p.eligible, Load: load}, from, to)
 }
--- a/controlplane/granter/release.go
+++ b/controlplane/granter/release.go
@@ -75,16 +75,16 @@
 
 // grantFreeRanges grants ranges to their next owners whose release was acknowledged or whose lease has ended.
 func (g *Granter) grantFreeRanges(now time.Duration, name string, service *serviceState, ranges []ownership.Range, pool *replicaPool, changes *changes) {
+	var free []ownership.Range
 	for _, r := range ranges {
-		if r.Phase != ownership.PhaseReleasing || !g.isFree(now, name, service, r) {
-			continue
-		}
-		target := r.Target
-		if !pool.isEligible(target) {
-			target = pool.chooseTarget(ranges, service.load.rates(), r.From, r.To)
+		if r.Phase == ownership.PhaseReleasing && g.isFree(now, name, service, r) {
+			free = append(free, r)
 		}
-		if target != "" && !g.hasReleaseInFlight(name, target, r) {
-			changes.grant(name, r.From, r.To, target, service.releases[releaseID{r.From, r.Token}].handover)
+	}
+	pool.chooseTargets(ranges, free, service.load.rates())
+	for _, r := range free {
+		if r.Target != "" && !g.hasReleaseInFlight(name, r.Target, r) {
+			changes.grant(name, r.From, r.To, r.Target, service.releases[releaseID{r.From, r.Token}].handover)
 		}
 	}
 }
--- a/controlplane/ownership/plan.go
+++ b/controlplane/ownership/plan.go
@@ -36,8 +36,12 @@
 
 // PlanInput is what moves are planned from.
 type PlanInput struct {
-	Ranges     []Range       // of the service; a partition of all keys
-	Replicas   []Replica     // eligible to own keys
+	Ranges   []Range   // of the service; a partition of all keys
+	Replicas []Replica // eligible to own keys
+
+	// Keeps holds the IDs of replicas that may keep their keys although they are not eligible for more; it may include eligible ones.
+	Keeps map[string]bool
+
 	Load       Load          // must not be negative
 	LoadWindow time.Duration // time over which the requests of the load were counted; 0 if the load is exact
 	MaxMoves   int
--- a/controlplane/ownership/planner.go
+++ b/controlplane/ownership/planner.go
@@ -83,7 +83,7 @@
 			if r.Phase == PhaseGranted {
 				p.replicas[i].pieces = append(p.replicas[i].pieces, keys)
 			}
-		case r.Phase == PhaseGranted:
+		case r.Phase == PhaseGranted && !input.Keeps[owner]:
 			p.orphans = append(p.orphans, keys)
 		}
 	}
