Adjacent changes of a shard table no longer leave an empty range

Two changes side by side made overlay insert an inverted range between them; found by the property test that compares tables with an array of all keys. Also: a request waits until 60% of its latency target for a key that has just begun to move, and only until 20% for one whose move is overdue or whose owner is unreachable, so that its client can try again in time. After a 421 the pause ends early only if the key itself has changed hands.

--- a/dataplane/loadbalancer/endpoint.go
+++ b/dataplane/loadbalancer/endpoint.go
@@ -41,7 +41,7 @@
 	consecutiveFailures int
 	failureRate         float64 // moving average, from 0 to 1
 
-	connectFailed   bool          // the last attempt that ended found no connection
+	connectFailed   bool          // no connection could be opened, and no response has arrived since
 	connectFailedAt time.Duration // valid if connectFailed is set
 
 	// Statistics since the last ResetStats.
--- a/dataplane/loadbalancer/result.go
+++ b/dataplane/loadbalancer/result.go
@@ -38,8 +38,11 @@
 // EndAttempt records the result of an attempt.
 func (b *Balancer) EndAttempt(now time.Duration, endpoint *Endpoint, result Result, latency time.Duration) {
 	endpoint.inFlight--
-	if endpoint.connectFailed = result == ConnectFailed; endpoint.connectFailed {
-		endpoint.connectFailedAt = now
+	switch result {
+	case ConnectFailed:
+		endpoint.connectFailed, endpoint.connectFailedAt = true, now
+	case Success, Rejected, BadResponse, NotOwner:
+		endpoint.connectFailed = false
 	}
 	switch result {
 	case Success:
--- a/dataplane/router/attempt.go
+++ b/dataplane/router/attempt.go
@@ -39,6 +39,9 @@
 	// OwnerPending reports that no endpoint was picked because the shard key has no owner that can be reached: the key is being
 	// moved, or will be. The request does not count as rejected.
 	OwnerPending bool `cbor:"6,keyasint,omitempty"`
+	MoveOverdue  bool `cbor:"7,keyasint,omitempty"` // with OwnerPending: the key will probably have no owner for some time
+
+	Token uint64 `cbor:"8,keyasint,omitempty"` // fencing token of the shard key's range; 0 if there is none
 }
 
 // AttemptResult is the outcome of an attempt.
@@ -65,16 +68,15 @@
 }
 
 // Pick selects an endpoint and starts an attempt at it. If no endpoint can take the request, the request counts as rejected.
-func (r *Router) Pick(now time.Duration, request PickRequest) PickResult {
+func (r *Router) Pick(now time.Duration, request PickRequest) (result PickResult) {
 	r.expireWarmupRates(now)
 	r.updateIsolation(now)
 	controller := r.admission(request.Service)
 	attempted := func(id string) bool { return slices.Contains(request.Attempted, id) }
 	var endpoint *loadbalancer.Endpoint
 	if request.Sharded {
-		var pending bool
-		if endpoint, pending = r.pickOwner(now, request, controller.MaxQueueDepth(request.Admission)); pending {
-			return PickResult{OwnerPending: true}
+		if endpoint, result = r.pickOwner(now, request, controller.MaxQueueDepth(request.Admission)); result.OwnerPending {
+			return result
 		}
 	} else if request.OnlyIdle {
 		endpoint = r.balancer.PickIdle(now, request.Service, attempted, r.random)
@@ -82,7 +84,9 @@
 		endpoint = r.balancer.Pick(now, request.Service, attempted, controller.MaxQueueDepth(request.Admission), r.random)
 	}
 	if endpoint == nil {
-		return PickResult{RetryAfter: controller.Reject(request.Admission, r.random()), NoEndpointKnown: !r.balancer.KnowsService(request.Service)}
+		result.RetryAfter = controller.Reject(request.Admission, r.random())
+		result.NoEndpointKnown = !r.balancer.KnowsService(request.Service)
+		return result
 	}
 	invariant.Check(invariant.EndpointAcceptsRequests, r.balancer.AcceptsRequests(endpoint), func() string {
 		return "endpoint " + endpoint.ID + " is draining, or its zone " + endpoint.Zone + " is evacuated"
@@ -91,7 +95,8 @@
 	r.lastAttemptID++
 	r.attempts[r.lastAttemptID] = attempt{endpoint, request.Service, endpoint.Utilization(now)}
 	r.balancer.StartAttempt(now, endpoint)
-	return PickResult{AttemptID: r.lastAttemptID, EndpointID: endpoint.ID, Addr: endpoint.Addr}
+	result.AttemptID, result.EndpointID, result.Addr = r.lastAttemptID, endpoint.ID, endpoint.Addr
+	return result
 }
 
 // EndAttempt records the outcome of an attempt. It ignores attempts that are not in flight.
--- a/dataplane/router/ownership.go
+++ b/dataplane/router/ownership.go
@@ -10,6 +10,10 @@
 	"zincloft.example/zincloft/messages"
 )
 
+// usualMoveTime is how long most moves of a range take: the former owner completes its running requests. A move that takes
+// longer probably waits for the end of the lease of an owner that does not answer.
+const usualMoveTime = time.Second
+
 // keyCounts is the number of requests by shard key.
 type keyCounts map[uint16]uint32
 
@@ -28,21 +32,31 @@
 	return changed, problem
 }
 
-// pickOwner returns the endpoint that owns the request's shard key, or nil if it cannot take the request. It reports pending
-// if the key has no owner that can be reached.
-func (r *Router) pickOwner(now time.Duration, request PickRequest, maxUtilization float64) (owner *loadbalancer.Endpoint, pending bool) {
+// pickOwner returns the endpoint that owns the request's shard key, or nil if it cannot take the request. The result tells
+// whether the key has no owner that can be reached. It is incomplete if there is an endpoint.
+func (r *Router) pickOwner(now time.Duration, request PickRequest, maxUtilization float64) (*loadbalancer.Endpoint, PickResult) {
 	owned, known := r.ownership[request.Service].Lookup(request.Key)
+	result := PickResult{Token: owned.Token}
 	if !known || owned.Moving {
-		return nil, true
+		result.OwnerPending, result.MoveOverdue = true, known && now-owned.Since > usualMoveTime
+		return nil, result
 	}
 	owner, state := r.balancer.CheckOwner(now, request.Service, owned.Owner, maxUtilization)
 	switch state {
 	case loadbalancer.OwnerAvailable:
-		return owner, false
-	case loadbalancer.OwnerUnknown, loadbalancer.OwnerLeaving, loadbalancer.OwnerUnreachable:
-		return nil, true
+		return owner, result
+	case loadbalancer.OwnerUnknown, loadbalancer.OwnerLeaving:
+		result.OwnerPending = true
+	case loadbalancer.OwnerUnreachable: // its keys do not move before its leases have ended
+		result.OwnerPending, result.MoveOverdue = true, true
 	}
-	return nil, false
+	return nil, result
+}
+
+// KeyToken returns the fencing token of a shard key's range, or 0 if it is unknown.
+func (r *Router) KeyToken(service string, key uint16) uint64 {
+	owned, _ := r.ownership[service].Lookup(key)
+	return owned.Token
 }
 
 // CountKey counts a client request by its shard key, for the next report.
--- a/dataplane/shardmap/shardmap.go
+++ b/dataplane/shardmap/shardmap.go
@@ -180,7 +180,7 @@
 	}
 	nextKey, next := 0, 0 // first key that merged lacks, and index of the first range of base that may contain it
 	addBaseBefore := func(end int) {
-		for next < len(base) && int(base[next].From) < end {
+		for nextKey < end && next < len(base) && int(base[next].From) < end {
 			if int(base[next].To) >= nextKey {
 				part := base[next]
 				part.From, part.To = uint16(max(int(part.From), nextKey)), uint16(min(int(part.To), end-1))
--- a/internal/daemons/gateway/controlstream.go
+++ b/internal/daemons/gateway/controlstream.go
@@ -152,7 +152,7 @@
 func (g *Gateway) applyUpdate(update *messages.StateUpdate) (stale bool) {
 	g.mu.Lock()
 	result := g.router.Apply(g.now(), update)
-	if result.OwnershipChanged {
+	if result.OwnershipChanged || len(update.Instances) > 0 && g.ownership.count.Load() > 0 {
 		g.ownership.broadcast()
 	}
 	draining := !g.router.IsServing()
--- a/internal/daemons/gateway/forward.go
+++ b/internal/daemons/gateway/forward.go
@@ -152,7 +152,7 @@
 		return rejection{}
 	}
 	if picked.OwnerPending {
-		return f.ownerPendingRejection(client)
+		return f.ownerPendingRejection(client, picked.MoveOverdue)
 	}
 	rejected := rejection{status: http.StatusServiceUnavailable, counter: countOverloaded, retryAfter: picked.RetryAfter}
 	if picked.NoEndpointKnown {
--- a/internal/daemons/gateway/gateway.go
+++ b/internal/daemons/gateway/gateway.go
@@ -138,7 +138,7 @@
 	router.PickResult
 	tableUpdate uint64
 
-	ownershipChanged <-chan struct{} // closed once the owners of shard keys have changed since the pick
+	ownershipChanged <-chan struct{} // closed once the owners of shard keys may have changed since the pick
 }
 
 // pick selects the endpoint for an attempt.
--- a/internal/daemons/gateway/shardkey.go
+++ b/internal/daemons/gateway/shardkey.go
@@ -6,19 +6,23 @@
 	"strconv"
 	"sync/atomic"
 	"time"
-
-	"zincloft.example/zincloft/dataplane/retry"
 )
 
 const (
-	shardKeyHeader     = "X-Shard-Key"
-	shardKeyBits       = 16
-	shardKeyProblem    = shardKeyHeader + " must be present once, as a decimal integer from 0 to 65535\n"
-	maxOwnerWaits      = 1024                   // requests that wait for an owner at the same time
-	ownerWaitShare     = 0.6                    // share of the latency target since arrival until which a request waits for an owner
-	ownerRetryAfter    = 300 * time.Millisecond // for a request whose shard key had no owner in time
-	notOwnerPause      = 30 * time.Millisecond  // before the owner that did not hold a key is tried again; doubled each time
-	maxNotOwnerDoubled = 4
+	shardKeyHeader  = "X-Shard-Key"
+	shardKeyBits    = 16
+	shardKeyProblem = shardKeyHeader + " must be present once, as a decimal integer from 0 to 65535\n"
+
+	// Requests wait for an owner until they have used these shares of the time in which they are to be answered.
+	ownerWaitShare   = 0.6 // leaves enough to be served in time after an ordinary move
+	overdueWaitShare = 0.2 // a client that is refused early can be served by a later attempt
+
+	maxOwnerWaits     = 1024                   // requests that wait at the same time
+	ownerRetryAfter   = 300 * time.Millisecond // for a request whose shard key had no owner in time
+	overdueRetryAfter = time.Second
+
+	notOwnerPause        = 30 * time.Millisecond // before a replica that did not hold a shard key is tried again; doubled each time
+	maxNotOwnerDoublings = 4
 )
 
 // ownershipWaits lets requests wait until the owners of shard keys change.
@@ -68,29 +72,29 @@
 		if !waited {
 			f.gateway.count(countOwnerWait)
 		}
-		if !f.waitForOwnership(client, picked, f.ownerWaitEnd()) {
+		share := ownerWaitShare
+		if picked.MoveOverdue {
+			share = overdueWaitShare
+		}
+		if !f.waitForOwnership(client, picked.ownershipChanged, f.waitLimit(share)) {
 			return picked
 		}
 	}
 }
 
-// ownerWaitEnd returns the time until which the request may wait for an owner, so that it can still be served within the
-// latency target and the deadline.
-func (f *forwarding) ownerWaitEnd() time.Time {
-	target := f.route.LatencyTarget
-	if target <= 0 {
-		target = f.request.Deadline.Sub(f.arrivedAt)
+// waitLimit returns the time at which a share of the request's latency target, or of its deadline if that is earlier, has passed
+// since its arrival.
+func (f *forwarding) waitLimit(share float64) time.Time {
+	allowed := f.request.Deadline.Sub(f.arrivedAt)
+	if target := f.route.LatencyTarget; target > 0 {
+		allowed = min(allowed, target)
 	}
-	end := f.arrivedAt.Add(time.Duration(ownerWaitShare * float64(target)))
-	if deadline := f.request.Deadline; deadline.Before(end) {
-		return deadline
-	}
-	return end
+	return f.arrivedAt.Add(time.Duration(share * float64(allowed)))
 }
 
-// waitForOwnership waits until the owners of shard keys have changed since the pick. It returns false at the end time, if the
-// client disconnects, if too many requests wait, or if too little time is left for an attempt.
-func (f *forwarding) waitForOwnership(client context.Context, picked pickedEndpoint, end time.Time) bool {
+// waitForOwnership waits until changed is closed. It returns false at the limit, if the client disconnects or if too many
+// requests wait.
+func (f *forwarding) waitForOwnership(client context.Context, changed <-chan struct{}, limit time.Time) bool {
 	waits := &f.gateway.ownership
 	defer waits.count.Add(-1)
 	if waits.count.Add(1) > maxOwnerWaits {
@@ -98,33 +102,46 @@
 	}
 	startedAt := time.Now()
 	defer func() { f.attemptTime += time.Since(startedAt) }()
-	timer := time.NewTimer(time.Until(end))
+	timer := time.NewTimer(time.Until(limit))
 	defer timer.Stop()
 	select {
-	case <-picked.ownershipChanged:
-		return retry.EnoughTime(f.timeLeft(), f.route.LatencyTarget)
+	case <-changed:
+		return true
 	case <-timer.C:
 	case <-client.Done():
 	}
 	return false
 }
 
-// pauseAfterNotOwner waits before another attempt after a replica did not hold the request's shard key: until the owners have
-// changed since the attempt was made, or for a time in which the owner's grant may arrive there.
+// pauseAfterNotOwner waits before another attempt after a replica did not hold the request's shard key: until the key has
+// changed hands since the attempt was made, or for a time in which the owner's grant may arrive there.
 func (f *forwarding) pauseAfterNotOwner(client context.Context, last pickedEndpoint) {
-	pause := notOwnerPause << min(f.notOwnerAnswers, maxNotOwnerDoubled)
+	limit := time.Now().Add(notOwnerPause << min(f.notOwnerAnswers, maxNotOwnerDoublings))
 	f.notOwnerAnswers++
-	end := time.Now().Add(pause)
-	if limit := f.ownerWaitEnd(); limit.Before(end) {
-		end = limit
+	if latest := f.waitLimit(ownerWaitShare); latest.Before(limit) {
+		limit = latest
+	}
+	token, changed := last.Token, last.ownershipChanged
+	for token == last.Token && f.waitForOwnership(client, changed, limit) {
+		token, changed = f.gateway.keyToken(f.service, f.key)
 	}
-	f.waitForOwnership(client, last, end)
+}
+
+// keyToken returns the fencing token of a shard key's range, and a channel that is closed once it may have changed.
+func (g *Gateway) keyToken(service string, key uint16) (token uint64, changed <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.router.KeyToken(service, key), g.ownership.changed
 }
 
 // ownerPendingRejection returns the rejection of a request whose shard key had no owner in time.
-func (f *forwarding) ownerPendingRejection(client context.Context) rejection {
+func (f *forwarding) ownerPendingRejection(client context.Context, overdue bool) rejection {
 	if client.Err() != nil {
 		return rejection{aborts: true, counter: countClientGone}
 	}
-	return rejection{status: http.StatusServiceUnavailable, counter: countOwnerPending, retryAfter: ownerRetryAfter}
+	rejected := rejection{status: http.StatusServiceUnavailable, counter: countOwnerPending, retryAfter: ownerRetryAfter}
+	if overdue {
+		rejected.retryAfter = overdueRetryAfter
+	}
+	return rejected
 }
