Clients of an unreachable owner are told to come back after its leases may have ended

A request whose owner refused the connection was told to retry after 0.3 s, when the key cannot have moved yet. It is now told 1 s, as for overdue moves. The gateway tests of moves no longer depend on the speed of the machine.

go test ./dataplane/... ./internal/daemons/gateway ./internal/daemons/replica: passed; the new gateway tests also three times with -race.

--- a/internal/daemons/gateway/forward.go
+++ b/internal/daemons/gateway/forward.go
@@ -37,6 +37,7 @@
 	configVersion  uint64
 	failedAttempts []attemptResult // attempts without a successful response, for the failure record
 	reason         string          // why no further attempt was made
+	retryAfter     time.Duration   // sent if the request ends unexecuted after its attempts
 	failureNumber  uint64          // number of this request's failure record; 0 if there is none
 
 	// strongest is the outcome with the highest Execution so far: a later attempt that was not executed proves nothing about
@@ -130,6 +131,7 @@
 		},
 		results:       make(chan attemptResult, route.MaxAttempts+retry.MaxConnectFailures+1),
 		progress:      retry.State{Idempotent: route.Idempotent, MaxAttempts: route.MaxAttempts, LatencyTarget: route.LatencyTarget},
+		retryAfter:    defaultRetryAfter,
 		strongest:     replica.Outcome{Execution: retry.NotExecuted},
 		arrivedAt:     request.arrivedAt,
 		configVersion: request.config.Version,
@@ -152,7 +154,7 @@
 		return rejection{}
 	}
 	if picked.OwnerPending {
-		return f.ownerPendingRejection(client, picked.MoveOverdue)
+		return f.ownerPendingRejection(client, picked)
 	}
 	rejected := rejection{status: http.StatusServiceUnavailable, counter: countOverloaded, retryAfter: picked.RetryAfter}
 	if picked.NoEndpointKnown {
@@ -206,6 +208,7 @@
 		f.reason = string(countClientGone)
 	case picked.OwnerPending:
 		f.reason = string(countOwnerPending)
+		f.retryAfter = ownerRetryAfterOf(picked)
 	default:
 		f.reason = reasonNoEndpoint
 	}
@@ -291,7 +294,7 @@
 	}
 	status := retry.FinalStatus(f.strongest.Execution, f.strongest.DeadlineExceeded)
 	if status == http.StatusServiceUnavailable {
-		f.reject(w, r, rejection{status: status, retryAfter: defaultRetryAfter})
+		f.reject(w, r, rejection{status: status, retryAfter: f.retryAfter})
 		return
 	}
 	f.gateway.metrics.failed.Inc()
--- a/internal/daemons/gateway/shardkey.go
+++ b/internal/daemons/gateway/shardkey.go
@@ -135,13 +135,17 @@
 }
 
 // ownerPendingRejection returns the rejection of a request whose shard key had no owner in time.
-func (f *forwarding) ownerPendingRejection(client context.Context, overdue bool) rejection {
+func (f *forwarding) ownerPendingRejection(client context.Context, picked pickedEndpoint) rejection {
 	if client.Err() != nil {
 		return rejection{aborts: true, counter: countClientGone}
 	}
-	rejected := rejection{status: http.StatusServiceUnavailable, counter: countOwnerPending, retryAfter: ownerRetryAfter}
-	if overdue {
-		rejected.retryAfter = overdueRetryAfter
+	return rejection{status: http.StatusServiceUnavailable, counter: countOwnerPending, retryAfter: ownerRetryAfterOf(picked)}
+}
+
+// ownerRetryAfterOf returns when a client should retry after a pick that found no owner.
+func ownerRetryAfterOf(picked pickedEndpoint) time.Duration {
+	if picked.MoveOverdue {
+		return overdueRetryAfter
 	}
-	return rejected
+	return ownerRetryAfter
 }
--- a/internal/daemons/gateway/shardkey_test.go
+++ b/internal/daemons/gateway/shardkey_test.go
@@ -34,6 +34,8 @@
 	holds   atomic.Bool
 	latency time.Duration
 
+	onRejection func() // called before the response; may be nil
+
 	mu       sync.Mutex
 	executed map[string]int // by attempt ID
 	rejected int
@@ -52,6 +54,9 @@
 		if !h.holds.Load() {
 			h.rejected++
 			h.mu.Unlock()
+			if h.onRejection != nil {
+				h.onRejection()
+			}
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", attempt)
 			continue
 		}
@@ -137,7 +142,9 @@
 			f.publish(0, true)
 			answered := make(chan int)
 			go func() { answered <- f.send(context.Background(), "POST", "7").Code }()
-			time.Sleep(50 * time.Millisecond)
+			for f.gateway.ownership.count.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
 			f.holders[1].holds.Store(true)
 			f.publish(1, false)
 			So(<-answered, ShouldEqual, http.StatusOK)
@@ -148,13 +155,33 @@
 			So(f.counter(countOwnerWait), ShouldEqual, 1)
 		})
 	}
-	Convey("A request whose key has no owner in time gets 503 with Retry-After before the latency target", t, func() {
+	Convey("A request whose key has no owner in time gets 503 with Retry-After long before its deadline", t, func() {
 		f := newShardFixture("unsafe", 1)
 		startedAt := time.Now()
 		w := f.send(context.Background(), "POST", "7")
 		So(w.Code, ShouldEqual, http.StatusServiceUnavailable)
 		So(w.Header().Get("Retry-After"), ShouldEqual, "0.300")
-		So(time.Since(startedAt), ShouldBeLessThan, time.Second)
+		So(time.Since(startedAt), ShouldBeBetween, 600*time.Millisecond, 2*time.Second)
+		So(f.gateway.failures.newest()[0].Reason, ShouldEqual, string(countOwnerPending))
+	})
+	Convey("A request whose key should have an owner by now is refused early, and told to come back later", t, func() {
+		f := newShardFixture("unsafe", 1)
+		f.publish(0, true)
+		time.Sleep(1100 * time.Millisecond)
+		startedAt := time.Now()
+		w := f.send(context.Background(), "POST", "7")
+		So(w.Code, ShouldEqual, http.StatusServiceUnavailable)
+		So(w.Header().Get("Retry-After"), ShouldEqual, "1.000")
+		So(time.Since(startedAt), ShouldBeBetween, 200*time.Millisecond, 600*time.Millisecond)
+	})
+	// Guards against clients that come back before the leases of a failed owner can have ended.
+	Convey("A request whose owner refuses connections is told to come back later", t, func() {
+		f := newShardFixture("unsafe", 1)
+		f.publish(0, false)
+		f.holders[0].Close()
+		w := f.send(context.Background(), "POST", "7")
+		So(w.Code, ShouldEqual, http.StatusServiceUnavailable)
+		So(w.Header().Get("Retry-After"), ShouldEqual, "1.000")
 		So(f.gateway.failures.newest()[0].Reason, ShouldEqual, string(countOwnerPending))
 	})
 	Convey("A client that disconnects ends the wait", t, func() {
@@ -174,13 +201,8 @@
 			f := newShardFixture(kind, 2)
 			f.publish(0, false)
 			f.holders[1].holds.Store(true)
-			answered := make(chan int)
-			go func() { answered <- f.send(context.Background(), "POST", "7").Code }()
-			for _, rejected := f.holders[0].counts(); rejected == 0; _, rejected = f.holders[0].counts() {
-				time.Sleep(time.Millisecond)
-			}
-			f.publish(1, false)
-			So(<-answered, ShouldEqual, http.StatusOK)
+			f.holders[0].onRejection = func() { f.publish(1, false) }
+			So(f.send(context.Background(), "POST", "7").Code, ShouldEqual, http.StatusOK)
 			executed, _ := f.holders[1].counts()
 			So(executed, ShouldEqual, 1)
 			So(f.gateway.router.Balancer().Get("i0"), ShouldNotBeNil)
@@ -191,10 +213,12 @@
 	Convey("Without a newer owner the same one is tried again, as its grant may still be on its way", t, func() {
 		f := newShardFixture("unsafe", 1)
 		f.publish(0, false)
-		time.AfterFunc(notOwnerPause/3, func() { f.holders[0].holds.Store(true) })
+		f.holders[0].onRejection = func() { f.holders[0].holds.Store(true) }
+		startedAt := time.Now()
 		So(f.send(context.Background(), "POST", "7").Code, ShouldEqual, http.StatusOK)
 		executed, rejected := f.holders[0].counts()
 		So([]int{executed, rejected}, ShouldResemble, []int{1, 1})
+		So(time.Since(startedAt), ShouldBeGreaterThanOrEqualTo, notOwnerPause)
 	})
 	Convey("A replica that never holds the key gets no more attempts than the route allows, and the client 503", t, func() {
 		f := newShardFixture("unsafe", 1)
