--- a/internal/daemons/grantclient/conn.go
+++ b/internal/daemons/grantclient/conn.go
@@ -68,7 +68,7 @@
 	tcp := netConn.(*net.TCPConn)
 	raw, err := tcp.SyscallConn()
 	if err == nil {
-		err = tcp.SetLinger(0)
+		err = tcp.SetLinger(0) // without it a call could arrive after its end, so an error is not ignored
 	}
 	if err != nil {
 		closeQuietly(tcp)
