Golden encodings of the fields for shard ownership, beside the earlier ones

TestEncodings fails since StateUpdate.Ownership, LoadReport.KeyLoads and Frame.KeyLoads were added: samples set every field, so the kept encodings no longer match. They must not be rewritten, and frame.later cannot take a further field either. laterFields is now a list of sets, one per addition: the new fields are zero in all earlier golden files, which must still be encoded and decoded byte by byte, and are set in new files NAME.later2. Each sample's values are now checked for zero fields, not only the first. ServiceOwnership and ServiceKeyLoad have golden files of their own.

--- a/internal/testbeds/compatibility/disk_test.go
+++ b/internal/testbeds/compatibility/disk_test.go
@@ -31,7 +31,7 @@
 
 // controlPlaneState returns the state in the newest file of the golden state store.
 func controlPlaneState() coordinator.PersistentState {
-	value, _ := filled(reflect.TypeFor[coordinator.PersistentState](), laterFields)
+	value, _ := filled(reflect.TypeFor[coordinator.PersistentState](), union(laterFields))
 	state := value.Interface().(coordinator.PersistentState)
 	state.Register.Body = []byte(`{"version":"0000002a"}`) // a configuration, as exports print it
 	return state
@@ -123,7 +123,7 @@
 
 // governorState returns the contents of the golden governor store: two replicas, sorted by name.
 func governorState() recovery.State {
-	value, _ := filled(reflect.TypeFor[recovery.State](), laterFields)
+	value, _ := filled(reflect.TypeFor[recovery.State](), union(laterFields))
 	state := value.Interface().(recovery.State)
 	state.Replicas[0].Name, state.Replicas[1].Name = "a", "b"
 	for i := range state.Replicas { // the store holds the replica number once and does not hold the trust
--- a/internal/testbeds/compatibility/doc.go
+++ b/internal/testbeds/compatibility/doc.go
@@ -10,6 +10,6 @@
 // which does not touch existing files. See testdata/README.md.
 //
 // A new field of an existing type gets the next free CBOR number and omitempty, so that processes of both versions can
-// exchange it. It must be added to laterFields: the existing golden files then leave it at zero, and -record writes
-// an additional file, NAME.later, in which it is set.
+// exchange it. It must be added to a new last set of laterFields: the existing golden files then leave it at zero, and
+// -record writes an additional file in which it is set: NAME.later for the first set, NAME.later2 for the second, and so on.
 package compatibility
--- a/internal/testbeds/compatibility/encoding_test.go
+++ b/internal/testbeds/compatibility/encoding_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"flag"
+	"fmt"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -76,6 +77,8 @@
 	{"messages/state-update", inCBOR, reflect.TypeFor[messages.StateUpdate]()},
 	{"messages/endpoint-stats", inCBOR, reflect.TypeFor[messages.EndpointStats]()},
 	{"messages/load-report", inCBOR, reflect.TypeFor[messages.LoadReport]()},
+	{"messages/service-ownership", inCBOR, reflect.TypeFor[messages.ServiceOwnership]()},
+	{"messages/service-key-load", inCBOR, reflect.TypeFor[messages.ServiceKeyLoad]()},
 	{"messages/fleet", inCBOR, reflect.TypeFor[peermessages.GatewaySummary]()},
 	{"messages/load", inCBOR, reflect.TypeFor[peermessages.GroupLoad]()},
 	{"messages/committed", inCBOR, reflect.TypeFor[peermessages.CommitStatus]()},
@@ -119,11 +122,56 @@
 	{"files/simulation-schedule", inJSON, reflect.TypeFor[simulation.Schedule]()},
 }
 
-// laterFields are the fields that were added to a type after its golden files were written, as "package.Type.Field". They are zero in
-// those files; NAME.later has all fields set.
-var laterFields = fieldSet{
-	"coordinator.Message.HintsPersisted": true,
-	"peertransport.Frame.PersistRequest": true,
+// laterFields are the fields that were added to a type after its golden files were written, as "package.Type.Field", in the order in which
+// they were added: one set per addition. All are zero in NAME. Those of the first set and before are set in NAME.later, those of the second
+// set and before in NAME.later2, and so on.
+var laterFields = []fieldSet{
+	{
+		"coordinator.Message.HintsPersisted": true,
+		"peertransport.Frame.PersistRequest": true,
+	},
+	{
+		"messages.StateUpdate.Ownership": true,
+		"messages.LoadReport.KeyLoads":   true,
+		"peertransport.Frame.KeyLoads":   true,
+	},
+}
+
+// sampleValue is a value of a sample's type, and the name of its golden file.
+type sampleValue struct {
+	name  string
+	value reflect.Value
+	omit  fieldSet // fields that are zero
+}
+
+// sampleValues returns a value with all fields set but those of laterFields, and one for each set of laterFields that the type has fields of.
+func sampleValues(name string, of reflect.Type) []sampleValue {
+	var values []sampleValue
+	for addition := range len(laterFields) + 1 {
+		omit := union(laterFields[addition:])
+		value, _ := filled(of, omit)
+		switch {
+		case addition == 0:
+			values = append(values, sampleValue{name, value, omit})
+		case hasField(of, laterFields[addition-1]):
+			values = append(values, sampleValue{name + laterSuffix(addition), value, omit})
+		}
+	}
+	return values
+}
+
+// laterSuffix returns the suffix of a golden file's name for an addition, which counts from 1.
+func laterSuffix(addition int) string {
+	if addition == 1 {
+		return ".later"
+	}
+	return fmt.Sprintf(".later%d", addition)
+}
+
+// hasField reports whether a type contains any field of a set.
+func hasField(of reflect.Type, fields fieldSet) bool {
+	_, omitted := filled(of, fields)
+	return omitted
 }
 
 // TestEncodings verifies that filled and zero values are encoded to the bytes of the golden files, and that these are decoded to the
@@ -131,14 +179,11 @@
 func TestEncodings(t *testing.T) {
 	for _, s := range samples {
 		t.Run(s.name, func(t *testing.T) {
-			full, omitted := filled(s.of, laterFields)
-			if zero := zeroFields(s.of.String(), full, laterFields); len(zero) > 0 {
-				t.Fatalf("fields of the sample are zero: %v", zero)
-			}
-			compare(t, s.name, s.encoding, full)
-			if omitted {
-				later, _ := filled(s.of, nil)
-				compare(t, s.name+".later", s.encoding, later)
+			for _, sample := range sampleValues(s.name, s.of) {
+				if zero := zeroFields(s.of.String(), sample.value, sample.omit); len(zero) > 0 {
+					t.Fatalf("%s: fields of the sample are zero: %v", sample.name, zero)
+				}
+				compare(t, sample.name, s.encoding, sample.value)
 			}
 			compare(t, s.name+".zero", s.encoding, reflect.Zero(s.of))
 		})
@@ -206,9 +251,9 @@
 func TestGoldenFilesAreUsed(t *testing.T) {
 	listed := map[string]bool{}
 	for _, s := range samples {
-		listed[s.name], listed[s.name+".zero"] = true, true
-		if _, omitted := filled(s.of, laterFields); omitted {
-			listed[s.name+".later"] = true
+		listed[s.name+".zero"] = true
+		for _, sample := range sampleValues(s.name, s.of) {
+			listed[sample.name] = true
 		}
 	}
 	files, err := filepath.Glob("testdata/*/*")
--- a/internal/testbeds/compatibility/fill_test.go
+++ b/internal/testbeds/compatibility/fill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"reflect"
 	"strings"
 	"testing"
@@ -22,6 +23,15 @@
 	return s[of.String()+"."+field.Name]
 }
 
+// union returns the set of the fields of all sets.
+func union(sets []fieldSet) fieldSet {
+	all := fieldSet{}
+	for _, set := range sets {
+		maps.Copy(all, set)
+	}
+	return all
+}
+
 // filled returns a value of a type with all fields set except those of omit, and whether the type has any of these.
 func filled(of reflect.Type, omit fieldSet) (value reflect.Value, omitted bool) {
 	v := reflect.New(of).Elem()
