--- a/internal/daemons/grantclient/client.go
+++ b/internal/daemons/grantclient/client.go
@@ -65,6 +65,7 @@
 	mu            sync.Mutex
 	lanes         map[laneKey]*lane
 	results       []ownership.CallResult // not delivered yet
+	failures      []failure              // not logged yet; limited by logLimiter
 	closed        bool                   // no new lanes
 	deliveryEnded bool                   // results are discarded
 }
@@ -128,8 +129,8 @@
 func (c *Client) end(call *ownership.Call, result ownership.CallResult) {
 	result.ID = call.ID
 	c.count(call.Kind, result.Outcome)
-	if result.Outcome != ownership.CallAccepted {
-		c.logFailure(call, &result)
+	if result.Outcome != ownership.CallAccepted && c.logLimiter.Allow() {
+		c.failures = append(c.failures, failure{*call, result})
 	}
 	if !c.deliveryEnded {
 		c.results = append(c.results, result)
@@ -137,7 +138,7 @@
 	}
 }
 
-// deliverResults delivers results until stopDelivery is closed and all results are delivered.
+// deliverResults delivers results and logs failures until stopDelivery is closed and all results are delivered.
 func (c *Client) deliverResults() {
 	defer close(c.deliveryDone)
 	for stopping := false; ; {
@@ -147,13 +148,16 @@
 			stopping = true
 		}
 		c.mu.Lock()
-		batch := c.results
-		c.results = nil
+		batch, failures := c.results, c.failures
+		c.results, c.failures = nil, nil
 		c.deliveryEnded = stopping
 		c.mu.Unlock()
 		if len(batch) > 0 {
 			c.config.Deliver(batch)
 		}
+		for i := range failures { // without mu, as writing may block
+			c.logFailure(&failures[i])
+		}
 		if stopping {
 			return
 		}
--- a/internal/daemons/grantclient/client_test.go
+++ b/internal/daemons/grantclient/client_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/ownership"
+	"zincloft.example/zincloft/internal/daemons/program"
 )
 
 func TestRequestAsPublished(t *testing.T) {
@@ -279,14 +280,19 @@
 	}
 }
 
-func TestMetrics(t *testing.T) {
-	client := newTestClient(t, nil)
+func TestMetricsAndLog(t *testing.T) {
+	var logs strings.Builder
+	client := newTestClient(t, func(config *Config) { config.Logger = program.NewLogger(&logs, "test") })
 	call := grant(1, "127.0.0.1:1")
 	call.Timeout = 0
 	client.Start([]ownership.Call{call})
 	client.expect(t, 1, ownership.CallNotSent)
 	var text strings.Builder
 	client.WriteMetrics(&text)
+	client.Close()
+	if want := "replica=replica-1 from_key=4096 to_key=8191 token=12 outcome=not_sent"; !strings.Contains(logs.String(), want) {
+		t.Errorf("no %q in the log: %s", want, logs.String())
+	}
 	for _, want := range []string{`zincloft_controlplane_replica_calls_total{kind="grant",outcome="not_sent"} 1`, "zincloft_controlplane_replica_connections 0"} {
 		if !strings.Contains(text.String(), want) {
 			t.Errorf("no %q in\n%s", want, text.String())
--- a/internal/daemons/grantclient/fixture_test.go
+++ b/internal/daemons/grantclient/fixture_test.go
@@ -47,7 +47,7 @@
 	ended    chan error // why a connection's next request could not be read
 }
 
-func newReplica(t *testing.T) *replica {
+func newReplica(t testing.TB) *replica {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // closed by the cleanup
 	if err != nil {
@@ -120,7 +120,7 @@
 	results chan ownership.CallResult
 }
 
-func newTestClient(t *testing.T, change func(*Config)) *testClient {
+func newTestClient(t testing.TB, change func(*Config)) *testClient {
 	t.Helper()
 	c := &testClient{results: make(chan ownership.CallResult, 2000)}
 	config := Config{
--- a/internal/daemons/grantclient/metrics.go
+++ b/internal/daemons/grantclient/metrics.go
@@ -48,14 +48,16 @@
 	metrics.WriteCounterUint64(w, "zincloft_controlplane_replica_connections_opened_total", c.opened.Load())
 }
 
-// logFailure logs a call that was not accepted, within a rate limit.
-func (c *Client) logFailure(call *ownership.Call, result *ownership.CallResult) {
-	if !c.logLimiter.Allow() {
-		return
-	}
-	c.config.Logger.Info().Str("event", "replica_call_failed").Str("kind", kindNames[call.Kind]).Str("service", call.Service).
-		Str("replica", shorten(call.Replica)).Int("from_key", int(call.From)).Int("to_key", int(call.To)).Uint64("token", call.Token).
-		Str("outcome", outcomeNames[result.Outcome]).Str("error", shorten(result.Error)).Msg("call to a replica was not accepted")
+// failure is a call that was not accepted.
+type failure struct {
+	call   ownership.Call
+	result ownership.CallResult
+}
+
+func (c *Client) logFailure(f *failure) {
+	c.config.Logger.Info().Str("event", "replica_call_failed").Str("kind", kindNames[f.call.Kind]).Str("service", f.call.Service).
+		Str("replica", shorten(f.call.Replica)).Int("from_key", int(f.call.From)).Int("to_key", int(f.call.To)).Uint64("token", f.call.Token).
+		Str("outcome", outcomeNames[f.result.Outcome]).Str("error", shorten(f.result.Error)).Msg("call to a replica was not accepted")
 }
 
 // shorten limits a text that other processes control.
