zincloftctl owners: the owners of shard keys as seen by one member

Operators need to see which replica owns which keys. The member answers owners.describe once its controller has DescribeOwners; until then with 500. ownership.Table.Status is the content of the response. Measured: the tests of zincloftctl, controlserver and controlplane pass; nothing was run against a controller that has DescribeOwners.

--- a/cmd/zincloftctl/main.go
+++ b/cmd/zincloftctl/main.go
@@ -35,7 +35,7 @@
 func allCommands() []*command {
 	var all []*command
 	all = append(all, configurationCommands()...)
-	all = append(all, coreCommand(), storeCommand())
+	all = append(all, coreCommand(), ownersCommand(), storeCommand())
 	all = append(all, evacuationCommands()...)
 	return append(all, windowsCommand(), demoCommand())
 }
--- a/internal/daemons/controlserver/calls.go
+++ b/internal/daemons/controlserver/calls.go
@@ -34,6 +34,7 @@
 		"configuration.replace":  s.handleReplaceConfiguration,
 		"configuration.describe": s.handleDescribeConfiguration,
 		"core.describe":          s.handleControlPlaneStatus, // not part of the published protocol
+		"owners.describe":        s.handleDescribeOwners,     // not part of the published protocol
 		"windows.command":        s.handleMaintenanceCommand,
 		"windows.describe":       s.handleDescribeMaintenance,
 		"evacuations.start":      func(w http.ResponseWriter, r *http.Request) { s.handleEvacuation(w, r, true) },
