A stand-in replica that holds shard keys by leases

Cause: no test can show whether a sharded service is served: the stand-in upstream executes requests on any key.

Change: internal/testbeds/standin/shardreplica holds nothing at its start, takes /api/grant and /api/release (leases from arrival, 409 below the highest fence, partial releases whose answer waits for running work, handovers, slow keys without one), answers 421 with X-Not-Executed for other keys and 421 with X-Instance-Id for another instance, and records calls, holds and executions.

--- /dev/null
+++ b/internal/testbeds/standin/shardreplica/calls.go
@@ -0,0 +1,99 @@
+package shardreplica
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"zincloft.example/zincloft/controlplane/ownership"
+)
+
+// callBody is the body of a grant or release. Releases have neither a hold nor a handover.
+type callBody struct {
+	From     *int    `json:"from_version"`
+	To       *int    `json:"target_version"`
+	Fence    *uint64 `json:"fence"`
+	Hold     string  `json:"hold"`
+	Handover string  `json:"handover"`
+}
+
+func (b *callBody) valid() bool {
+	return b.From != nil && b.To != nil && b.Fence != nil && *b.From >= 0 && *b.From <= *b.To && *b.To <= ownership.MaxKey
+}
+
+// readCall reads the body of a grant or release and records the call. It rejects invalid calls and calls for another instance.
+func (r *Replica) readCall(w http.ResponseWriter, request *http.Request) (body callBody, ok bool) {
+	if r.rejectOtherInstance(w, request) {
+		return body, false
+	}
+	if err := json.NewDecoder(request.Body).Decode(&body); err != nil || !body.valid() {
+		w.WriteHeader(http.StatusBadRequest)
+		return body, false
+	}
+	return body, true
+}
+
+// answer sends the response to a call and records the call, unless the hook suppresses the response.
+func (r *Replica) answer(w http.ResponseWriter, arrival time.Duration, path string, body callBody, status int) {
+	r.record.addCall(Call{At: arrival, Replica: r.ID, Path: path, From: *body.From, To: *body.To, Fence: *body.Fence, Handover: body.Handover, Status: status})
+	r.mu.Lock()
+	hook := r.callHook
+	r.mu.Unlock()
+	if hook != nil && !hook(path) {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(status)
+}
+
+func (r *Replica) grant(w http.ResponseWriter, request *http.Request) {
+	arrival := r.record.now()
+	body, ok := r.readCall(w, request)
+	if !ok {
+		return
+	}
+	hold, err := time.ParseDuration(body.Hold)
+	if err != nil || hold <= 0 || hold > r.options.MaxHold {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	granted := lease{from: *body.From, to: *body.To, fence: *body.Fence, arrival: arrival}
+	granted.until = arrival + time.Duration(float64(hold)/r.options.ClockRate)
+	if !r.record.handoverCovers(body.Handover, r.options.Service, *body.From, *body.To) {
+		granted.slowUntil = arrival + r.options.WarmUp
+	}
+	r.mu.Lock()
+	accepted := !r.stopped && r.leases.grant(granted)
+	r.mu.Unlock()
+	status := http.StatusOK
+	if !accepted {
+		status = http.StatusConflict
+	}
+	r.answer(w, arrival, grantPath, body, status)
+}
+
+// release stops new executions on the keys at once, and responds when those that run have ended.
+func (r *Replica) release(w http.ResponseWriter, request *http.Request) {
+	arrival := r.record.now()
+	body, ok := r.readCall(w, request)
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	r.leases.release(*body.From, *body.To, *body.Fence, arrival)
+	var running []chan struct{}
+	for execution, done := range r.executions {
+		if *body.From <= int(execution.Key) && int(execution.Key) <= *body.To {
+			running = append(running, done)
+		}
+	}
+	r.mu.Unlock()
+	for _, done := range running {
+		select {
+		case <-done:
+		case <-request.Context().Done():
+			return
+		}
+	}
+	w.Header().Set(handoverHeader, r.record.issueHandover(r.options.Service, *body.From, *body.To))
+	r.answer(w, arrival, releasePath, body, http.StatusOK)
+}
