--- a/internal/testbeds/standin/shardreplica/calls.go
+++ b/internal/testbeds/standin/shardreplica/calls.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"net/http"
 	"time"
-
-	"zincloft.example/zincloft/controlplane/ownership"
 )
 
 // callBody is the body of a grant or release. Releases have neither a hold nor a handover.
@@ -18,7 +16,7 @@
 }
 
 func (b *callBody) valid() bool {
-	return b.From != nil && b.To != nil && b.Fence != nil && *b.From >= 0 && *b.From <= *b.To && *b.To <= ownership.MaxKey
+	return b.From != nil && b.To != nil && b.Fence != nil && *b.From >= 0 && *b.From <= *b.To && *b.To <= maxKey
 }
 
 // readCall reads the body of a grant or release and records the call. It rejects invalid calls and calls for another instance.
--- a/internal/testbeds/standin/shardreplica/lease.go
+++ b/internal/testbeds/standin/shardreplica/lease.go
@@ -3,10 +3,11 @@
 import (
 	"slices"
 	"time"
-
-	"zincloft.example/zincloft/controlplane/ownership"
 )
 
+// maxKey is the greatest shard key; the smallest is 0.
+const maxKey = 65535
+
 // keySpan is a contiguous range of keys that are in the same state. Times are those of Record.now.
 type keySpan struct {
 	from, to     int    // inclusive
@@ -37,7 +38,7 @@
 }
 
 func newLeaseTable(replica string) leaseTable {
-	return leaseTable{replica: replica, spans: []keySpan{{to: ownership.MaxKey}}}
+	return leaseTable{replica: replica, spans: []keySpan{{to: maxKey}}}
 }
 
 func (t *leaseTable) index(key int) int {
@@ -48,7 +49,7 @@
 
 // splitAt makes a span begin at a key.
 func (t *leaseTable) splitAt(key int) {
-	if key > ownership.MaxKey {
+	if key > maxKey {
 		return
 	}
 	i := t.index(key)
@@ -125,7 +126,7 @@
 	}
 }
 
-func (t *leaseTable) endAll(now time.Duration) { t.release(0, ownership.MaxKey, 0, now) }
+func (t *leaseTable) endAll(now time.Duration) { t.release(0, maxKey, 0, now) }
 
 // holds returns all holds until now, including those that have not ended.
 func (t *leaseTable) holds(now time.Duration) []Hold {
--- a/internal/tools/demo/calls.go
+++ b/internal/tools/demo/calls.go
@@ -70,9 +70,9 @@
 	return nil
 }
 
-func (c *Cluster) replaceConfiguration(ctx context.Context) error {
+func (c *Cluster) replaceConfiguration(ctx context.Context, text string) error {
 	return poll("the configuration to be replaced", func() bool {
-		status, err := c.call(ctx, "configuration.replace", "", []byte(configuration))
+		status, err := c.call(ctx, "configuration.replace", "", []byte(text))
 		return err == nil && status == http.StatusOK
 	})
 }
--- a/internal/tools/demo/cluster.go
+++ b/internal/tools/demo/cluster.go
@@ -62,6 +62,20 @@
 }
 
 func (c *Cluster) start(ctx context.Context, dir string, logs io.Writer, replicas int, faults FaultInjection) error {
+	if err := c.startDaemons(ctx, dir, logs); err != nil {
+		return err
+	}
+	if err := c.startReplicas(ctx, replicas, faults); err != nil {
+		return err
+	}
+	if err := c.replaceConfiguration(ctx, configuration); err != nil {
+		return err
+	}
+	return c.waitForGateways(ctx)
+}
+
+// startDaemons starts the control-plane member and the gateways.
+func (c *Cluster) startDaemons(ctx context.Context, dir string, logs io.Writer) error {
 	ports, err := freePorts(ctx, 2+2*gatewayCount)
 	if err != nil {
 		return merry.Prepend(err, "find free ports")
@@ -77,13 +91,7 @@
 			return err
 		}
 	}
-	if err := c.startReplicas(ctx, replicas, faults); err != nil {
-		return err
-	}
-	if err := c.replaceConfiguration(ctx); err != nil {
-		return err
-	}
-	return c.waitForGateways(ctx)
+	return nil
 }
 
 func (c *Cluster) startMember(ctx context.Context, dir string, logs io.Writer, internalPort int) error {
