--- a/internal/testbeds/standin/shardreplica/replica.go
+++ b/internal/testbeds/standin/shardreplica/replica.go
@@ -64,8 +64,8 @@
 
 // Reasons of rejections.
 const (
-	RejectedKeyNotHeld    Rejection = "key_not_held"   // 421 with X-Not-Executed
-	RejectedOtherInstance Rejection = "other_instance" // 421 with X-Instance-Id
+	RejectedKeyNotHeld    Rejection = "key_not_held"   // 421
+	RejectedOtherInstance Rejection = "other_instance" // 421, too: X-Instance-Id differs from the request's X-Target-Instance
 	RejectedOverload      Rejection = "overload"       // 503
 	RejectedInvalid       Rejection = "invalid"        // 400: no attempt ID, or no valid shard key
 )
--- a/internal/testbeds/standin/shardreplica/serve.go
+++ b/internal/testbeds/standin/shardreplica/serve.go
@@ -119,16 +119,18 @@
 	if target == "" || target == r.ID {
 		return false
 	}
-	r.countRejection(RejectedOtherInstance)
-	w.Header().Set(instanceHeader, r.ID)
-	w.WriteHeader(http.StatusMisdirectedRequest)
+	r.reject(w, RejectedOtherInstance, http.StatusMisdirectedRequest)
 	return true
 }
 
-// reject rejects a request with the proof that it was not executed.
+// reject rejects a request with the proof that it was not executed. Both rejections with status 421 have the same headers; only the value of
+// X-Instance-Id tells them apart.
 func (r *Replica) reject(w http.ResponseWriter, reason Rejection, status int) {
 	r.countRejection(reason)
 	w.Header().Set(notExecuted, "1")
+	if status == http.StatusMisdirectedRequest {
+		w.Header().Set(instanceHeader, r.ID)
+	}
 	w.Header().Set(instanceLoad, r.load())
 	w.WriteHeader(status)
 }
--- a/internal/testbeds/standin/shardreplica/shardreplica_test.go
+++ b/internal/testbeds/standin/shardreplica/shardreplica_test.go
@@ -74,7 +74,7 @@
 			rejected := read(first, "7")
 			So(rejected.status, ShouldEqual, 421)
 			So(rejected.headers.Get(notExecuted), ShouldEqual, "1")
-			So(rejected.headers.Get(instanceHeader), ShouldBeEmpty)
+			So(rejected.headers.Get(instanceHeader), ShouldEqual, "i1")
 			So(first.Rejections(RejectedKeyNotHeld), ShouldEqual, 1)
 			So(record.Executions(), ShouldBeEmpty)
 		})
@@ -82,7 +82,7 @@
 			rejected := send(first, http.MethodGet, "/x/", "", attemptHeader, "a", shardKeyHeader, "7", targetHeader, "i2")
 			So(rejected.status, ShouldEqual, 421)
 			So(rejected.headers.Get(instanceHeader), ShouldEqual, "i1")
-			So(rejected.headers.Get(notExecuted), ShouldBeEmpty)
+			So(rejected.headers.Get(notExecuted), ShouldEqual, "1")
 		})
 		Convey("requests without a valid key and invalid grants are rejected", func() {
 			So(read(first, "65536").status, ShouldEqual, 400)
--- a/internal/testbeds/standin/upstream/behaviour.go
+++ b/internal/testbeds/standin/upstream/behaviour.go
@@ -18,6 +18,7 @@
 	AnswersCorrectly        Behaviour = ""           // a complete response
 	RejectsNotExecuted      Behaviour = "sheds"      // 503, not executed
 	Misdirected             Behaviour = "other"      // 421: the address belongs to another instance
+	KeyNotHeld              Behaviour = "notheld"    // 421: the replica does not hold the request's shard key; it states its own ID
 	TruncatesResponse       Behaviour = "cut"        // executes it; the response ends early
 	SendsGarbage            Behaviour = "garbage"    // executes it, and sends bytes that are not HTTP
 	OmitsSeal               Behaviour = "unsealed"   // executes it; the response has no seal
@@ -38,7 +39,9 @@
 	foreignResponseHeaders = "X-Attempt-Id: other\r\nX-Response-Seal: s\r\n"
 )
 
-func (b Behaviour) executes() bool { return b != RejectsNotExecuted && b != Misdirected }
+func (b Behaviour) executes() bool {
+	return b != RejectsNotExecuted && b != Misdirected && b != KeyNotHeld
+}
 
 // serve handles the requests of a connection until it ends or a behaviour closes it.
 func (r *Replica) serve(conn net.Conn) {
@@ -104,6 +107,8 @@
 		write(conn, response(http.StatusServiceUnavailable, echo+"X-Not-Executed: 1\r\n", ""))
 	case Misdirected:
 		write(conn, response(http.StatusMisdirectedRequest, echo+"X-Instance-Id: "+r.ID+"\r\n", ""))
+	case KeyNotHeld:
+		write(conn, response(http.StatusMisdirectedRequest, echo+"X-Not-Executed: 1\r\nX-Instance-Id: "+r.ID+"\r\n", ""))
 	case TruncatesResponse:
 		write(conn, complete[:len(complete)-truncatedBytes])
 		return false
