A simulated sharded service, which fails: nobody is served

Cause: nothing grants shard keys, so each replica of a sharded service rejects every request (421).

Change: the simulation has replicas that hold keys (grants, releases, fencing tokens, clocks up to 2 % slow), calls from members to them with delays, cuts, late delivery and resets, requests with keys through the router, faults of the head, its calls and the replicas, a watcher of two owners of one key that knows nothing of the granter, and the invariant that nine of ten requests are served in calm times. Schedules without a sharded service draw the same random numbers as before.

The other tests of the package pass, the checksums of histories among them.

--- a/internal/testbeds/simulation/cluster.go
+++ b/internal/testbeds/simulation/cluster.go
@@ -60,8 +60,12 @@
 
 	cutLinks    map[link]int // number of active cuts by link
 	lastArrival map[link]time.Duration
+	healedAt    map[link]time.Duration // end of the last cut by link
 	retryLog    retryLog
 
+	shardKeys  []shardKey // the keys that requests to the sharded service bear, sorted
+	keyedTally keyedTally
+
 	faultActiveUntil  time.Duration         // latest time at which a known fault is active
 	unavailableSince  map[int]time.Duration // unavailable members, by index
 	onAcknowledgement []Fault               // deferred until the next acknowledgement
@@ -134,6 +138,7 @@
 		memberByAddress:     map[string]*member{},
 		cutLinks:            map[link]int{},
 		lastArrival:         map[link]time.Duration{},
+		healedAt:            map[link]time.Duration{},
 		unavailableSince:    map[int]time.Duration{},
 		committedBySequence: map[uint64]string{},
 		committedAt:         map[uint64]time.Duration{},
@@ -170,6 +175,7 @@
 	for i := range c.schedule.Replicas {
 		c.startReplica(i%c.zoneCount(), false)
 	}
+	c.startSharding()
 }
 
 // after schedules a function to run after a delay. Functions scheduled for the same time run in scheduling order.
--- a/internal/testbeds/simulation/fault.go
+++ b/internal/testbeds/simulation/fault.go
@@ -91,6 +91,18 @@
 	TriggerViewChange   FaultTrigger = "viewed" // any view
 )
 
+// Faults of a replica of the sharded service or of the links to all of them, in schedules with a Tolerance only. The target of the first
+// three is an index among the sharded replicas that run.
+const (
+	CrashShardedReplica   FaultKind = "shard-crash" // another one starts at the end of the fault
+	PauseShardedReplica   FaultKind = "shard-freeze"
+	IsolateShardedReplica FaultKind = "shard-cut"       // from all nodes
+	CutCallsToReplicas    FaultKind = "shard-calls"     // from a member to all sharded replicas
+	CutAnswersOfReplicas  FaultKind = "shard-answers"   // from all sharded replicas to a member
+	CutMemberFromReplicas FaultKind = "shard-unreached" // both directions
+	StepWallClock         FaultKind = "wall"            // the member's time of day jumps ahead or back, and back again at the end of the fault
+)
+
 // Fault is a fault with its start time and duration.
 type Fault struct {
 	At, For time.Duration
@@ -115,6 +127,8 @@
 		target = "of gateway"
 	case CrashReplica:
 		target = "of replica"
+	case CrashShardedReplica, PauseShardedReplica, IsolateShardedReplica:
+		target = "of sharded replica"
 	}
 	if f.Role != "" {
 		target += fmt.Sprintf(" (the %s)", f.Role)
--- a/internal/testbeds/simulation/gateway.go
+++ b/internal/testbeds/simulation/gateway.go
@@ -51,6 +51,9 @@
 	incarnation := g.incarnation
 	c.after(c.randomMilliseconds(streamCheckJitter), func() { c.maintainStreamRepeatedly(g, incarnation) })
 	c.after(time.Second, func() { c.requestRepeatedly(g, incarnation) })
+	if c.schedule.ShardedReplicas > 0 {
+		c.after(time.Second, func() { c.requestKeysRepeatedly(g, incarnation) })
+	}
 }
 
 func (c *cluster) injectGatewayFault(g *gatewayNode, fault Fault) {
--- a/internal/testbeds/simulation/inject.go
+++ b/internal/testbeds/simulation/inject.go
@@ -21,8 +21,10 @@
 		}
 	case CrashReplica:
 		if fault.Target < len(c.replicas) {
-			c.replicas[fault.Target].alive = false
+			c.endReplica(c.replicas[fault.Target])
 		}
+	case CrashShardedReplica, PauseShardedReplica, IsolateShardedReplica:
+		c.injectShardedReplicaFault(fault)
 	default:
 		if fault.Target < len(c.members) {
 			c.injectMemberFault(c.members[fault.Target], fault)
--- a/internal/testbeds/simulation/injecttolerance.go
+++ b/internal/testbeds/simulation/injecttolerance.go
@@ -22,7 +22,7 @@
 		return true
 	}
 	switch fault.Kind {
-	case KillGateway, PauseGateway, IsolateGateway, CrashReplica, StepClock:
+	case KillGateway, PauseGateway, IsolateGateway, CrashReplica, StepClock, CrashShardedReplica, PauseShardedReplica, IsolateShardedReplica:
 		return false
 	case KillAll, LosePowerAll, LosePowerAllWipeSome:
 		c.tracef("FAULT: %v", fault)
@@ -49,6 +49,10 @@
 		}
 	case IsolateMember, PartitionMember, DropInbound, DropOutbound:
 		c.isolateMember(m, fault)
+	case CutCallsToReplicas, CutAnswersOfReplicas, CutMemberFromReplicas:
+		c.cutFromReplicas(m, fault)
+	case StepWallClock:
+		c.stepWallClock(m, fault)
 	default:
 		if !c.injectStopOrDiskFault(m, fault) {
 			c.violationf("unknown fault kind %q", fault.Kind)
@@ -103,6 +107,7 @@
 	m.adjustIsolation(fault.Kind, 1)
 	c.endFault(fault, func() {
 		m.adjustIsolation(fault.Kind, -1)
+		m.isolationEndedAt = c.now
 		delete(c.unavailableSince, m.index)
 	})
 }
@@ -110,7 +115,7 @@
 // adjustIsolation adds n to the counters of the links that a kind of fault cuts.
 func (p *process) adjustIsolation(kind FaultKind, n int) {
 	switch kind {
-	case IsolateMember:
+	case IsolateMember, IsolateShardedReplica:
 		p.isolations += n
 	case PartitionMember:
 		p.inboundCuts += n
--- a/internal/testbeds/simulation/member.go
+++ b/internal/testbeds/simulation/member.go
@@ -89,6 +89,7 @@
 	c.publish(m, actions.Publish)
 	c.respond(m, actions.Responses)
 	c.closeStreams(m, actions.CloseStreams)
+	c.callReplicas(m, actions.Calls)
 	if actions.ShutdownComplete {
 		c.tracef("%s has shut down", m.name)
 		c.stopMember(m, processKilled, noRestart)
--- a/internal/testbeds/simulation/network.go
+++ b/internal/testbeds/simulation/network.go
@@ -41,7 +41,10 @@
 func (c *cluster) cutFor(links []link, duration time.Duration) {
 	for _, l := range links {
 		c.cutLinks[l]++
-		c.after(duration, func() { c.cutLinks[l]-- })
+		c.after(duration, func() {
+			c.cutLinks[l]--
+			c.healedAt[l] = c.now
+		})
 	}
 }
 
--- a/internal/testbeds/simulation/operator.go
+++ b/internal/testbeds/simulation/operator.go
@@ -60,6 +60,14 @@
 	case StartReplica:
 		c.startReplica(action.Target, true)
 		return
+	case DrainShardedReplica:
+		if r := c.shardedReplica(action.Target); r != nil {
+			c.drainReplica(r)
+		}
+		return
+	case StartShardedReplica:
+		c.startShardedReplica(action.Target, true)
+		return
 	}
 	call := &operatorCall{number: index, action: action, startedAt: c.now, deadline: c.now + operatorDeadline, minVersion: c.acknowledgedVersion}
 	switch action.Kind {
@@ -77,7 +85,7 @@
 	if call.action.Body > 0 {
 		name = call.action.Body
 	}
-	call.version, call.body = call.action.Version, configurationBody(call.action.Version, name)
+	call.version, call.body = call.action.Version, configurationBody(call.action.Version, name, c.schedule.ShardedReplicas > 0)
 	c.versionByBody[call.body] = call.version
 	call.operationIndex = len(c.result.Operations)
 	c.result.Operations = append(c.result.Operations, Operation{Version: call.version, Call: call.startedAt})
@@ -296,8 +304,16 @@
 	})
 }
 
-// configurationBody returns a configuration document. The name distinguishes configurations with the same version.
-func configurationBody(version uint64, name int) string {
+// configurationBody returns a configuration document, with or without the sharded service. The name distinguishes configurations with the same
+// version.
+func configurationBody(version uint64, name int, sharded bool) string {
+	if sharded {
+		return fmt.Sprintf(`{"version":"%08x","services":[{"name":%q,"max_connections":100,"cold_start":"3s","cold_per_s":%g},`+
+			`{"name":%q,"max_connections":100,"cold_start":"3s","cold_per_s":%g,"sharded":true,"warm_up":"2s"}],"virtual_hosts":[{"hostname":"h%d","path_routes":[`+
+			`{"name":"r","path_prefix":"/","kind":"safe","timeout":"3s","target_latency":"1s","max_attempts":2,"service":%q},`+
+			`{"name":"s","path_prefix":"/s/","kind":"safe","timeout":"3s","target_latency":"1s","max_attempts":2,"service":%q}]}]}`,
+			version, serviceName, warmupRate, shardedServiceName, warmupRate, name, serviceName, shardedServiceName)
+	}
 	return fmt.Sprintf(`{"version":"%08x","services":[{"name":%q,"max_connections":100,"cold_start":"3s","cold_per_s":%g}],"virtual_hosts":[{"hostname":"h%d","path_routes":[`+
 		`{"name":"r","path_prefix":"/","kind":"safe","timeout":"3s","target_latency":"1s","max_attempts":2,"service":%q}]}]}`, version, serviceName, warmupRate, name, serviceName)
 }
--- a/internal/testbeds/simulation/process.go
+++ b/internal/testbeds/simulation/process.go
@@ -27,6 +27,7 @@
 	inboundCuts, outboundCuts int // active faults that cut it off from other members, by direction
 	isolations                int // active faults that cut it off from all nodes
 	isolatedAt                time.Duration
+	isolationEndedAt          time.Duration // of the last isolation from all nodes
 }
 
 // startProcess starts a new incarnation with a new clock.
--- a/internal/testbeds/simulation/replica.go
+++ b/internal/testbeds/simulation/replica.go
@@ -24,6 +24,8 @@
 // replica is a service instance.
 type replica struct {
 	id, zone    string
+	service     string
+	shards      *shardHolder // nil unless the service is sharded
 	alive       bool
 	warmupUntil time.Duration
 
@@ -41,7 +43,7 @@
 
 // startReplica starts a replica in a zone. Initial replicas don't warm up.
 func (c *cluster) startReplica(zone int, warming bool) {
-	r := &replica{id: fmt.Sprintf("i%d", len(c.replicas)), zone: c.zoneName(zone), alive: true}
+	r := &replica{id: fmt.Sprintf("i%d", len(c.replicas)), zone: c.zoneName(zone), service: serviceName, alive: true}
 	if warming {
 		r.warmupUntil = c.now + warmupTime
 	}
@@ -60,7 +62,7 @@
 
 // sendHeartbeat sends a heartbeat to a member, and to others until one acknowledges it.
 func (c *cluster) sendHeartbeat(r *replica, retries int) {
-	if !r.alive || retries > maxHeartbeatRetries {
+	if !r.alive || retries > maxHeartbeatRetries || r.isSilent() {
 		return
 	}
 	m := c.pickMember()
@@ -102,7 +104,7 @@
 func (c *cluster) instance(r *replica) fleet.Instance {
 	return fleet.Instance{
 		ID:           r.id,
-		Service:      serviceName,
+		Service:      r.service,
 		Addr:         "10.9.0." + r.id[1:] + ":80",
 		Zone:         r.zone,
 		Slots:        replicaSlots,
@@ -133,7 +135,7 @@
 	}
 	r.draining = true
 	c.sendHeartbeat(r, 0)
-	c.after(terminationTime, func() { r.alive = false })
+	c.after(terminationTime, func() { c.endReplica(r) })
 }
 
 func (c *cluster) drainAcknowledged(m *member, r *replica) {
@@ -152,5 +154,13 @@
 	if r.alive && m.isReachable() {
 		c.callFromReplica(m, controller.Event{Deregister: r.id}, func(controller.Response) {})
 	}
+	c.endReplica(r)
+}
+
+// endReplica ends a replica's process.
+func (c *cluster) endReplica(r *replica) {
 	r.alive = false
+	if r.shards != nil {
+		r.shards.up = false
+	}
 }
--- a/internal/testbeds/simulation/result.go
+++ b/internal/testbeds/simulation/result.go
@@ -13,6 +13,7 @@
 	WarmupRequests int // requests to replicas that were warming up
 	Retries        int // how often a gateway's budget allowed retries
 	NewestView     uint64
+	Sharded        ShardedResult
 	DrainedWindows int // maintenance windows in which a gateway was drained
 	NewestSequence uint64
 	MaxDiskBytes   int // highest usage of a single disk
@@ -42,6 +43,19 @@
 	ResponsesAfterResume []time.Duration
 }
 
+// ShardedResult has the measurements of the sharded service.
+type ShardedResult struct {
+	Requests, Served         int // requests with a key, however often they were retried
+	CalmRequests, CalmServed int // those that started and ended in calm times
+	NotHeld                  int // attempts that a replica rejected because it did not hold the key
+	FailedInRun              int // attempts whose lease ended before they did
+
+	Grants, Releases, Fenced int // calls that replicas received
+	UncountedGrants          int // grants within thawSlack after their sender resumed or the link healed
+	KeyMoves, ColdKeyMoves   int // by key: grants to another replica than the last holder, and those without its handover
+	DoublyHeldKeys           int // by key: grants of a key that another replica held
+}
+
 // Operation is an operator call for a linearizability check against a single register that only increases: a write
 // raises the register to at least its version, a read returns it.
 type Operation struct {
--- a/internal/testbeds/simulation/schedule.go
+++ b/internal/testbeds/simulation/schedule.go
@@ -22,6 +22,9 @@
 	ReorderRate     float64       `json:"Reorder"` // share of messages that are delayed past later ones
 	MaxReorderDelay time.Duration `json:"Late"`
 
+	ShardedReplicas int     `json:",omitempty"` // initial replicas of the sharded service; 0: there is none
+	LateCallRate    float64 `json:",omitempty"` // share of calls to replicas that the network holds up for up to maxLateCall
+
 	PlantedBug PlantedBug `json:"Fault,omitempty"`
 
 	// Tolerance, if set, is the number of members that may be lost at once. Such a schedule may contain more kinds of
@@ -49,6 +52,9 @@
 const (
 	DrainReplica ActionKind = "drain"
 	StartReplica ActionKind = "begin" // start a replica that warms up
+
+	DrainShardedReplica ActionKind = "shard-drain"
+	StartShardedReplica ActionKind = "shard-begin" // it warms up
 )
 
 // Actions of operators on maintenance windows. The values are the verbs of the call.
