Owners are described to operators; simulated gateways name shard keys

Cause: "owners.describe" answered 500, as no controller described the table, and simulated requests carried no key.

Change: Controller.DescribeOwners, called directly; the simulation's gateways pass the key and take a rejected key for what it is.

--- a/controlplane/controller/ownership.go
+++ b/controlplane/controller/ownership.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -165,3 +166,9 @@
 	})
 	return instances
 }
+
+// DescribeOwners returns the committed owners of all ranges, encoded as JSON.
+func (c *Controller) DescribeOwners(time.Duration) ([]byte, error) {
+	table, _ := c.ownershipTable()
+	return json.Marshal(table.Status())
+}
--- a/internal/daemons/controlserver/operatorcalls.go
+++ b/internal/daemons/controlserver/operatorcalls.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"net/http"
-	"time"
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/controller"
@@ -91,24 +89,9 @@
 	s.writeFromRunLoop(w, func() ([]byte, error) { return s.controller.DescribeMaintenance(s.now()) })
 }
 
-// ownerDescriber is a controller that knows the owners of shard keys.
-type ownerDescriber interface {
-	// DescribeOwners returns the JSON encoding of ownership.Table.Status.
-	DescribeOwners(now time.Duration) ([]byte, error)
-}
-
-// errOwnersUnknown is returned if the controller does not keep the owners of shard keys.
-var errOwnersUnknown = errors.New("this member does not keep the owners of shard keys")
-
 // handleDescribeOwners responds with this member's view of the owners of shard keys.
 func (s *Server) handleDescribeOwners(w http.ResponseWriter, _ *http.Request) {
-	s.writeFromRunLoop(w, func() ([]byte, error) {
-		describer, ok := any(s.controller).(ownerDescriber)
-		if !ok {
-			return nil, errOwnersUnknown
-		}
-		return describer.DescribeOwners(s.now())
-	})
+	s.writeFromRunLoop(w, func() ([]byte, error) { return s.controller.DescribeOwners(s.now()) })
 }
 
 // writeFromRunLoop responds with the JSON that evaluate returns on the goroutine of Run.
--- a/internal/testbeds/compatibility/encoding_test.go
+++ b/internal/testbeds/compatibility/encoding_test.go
@@ -134,6 +134,9 @@
 		"messages.StateUpdate.Ownership": true,
 		"messages.LoadReport.KeyLoads":   true,
 		"peertransport.Frame.KeyLoads":   true,
+
+		"simulation.Schedule.ShardedReplicas": true,
+		"simulation.Schedule.LateCallRate":    true,
 	},
 }
 
--- a/internal/testbeds/simulation/shardedrequest.go
+++ b/internal/testbeds/simulation/shardedrequest.go
@@ -69,7 +69,7 @@
 
 // keyedPick asks the router for the replica of a request.
 func (c *cluster) keyedPick(request *keyedRequest) router.PickRequest {
-	return router.PickRequest{Service: shardedServiceName, Admission: admission.Request{Route: "s", LatencyTarget: requestLatency, TimeLeft: request.deadline - c.now}}
+	return router.PickRequest{Service: shardedServiceName, Sharded: true, Key: uint16(c.shardKeys[request.key].key), Admission: admission.Request{Route: "s", LatencyTarget: requestLatency, TimeLeft: request.deadline - c.now}}
 }
 
 func (c *cluster) retryKeyed(request *keyedRequest) {
@@ -91,7 +91,7 @@
 		end(loadbalancer.NoResponse, keyedTimeout)
 	case holder.keys[request.key].until <= c.now:
 		c.result.Sharded.NotHeld++
-		end(loadbalancer.Rejected, minMessageDelay)
+		end(loadbalancer.NotOwner, minMessageDelay)
 	default:
 		c.checkRequest(g, r)
 		c.checkOwner(r, request.key)
