--- a/dataplane/router/attempt.go
+++ b/dataplane/router/attempt.go
@@ -21,6 +21,10 @@
 	Attempted []string          `cbor:"2,keyasint,omitempty"` // IDs of endpoints that were already tried
 	Admission admission.Request `cbor:"3,keyasint"`
 	OnlyIdle  bool              `cbor:"4,keyasint,omitempty"` // pick only a healthy endpoint with free slots
+
+	// Sharded limits the pick to the owner of Key, whether or not it was already tried.
+	Sharded bool   `cbor:"5,keyasint,omitempty"`
+	Key     uint16 `cbor:"6,keyasint,omitempty"`
 }
 
 // PickResult is the endpoint that was picked, if any. If there is one, the attempt must be ended with EndAttempt.
@@ -31,6 +35,13 @@
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"` // if no endpoint was picked: when the client should retry
 
 	NoEndpointKnown bool `cbor:"5,keyasint,omitempty"` // no endpoint was picked because the service has none
+
+	// OwnerPending reports that no endpoint was picked because the shard key has no owner that can be reached: the key is being
+	// moved, or will be. The request does not count as rejected.
+	OwnerPending bool `cbor:"6,keyasint,omitempty"`
+	MoveOverdue  bool `cbor:"7,keyasint,omitempty"` // with OwnerPending: the key will probably have no owner for some time
+
+	Token uint64 `cbor:"8,keyasint,omitempty"` // fencing token of the shard key's range; 0 if there is none
 }
 
 // AttemptResult is the outcome of an attempt.
@@ -57,19 +68,25 @@
 }
 
 // Pick selects an endpoint and starts an attempt at it. If no endpoint can take the request, the request counts as rejected.
-func (r *Router) Pick(now time.Duration, request PickRequest) PickResult {
+func (r *Router) Pick(now time.Duration, request PickRequest) (result PickResult) {
 	r.expireWarmupRates(now)
 	r.updateIsolation(now)
 	controller := r.admission(request.Service)
 	attempted := func(id string) bool { return slices.Contains(request.Attempted, id) }
 	var endpoint *loadbalancer.Endpoint
-	if request.OnlyIdle {
+	if request.Sharded {
+		if endpoint, result = r.pickOwner(now, request, controller.MaxQueueDepth(request.Admission)); result.OwnerPending {
+			return result
+		}
+	} else if request.OnlyIdle {
 		endpoint = r.balancer.PickIdle(now, request.Service, attempted, r.random)
 	} else {
 		endpoint = r.balancer.Pick(now, request.Service, attempted, controller.MaxQueueDepth(request.Admission), r.random)
 	}
 	if endpoint == nil {
-		return PickResult{RetryAfter: controller.Reject(request.Admission, r.random()), NoEndpointKnown: !r.balancer.KnowsService(request.Service)}
+		result.RetryAfter = controller.Reject(request.Admission, r.random())
+		result.NoEndpointKnown = !r.balancer.KnowsService(request.Service)
+		return result
 	}
 	invariant.Check(invariant.EndpointAcceptsRequests, r.balancer.AcceptsRequests(endpoint), func() string {
 		return "endpoint " + endpoint.ID + " is draining, or its zone " + endpoint.Zone + " is evacuated"
@@ -78,7 +95,8 @@
 	r.lastAttemptID++
 	r.attempts[r.lastAttemptID] = attempt{endpoint, request.Service, endpoint.Utilization(now)}
 	r.balancer.StartAttempt(now, endpoint)
-	return PickResult{AttemptID: r.lastAttemptID, EndpointID: endpoint.ID, Addr: endpoint.Addr}
+	result.AttemptID, result.EndpointID, result.Addr = r.lastAttemptID, endpoint.ID, endpoint.Addr
+	return result
 }
 
 // EndAttempt records the outcome of an attempt. It ignores attempts that are not in flight.
--- a/internal/daemons/controlserver/operatorcalls.go
+++ b/internal/daemons/controlserver/operatorcalls.go
@@ -89,6 +89,11 @@
 	s.writeFromRunLoop(w, func() ([]byte, error) { return s.controller.DescribeMaintenance(s.now()) })
 }
 
+// handleDescribeOwners responds with this member's view of the owners of shard keys.
+func (s *Server) handleDescribeOwners(w http.ResponseWriter, _ *http.Request) {
+	s.writeFromRunLoop(w, func() ([]byte, error) { return s.controller.DescribeOwners(s.now()) })
+}
+
 // writeFromRunLoop responds with the JSON that evaluate returns on the goroutine of Run.
 func (s *Server) writeFromRunLoop(w http.ResponseWriter, evaluate func() ([]byte, error)) {
 	type result struct {
