Leases of shard keys last 3 s and are renewed each 0.75 s

Cause: the keys of a replica that crashed were served again only when its lease of 4 s had run out.

Change: defaultLease, renewInterval.

--- a/controlplane/granter/granter.go
+++ b/controlplane/granter/granter.go
@@ -18,9 +18,9 @@
 	AuthorityDuration = time.Second
 
 	// defaultLease is the duration of a lease unless the deployment allows only shorter ones.
-	defaultLease = 4 * time.Second
+	defaultLease = 3 * time.Second
 
-	renewInterval  = time.Second
+	renewInterval  = 750 * time.Millisecond
 	grantTimeout   = 400 * time.Millisecond
 	releaseTimeout = 3 * time.Second
 	retryInterval  = 150 * time.Millisecond // between calls to a replica that does not respond
