Metrics of the ownership of shard keys

Cause: a service without owners, or a member that does not grant, could not be told from the metrics.

Change: gauges of ranges, keys being released, the last token, calls in flight and whether this member makes the calls.

Result: tests of controller and controlserver pass.

--- a/controlplane/controller/metrics.go
+++ b/controlplane/controller/metrics.go
@@ -21,10 +21,21 @@
 	DrainingInstances int
 	TimedOutInstances int
 
+	Ownership OwnershipMetrics
+
 	TrackedInstances      int // including recently deregistered ones
 	TrackedInstancesLimit int // 0 means unlimited
 }
 
+// OwnershipMetrics describes the ownership of sharded services as seen by one member.
+type OwnershipMetrics struct {
+	Granting      bool // this member makes the calls to replicas
+	Ranges        int
+	ReleasingKeys int // keys without a replica that serves them
+	LastToken     uint64
+	CallsInFlight int
+}
+
 // Metrics returns the member's current metrics.
 func (c *Controller) Metrics(now time.Duration) Metrics {
 	view := c.coordinator.View()
@@ -43,6 +54,7 @@
 		TrackedInstances:      c.registry.Len(),
 		TrackedInstancesLimit: c.options.MaxInstances,
 	}
+	metrics.Ownership = c.ownershipMetrics(now)
 	c.registry.Each(now, func(instance fleet.Instance) {
 		metrics.Instances++
 		if instance.Draining {
--- a/controlplane/controller/ownership.go
+++ b/controlplane/controller/ownership.go
@@ -172,3 +172,23 @@
 	table, _ := c.ownershipTable()
 	return json.Marshal(table.Status())
 }
+
+// ownershipMetrics summarizes the committed table and this member's calls.
+func (c *Controller) ownershipMetrics(now time.Duration) OwnershipMetrics {
+	table, _ := c.ownershipTable()
+	leading, _ := c.owners.granter.Leading()
+	metrics := OwnershipMetrics{
+		Granting:      leading && now < c.owners.authorizedUntil,
+		LastToken:     table.LastToken,
+		CallsInFlight: c.owners.granter.CallsInFlight(),
+	}
+	for _, ranges := range table.Services {
+		metrics.Ranges += len(ranges)
+		for _, r := range ranges {
+			if r.Phase == ownership.PhaseReleasing {
+				metrics.ReleasingKeys += r.Size()
+			}
+		}
+	}
+	return metrics
+}
--- a/controlplane/granter/granter.go
+++ b/controlplane/granter/granter.go
@@ -188,6 +188,9 @@
 // Leading reports whether this member was the head of the chain at the last step, and since when without interruption.
 func (g *Granter) Leading() (leading bool, since time.Duration) { return g.leading, g.tenureStart }
 
+// CallsInFlight returns the number of calls without a result yet.
+func (g *Granter) CallsInFlight() int { return len(g.calls) }
+
 // Lease returns the duration of the leases that are granted.
 func (g *Granter) Lease() time.Duration { return g.lease }
 
--- a/internal/daemons/controlserver/metrics.go
+++ b/internal/daemons/controlserver/metrics.go
@@ -48,6 +48,11 @@
 			{"zincloft_controlplane_instances_timed_out", float64(current.TimedOutInstances)},
 			{"zincloft_controlplane_instances_remembered", float64(current.TrackedInstances)},
 			{"zincloft_controlplane_instances_limit", float64(current.TrackedInstancesLimit)},
+			{"zincloft_controlplane_ownership_granting", telemetry.BoolGauge(current.Ownership.Granting)},
+			{"zincloft_controlplane_ownership_ranges", float64(current.Ownership.Ranges)},
+			{"zincloft_controlplane_ownership_releasing_keys", float64(current.Ownership.ReleasingKeys)},
+			{"zincloft_controlplane_ownership_last_token", float64(current.Ownership.LastToken)},
+			{"zincloft_controlplane_ownership_calls_in_flight", float64(current.Ownership.CallsInFlight)},
 			{"zincloft_controlplane_call_body_bytes", float64(s.bodyBudget.Used())},
 			{"zincloft_controlplane_pending_calls", float64(len(s.pendingCalls))},
 		}
