A refused proposal of owners no longer recurses until the stack ends

Cause: the result of a proposal steps the granter at once.

Change: only a successful proposal steps the granter at once; a failed one is made again with the next tick (100 ms).

--- a/controlplane/controller/replication.go
+++ b/controlplane/controller/replication.go
@@ -78,7 +78,9 @@
 	}
 	if response.RequestID == c.owners.proposalRequest {
 		c.owners.proposalRequest = 0
-		c.advanceOwnership(now)
+		if response.Err == nil { // a failed proposal is made again with the next tick: it would fail at once for the same reason
+			c.advanceOwnership(now)
+		}
 		return
 	}
 	if call, ok := c.removalCalls[response.RequestID]; ok {
