Simulated faults of the members and replicas of a sharded service

TestShardedFaults draws schedules in which the head, its calls and the replicas that hold keys fail, alone or together, while calls arrive late and keys move. A counted grant of a key that another replica holds is a violation now, which is stricter than the rule OWNER.

--- a/internal/testbeds/simulation/generatesharded.go
+++ b/internal/testbeds/simulation/generatesharded.go
@@ -13,6 +13,7 @@
 	minShardedFaults     = 2
 	shardedFaultsSpread  = 5
 	maxShardedFaultGap   = 4 * time.Second
+	shortShardedFaultGap = 300 * time.Millisecond
 	maxShardedFault      = 6 * time.Second
 	shardedCalmTime      = shardedRecoveryTime + 3*time.Second // judged at the end, in addition to finalReadDelay
 	maxShardedActions    = 6
@@ -36,11 +37,15 @@
 	}
 	g.budget = make(faultBudget, g.schedule.Tolerance)
 	drawLinks(g.random, &g.schedule)
-	g.schedule.LateCallRate = pickOne(g.random, 0, 0.01, 0.05)
+	g.schedule.LateCallRate = pickOne(g.random, 0, 0.02, 0.3)
 	g.addAction(Action{At: firstPutTime, Kind: PutConfig, Version: 1})
 	at := firstShardedFault
 	for range minShardedFaults + g.random.IntN(shardedFaultsSpread) {
-		at += g.durationBetween(0, maxShardedFaultGap)
+		gap := maxShardedFaultGap
+		if g.chance(2) { // so that a replica and the head that could tell are lost together
+			gap = shortShardedFaultGap
+		}
+		at += g.durationBetween(0, gap)
 		g.addShardedFault(at)
 	}
 	g.addShardedActions(at)
@@ -66,6 +71,9 @@
 	case k < 9:
 		fault.Kind, fault.Role, fault.Target = g.pickKind(ownerFaults...), "", g.random.IntN(shardedReplicas)
 		g.appendFault(fault)
+		if g.chance(2) { // its keys are already being moved
+			g.addAction(Action{At: at - g.durationBetween(0, shortShardedFaultGap), Kind: DrainShardedReplica, Target: fault.Target})
+		}
 	default:
 		g.addClusterFault(at, clusterStopFaults...)
 	}
--- a/internal/testbeds/simulation/invariant_owner.go
+++ b/internal/testbeds/simulation/invariant_owner.go
@@ -9,7 +9,8 @@
 	beganAt     time.Duration // last start of a request during the lease; 0: none
 }
 
-// watchGrant records a counted grant of a key to a replica.
+// watchGrant records a counted grant of a key to a replica, and checks that no other one holds the key. This is stricter than the rule OWNER, which
+// checkOwner checks.
 func (c *cluster) watchGrant(r *replica, key int, until time.Duration) {
 	lease := &r.shards.keys[key].watched
 	if lease.until <= c.now {
@@ -21,8 +22,7 @@
 	}
 	for _, other := range c.otherHolders(r, key) {
 		c.result.Sharded.DoublyHeldKeys++
-		c.tracef("key %d is granted to %s until %.3f s while %s holds it until %.3f s",
-			c.shardKeys[key].key, r.id, lease.until.Seconds(), other.id, other.shards.keys[key].watched.until.Seconds())
+		c.violationf("key %d is granted to %s until %.3f s while %s holds it until %.3f s", c.shardKeys[key].key, r.id, lease.until.Seconds(), other.id, other.shards.keys[key].watched.until.Seconds())
 	}
 }
 
--- a/internal/testbeds/simulation/replicacall.go
+++ b/internal/testbeds/simulation/replicacall.go
@@ -63,9 +63,10 @@
 		return
 	}
 	delay := minMessageDelay + time.Duration(c.random.ExpFloat64()*float64(meanExtraMessageDelay))
-	if c.random.Float64() < c.schedule.LateCallRate {
+	if c.random.Float64() < c.schedule.LateCallRate && c.now < c.schedule.Duration-shardedCalmTime {
 		call.delayed = true
-		delay += c.randomBelow(maxLateCall)
+		late := c.random.Float64()
+		delay += time.Duration(late * late * late * float64(maxLateCall)) // most within the time-out of a grant
 	}
 	c.after(delay, func() { c.deliverToReplica(call) })
 }
--- a/internal/testbeds/simulation/result.go
+++ b/internal/testbeds/simulation/result.go
@@ -88,3 +88,20 @@
 	Call     time.Duration
 	Return   time.Duration // without a conclusive response, when the caller gave up
 }
+
+// add adds the measurements of another run.
+func (r *ShardedResult) add(other ShardedResult) {
+	r.Requests += other.Requests
+	r.Served += other.Served
+	r.CalmRequests += other.CalmRequests
+	r.CalmServed += other.CalmServed
+	r.NotHeld += other.NotHeld
+	r.FailedInRun += other.FailedInRun
+	r.Grants += other.Grants
+	r.Releases += other.Releases
+	r.Fenced += other.Fenced
+	r.UncountedGrants += other.UncountedGrants
+	r.KeyMoves += other.KeyMoves
+	r.ColdKeyMoves += other.ColdKeyMoves
+	r.DoublyHeldKeys += other.DoublyHeldKeys
+}
--- a/internal/testbeds/simulation/schedule.go
+++ b/internal/testbeds/simulation/schedule.go
@@ -23,7 +23,7 @@
 	MaxReorderDelay time.Duration `json:"Late"`
 
 	ShardedReplicas int     `json:",omitempty"` // initial replicas of the sharded service; 0: there is none
-	LateCallRate    float64 `json:",omitempty"` // share of calls to replicas that the network holds up for up to maxLateCall
+	LateCallRate    float64 `json:",omitempty"` // share of calls to replicas that the network holds up for up to maxLateCall, until the calm time at the end
 
 	PlantedBug PlantedBug `json:"Fault,omitempty"`
 
--- a/internal/testbeds/simulation/shardedrequest.go
+++ b/internal/testbeds/simulation/shardedrequest.go
@@ -69,7 +69,7 @@
 
 // keyedPick asks the router for the replica of a request.
 func (c *cluster) keyedPick(request *keyedRequest) router.PickRequest {
-	return router.PickRequest{Service: shardedServiceName, Sharded: true, Key: uint16(c.shardKeys[request.key].key), Admission: admission.Request{Route: "s", LatencyTarget: requestLatency, TimeLeft: request.deadline - c.now}}
+	return router.PickRequest{Service: shardedServiceName, Sharded: true, Key: c.shardKeys[request.key].key, Admission: admission.Request{Route: "s", LatencyTarget: requestLatency, TimeLeft: request.deadline - c.now}}
 }
 
 func (c *cluster) retryKeyed(request *keyedRequest) {
