Bound the number of ranges: small idle ranges move next to others of their owner, Join joins them

Cause: each cut adds ranges and no two of them stem from the same grant, so Merge joins none; each range costs a renewal and bytes.

Change: above Tuning.MaxRanges the planner spends moves that are left on small ranges without load, towards the owner of a neighbour. Join gives acknowledged neighbours of one owner a new common token. The convergence property now covers replicas with different slots, joined and gone ones.

--- a/controlplane/ownership/changes.go
+++ b/controlplane/ownership/changes.go
@@ -96,6 +96,34 @@
 	return withRanges(table, service, merged, table.LastToken)
 }
 
+// Join returns a table in which adjacent granted ranges of the same owner are a single range with a new token, if the service has more than
+// maxRanges. It joins only ranges for which acknowledged returns true: their owner has accepted the grant, and holds the keys without needing the
+// handover again.
+func Join(table Table, service string, maxRanges int, acknowledged func(Range) bool) Table {
+	ranges := table.Services[service]
+	if len(ranges) <= maxRanges {
+		return table
+	}
+	joinable := func(r Range) bool { return r.Phase == PhaseGranted && acknowledged(r) }
+	joined := make([]Range, 0, len(ranges))
+	for i := 0; i < len(ranges); {
+		end := i + 1
+		for end < len(ranges) && ranges[end].Owner == ranges[i].Owner && joinable(ranges[i]) && joinable(ranges[end]) {
+			end++
+		}
+		r := ranges[i]
+		if end > i+1 {
+			r.To, r.Token, r.Handover = ranges[end-1].To, table.LastToken+1, ""
+		}
+		joined = append(joined, r)
+		i = end
+	}
+	if len(joined) == len(ranges) {
+		return table
+	}
+	return withRanges(table, service, joined, table.LastToken+1)
+}
+
 func sameGrant(a, b Range) bool {
 	return a.Phase == PhaseGranted && b.Phase == PhaseGranted && a.Owner == b.Owner && a.Token == b.Token && a.Handover == "" && b.Handover == ""
 }
--- a/controlplane/ownership/changes_test.go
+++ b/controlplane/ownership/changes_test.go
@@ -30,7 +30,7 @@
 // changeAtRandom returns the table after one change and the keys that the change may affect.
 func changeAtRandom(t *rapid.T, table Table) (Table, []Move) {
 	move := drawMove(t)
-	switch rapid.IntRange(0, 3).Draw(t, "change") {
+	switch rapid.IntRange(0, 4).Draw(t, "change") {
 	case 0:
 		moves := []Move{move, drawMove(t), drawMove(t)}
 		return Release(table, testService, moves), moves
@@ -38,6 +38,9 @@
 		return Grant(table, testService, move.From, move.To, move.Target, "handover"), []Move{move}
 	case 2:
 		return Retoken(table, testService, move.From, move.To), []Move{move}
+	case 3:
+		unmoved := func(r Range) bool { return r.Handover == "" }
+		return Join(table, testService, 0, unmoved), []Move{{From: 0, To: MaxKey}}
 	default:
 		return Merge(table, testService, rapid.IntRange(0, 100).Draw(t, "maxRanges")), nil
 	}
@@ -137,6 +140,23 @@
 	}
 }
 
+func TestJoinTakesAcknowledgedNeighboursOfOneOwner(t *testing.T) {
+	table := Divide(Table{}, testService, testReplicas(1, 6), 1)
+	table = Grant(table, testService, 100, 199, "a", "h1")
+	table = Grant(table, testService, 200, 299, "a", "h2")
+	table = Grant(table, testService, 300, 399, "a", "pending")
+	joined := Join(table, testService, 0, func(r Range) bool { return r.Handover != "pending" })
+	want := []Range{
+		{From: 0, To: 99, Owner: "replica000", Token: 1, Phase: PhaseGranted},
+		{From: 100, To: 299, Owner: "a", Token: 5, Phase: PhaseGranted},
+		{From: 300, To: 399, Owner: "a", Token: 4, Phase: PhaseGranted, Handover: "pending"},
+		{From: 400, To: MaxKey, Owner: "replica000", Token: 1, Phase: PhaseGranted},
+	}
+	if got := joined.Services[testService]; !slices.Equal(got, want) || joined.LastToken != 5 {
+		t.Fatalf("ranges %+v, want %+v", got, want)
+	}
+}
+
 func TestRemoveServicesKeepsLastToken(t *testing.T) {
 	table := Divide(Table{}, testService, testReplicas(3, 6), 4)
 	table = RemoveServices(table, func(service string) bool { return service != testService })
--- a/controlplane/ownership/plan.go
+++ b/controlplane/ownership/plan.go
@@ -23,6 +23,7 @@
 	HeirPiece      float64 // keys of an ineligible replica move in pieces of at most this share of the mean weight of a replica
 	MinPiece       float64 // smallest weight worth a move, as a share of the mean weight of a replica
 	IdleShare      float64 // share of the total load that is added to the weight of all keys in equal parts
+	MaxRanges      int     // number of ranges above which small ranges move to the owners of their neighbours, so that Join can join them
 	Deviations     float64 // standard deviations of a count of requests by which a replica must differ from the mean to be over- or underloaded
 }
 
@@ -30,7 +31,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		OverloadRatio: 1.3, OverloadFloor: 1, GoalRatio: 1.15, AcceptRatio: 1.1, UnderloadRatio: 0.5, FillRatio: 0.8, FillPieces: 8,
-		HeirPiece: 0.25, MinPiece: 0.02, IdleShare: 0.02, Deviations: 3,
+		HeirPiece: 0.25, MinPiece: 0.02, IdleShare: 0.02, MaxRanges: 2000, Deviations: 3,
 	}
 }
 
@@ -45,7 +46,7 @@
 }
 
 // PlanMoves returns the next moves, at most MaxMoves and the most urgent first: keys of replicas that are not eligible any more, then keys for
-// replicas without any or with few, then keys of overloaded replicas. Only granted keys move. Keys that are being released count for their
+// replicas without any or with few, then keys of overloaded replicas, then small ranges if there are too many. Only granted keys move. Keys that are being released count for their
 // target.
 func PlanMoves(input PlanInput) []Move {
 	if len(input.Replicas) == 0 || len(input.Ranges) == 0 {
@@ -55,6 +56,7 @@
 	p.evacuate()
 	p.fill()
 	p.balance()
+	p.joinSmallRanges()
 	return p.moves
 }
 
--- a/controlplane/ownership/plan_test.go
+++ b/controlplane/ownership/plan_test.go
@@ -92,8 +92,9 @@
 	return keys
 }
 
-// maxRatio returns the highest load per slot as a multiple of the mean. Replicas that have nearly all of their load from one key are left out.
-func (c *cluster) maxRatio(load Load) float64 {
+// maxRatio returns the highest load per slot, as a multiple of the mean and in requests per second. Replicas that have nearly all of their load from
+// one key are left out.
+func (c *cluster) maxRatio(load Load) (ratio, level float64) {
 	loads, busiest := map[string]float64{}, map[string]float64{}
 	for _, r := range c.ranges() {
 		for key := int(r.From); key <= int(r.To); key++ {
@@ -112,7 +113,7 @@
 			highest = max(highest, loads[replica.ID]/float64(replica.Slots)/mean)
 		}
 	}
-	return highest
+	return highest, highest * mean
 }
 
 func drawLoad(t *rapid.T) Load {
@@ -124,16 +125,34 @@
 	return load
 }
 
+func drawReplicas(t *rapid.T) []Replica {
+	replicas := testReplicas(rapid.IntRange(2, 127).Draw(t, "replicas"), 6)
+	if rapid.Bool().Draw(t, "differentSlots") {
+		for i := range replicas {
+			replicas[i].Slots = 3 + i%3*3
+		}
+	}
+	return replicas
+}
+
 func TestPlansOnStaticLoadConvergeAndStop(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := newCluster(testReplicas(rapid.IntRange(2, 127).Draw(t, "replicas"), 6), rapid.IntRange(1, 8).Draw(t, "ranges"))
+		all := drawReplicas(t)
+		c := newCluster(all[:rapid.IntRange(1, len(all)).Draw(t, "first")], rapid.IntRange(1, 8).Draw(t, "ranges"))
+		maxMoves := rapid.IntRange(8, 128).Draw(t, "maxMoves")
+		c.settle(drawLoad(t), maxMoves, rapid.IntRange(0, 3).Draw(t, "roundsBefore"))
+		c.replicas = all[rapid.IntRange(0, len(all)/2).Draw(t, "gone"):]
 		load := drawLoad(t)
-		rounds, _ := c.settle(load, rapid.IntRange(8, 128).Draw(t, "maxMoves"), 100)
-		if rounds == 100 {
+		rounds, _ := c.settle(load, maxMoves, 200)
+		if rounds == 200 {
 			t.Fatal("moves do not end on a static load")
 		}
-		mean := sumOf(load) / float64(6*len(c.replicas))
-		if ratio := c.maxRatio(load); ratio > 1.35 && ratio*mean > 1.01*DefaultTuning().OverloadFloor {
+		for _, r := range c.ranges() {
+			if !slices.ContainsFunc(c.replicas, func(replica Replica) bool { return replica.ID == r.Owner }) {
+				t.Fatalf("%+v is left with an ineligible replica", r)
+			}
+		}
+		if ratio, level := c.maxRatio(load); ratio > 1.35 && level > 1.01*DefaultTuning().OverloadFloor {
 			t.Fatalf("a replica has %.2f times the mean load after %d rounds", ratio, rounds)
 		}
 	})
@@ -274,7 +293,7 @@
 	c, load := newCluster(testReplicas(112, 6), 8), clusteredLoad(1115, 20000, 0.44)
 	c.replicas = slices.DeleteFunc(c.replicas, func(r Replica) bool { return r.Zone == "zone1" })
 	rounds, _ := c.settle(load, 128, 20)
-	if ratio := c.maxRatio(load); rounds > 4 || ratio > 1.35 {
+	if ratio, _ := c.maxRatio(load); rounds > 4 || ratio > 1.35 {
 		t.Errorf("%d rounds, a replica has %.2f times the mean load", rounds, ratio)
 	}
 }
@@ -319,9 +338,11 @@
 			c, calm := newCluster(testReplicas(112, 6), 8), clusteredLoad(1115, 20000, 0.44)
 			c.settle(calm, 64, 20)
 			load := withHotKeys(calm, test.first, test.count, 0.35)
-			mean := sumOf(load) / (112 * 6)
 			rounds, keys := 0, 0
-			for ; c.maxRatio(load)*mean > capacity && rounds < 10; rounds++ {
+			for ; rounds < 10; rounds++ {
+				if _, level := c.maxRatio(load); level <= capacity {
+					break
+				}
 				moves := c.plan(load, 64)
 				keys += keysOf(moves)
 				c.apply(moves)
@@ -364,6 +385,31 @@
 	}
 }
 
+func TestNumberOfRangesStaysBounded(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	c, calm := newCluster(testReplicas(112, 6), 8), clusteredLoad(1115, 20000, 0.44)
+	tuning := DefaultTuning()
+	tuning.MaxRanges = 1100
+	const maxMoves, margin = 64, 400
+	load, most := calm, 0
+	for round := range 300 {
+		switch round % 20 {
+		case 0:
+			load = calm
+		case 10:
+			load = withHotKeys(calm, random.IntN(MaxKey-300), 1+random.IntN(300), 0.35)
+		}
+		input := PlanInput{Ranges: c.ranges(), Replicas: c.replicas, Load: load, LoadWindow: 5 * time.Second, MaxMoves: maxMoves, Tuning: tuning}
+		c.apply(PlanMoves(input))
+		c.table = Join(c.table, testService, tuning.MaxRanges, func(Range) bool { return true })
+		most = max(most, len(c.ranges()))
+	}
+	t.Logf("at most %d ranges, %d at the end", most, len(c.ranges()))
+	if most > tuning.MaxRanges+margin {
+		t.Errorf("%d ranges, want about %d", most, tuning.MaxRanges)
+	}
+}
+
 func TestChooseTargetSpreadsByLoad(t *testing.T) {
 	c, load := newCluster(testReplicas(10, 6), 1), clusteredLoad(100, 0, 0)
 	c.replicas = append(c.replicas, Replica{ID: "idle", Slots: 6})
