Planner: a busy key finds a receiver that can make room for it

Cause: the convergence property, extended to replicas with different slots, found replicas with two busy keys that no plan separated: the least loaded replica had no room for either key, and others that could have made room were not considered.

Change: the lightest piece of such a replica goes to the one that has the lowest level with it among those that can give enough of their other keys away.

--- a/controlplane/ownership/plan.go
+++ b/controlplane/ownership/plan.go
@@ -75,7 +75,7 @@
 	p := newPlanner(input)
 	for i, r := range ranges {
 		keys := piece{from: int(r.From), to: int(r.To)}
-		heir := p.heir(keys)
+		heir := p.heir(keys, nil)
 		p.replicas[heir].weight += p.weight(keys)
 		p.replicas[heir].keys += keys.size()
 		targets[i] = p.replicas[heir].ID
@@ -95,7 +95,7 @@
 			if p.movesLeft() > len(p.orphans)-i {
 				part = p.prefix(orphan, p.HeirPiece*p.meanWeight)
 			}
-			p.move(part, p.heir(part))
+			p.move(part, p.heir(part, nil))
 			orphan.from = part.to + 1
 		}
 	}
@@ -221,11 +221,7 @@
 	limit := improvementRatio*from.level()*to.slots - to.weight
 	part, found := p.take(donor, want, limit)
 	if !found {
-		limit += p.makeRoom(receiver, donor, limit)
-		part, found = p.take(donor, want, limit)
-	}
-	if !found || p.movesLeft() == 0 {
-		return 0
+		return p.shedBusyKey(donor)
 	}
 	weight := p.weight(part)
 	p.move(part, receiver)
@@ -233,35 +229,64 @@
 	return weight
 }
 
+// shedBusyKey moves the lightest piece of an overloaded replica that is worth it, and returns its weight, or 0 if no move helps. If no replica has
+// room for the piece, the one that is left with the lowest level first gives keys away.
+func (p *planner) shedBusyKey(donor int) float64 {
+	from := &p.replicas[donor]
+	var lightest piece
+	weight := math.Inf(1)
+	for _, keys := range from.pieces {
+		if w := p.weight(keys); w >= p.MinPiece*p.meanWeight && w < weight {
+			lightest, weight = keys, w
+		}
+	}
+	if math.IsInf(weight, 1) {
+		return 0
+	}
+	room := func(i int) float64 { return improvementRatio*from.level()*p.replicas[i].slots - p.replicas[i].weight }
+	receiver := p.heir(lightest, func(i int) bool { return i != donor && weight-room(i) <= p.divisibleWeight(i) })
+	if receiver < 0 {
+		return 0
+	}
+	p.makeRoom(receiver, donor, weight-room(receiver))
+	part, found := p.take(donor, weight, room(receiver))
+	if !found {
+		return 0
+	}
+	p.move(part, receiver)
+	from.weight -= p.weight(part)
+	return p.weight(part)
+}
+
 // room is the weight that a replica may receive from overloaded ones.
 func (p *planner) room(receiver int) float64 {
 	return p.AcceptRatio*p.meanLevel*p.replicas[receiver].slots - p.replicas[receiver].weight
 }
 
-// makeRoom moves keys away from the receiver of the lightest piece of a donor, if the piece weighs more than limit, and returns their weight.
-func (p *planner) makeRoom(receiver, donor int, limit float64) float64 {
-	needed := math.Inf(1)
-	for _, keys := range p.replicas[donor].pieces {
-		if weight := p.weight(keys); weight >= p.MinPiece*p.meanWeight {
-			needed = min(needed, weight-limit)
+// divisibleWeight is the weight of the keys of a replica that can be moved away in parts.
+func (p *planner) divisibleWeight(i int) float64 {
+	sum := 0.0
+	for _, keys := range p.replicas[i].pieces {
+		if keys.size() > 1 {
+			sum += p.weight(keys)
 		}
 	}
-	if needed <= 0 || needed > p.replicas[receiver].weight {
-		return 0
-	}
-	made := 0.0
-	for made < needed && p.movesLeft() > 1 {
+	return sum
+}
+
+// makeRoom moves keys of the weight needed away from the receiver of a piece of a donor, as far as others have room.
+func (p *planner) makeRoom(receiver, donor int, needed float64) {
+	for needed > 0 && p.movesLeft() > 1 {
 		other := p.leastLoaded(receiver, donor)
 		if other < 0 {
-			break
+			return
 		}
-		part, found := p.take(receiver, min(needed-made, p.room(other)), p.room(other))
+		part, found := p.take(receiver, min(needed, p.room(other)), p.room(other))
 		if !found {
-			break
+			return
 		}
 		p.move(part, other)
 		p.replicas[receiver].weight -= p.weight(part)
-		made += p.weight(part)
+		needed -= p.weight(part)
 	}
-	return made
 }
--- a/controlplane/ownership/plan_test.go
+++ b/controlplane/ownership/plan_test.go
@@ -429,7 +429,7 @@
 
 func BenchmarkPlanMoves(b *testing.B) {
 	calm := clusteredLoad(1115, 20000, 0.44)
-	hot := withHotKeys(calm, 30000, 200, 0.35)
+	hot, few := withHotKeys(calm, 30000, 200, 0.35), withHotKeys(calm, 30000, 20, 0.35)
 	settled := newCluster(testReplicas(127, 6), 8)
 	settled.settle(calm, 64, 20)
 	joined := &cluster{table: settled.table, replicas: testReplicas(142, 6)}
@@ -438,7 +438,7 @@
 		name string
 		c    *cluster
 		load Load
-	}{{"balanced", settled, calm}, {"hot", settled, hot}, {"joined", joined, calm}, {"lost", lost, calm}} {
+	}{{"balanced", settled, calm}, {"hot", settled, hot}, {"fewHot", settled, few}, {"joined", joined, calm}, {"lost", lost, calm}} {
 		b.Run(bench.name, func(b *testing.B) {
 			for b.Loop() {
 				bench.c.plan(bench.load, 128)
--- a/controlplane/ownership/planner.go
+++ b/controlplane/ownership/planner.go
@@ -126,13 +126,16 @@
 	to.keys += keys.size()
 }
 
-// heir returns the replica that has the lowest level with the keys.
-func (p *planner) heir(keys piece) int {
-	best, bestLevel := 0, 0.0
+// heir returns the replica that has the lowest level with the keys among those that the filter accepts, or -1. A nil filter accepts all.
+func (p *planner) heir(keys piece, filter func(i int) bool) int {
+	best, bestLevel := -1, 0.0
 	for i := range p.replicas {
+		if filter != nil && !filter(i) {
+			continue
+		}
 		replica := &p.replicas[i]
 		level := (replica.weight + p.weight(keys)) / replica.slots
-		if i == 0 || level < bestLevel || level == bestLevel && replica.keys < p.replicas[best].keys {
+		if best < 0 || level < bestLevel || level == bestLevel && replica.keys < p.replicas[best].keys {
 			best, bestLevel = i, level
 		}
 	}
