--- a/controlplane/controller/cluster_test.go
+++ b/controlplane/controller/cluster_test.go
@@ -7,6 +7,7 @@
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/coordinator"
+	"zincloft.example/zincloft/controlplane/ownership"
 	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/messages"
 )
@@ -85,6 +86,9 @@
 		c.writes[member] = append(c.writes[member], actions.Write)
 		c.step(member, Event{WriteResult: &WriteResult{}})
 	}
+	for _, call := range actions.Calls {
+		c.step(member, Event{CallResult: &ownership.CallResult{ID: call.ID, Outcome: ownership.CallAccepted}})
+	}
 	for _, send := range actions.Send {
 		if c.onSend != nil {
 			c.onSend(member, send.To, &send.Message)
--- a/controlplane/granter/changes.go
+++ b/controlplane/granter/changes.go
@@ -53,6 +53,15 @@
 	c.record("token_refused")
 }
 
+// join joins adjacent ranges of the same owner if there are more than limit, where accepted reports that the owner holds the range.
+func (c *changes) join(service string, limit int, accepted func(ownership.Range) bool) {
+	before := len(c.table.Services[service])
+	c.table = ownership.Join(c.table, service, limit, accepted)
+	if len(c.table.Services[service]) < before {
+		c.record("joined")
+	}
+}
+
 func (c *changes) release(service string, moves []ownership.Move) {
 	c.table = ownership.Release(c.table, service, moves)
 	c.record("released")
--- a/controlplane/granter/granter.go
+++ b/controlplane/granter/granter.go
@@ -83,6 +83,7 @@
 type grantState struct {
 	inFlight bool
 	renewAt  time.Duration
+	accepted bool // the owner has acknowledged the grant
 	fenced   bool // the token was refused and must not be used again
 }
 
--- a/controlplane/granter/plan.go
+++ b/controlplane/granter/plan.go
@@ -42,6 +42,11 @@
 		return
 	}
 	if now >= service.nextPlanAt {
+		changes.join(name, ownership.RangeLimit(len(pool.eligible)), func(r ownership.Range) bool {
+			state := service.grants[grantID{r.From, r.Token}]
+			return state != nil && state.accepted && !state.fenced
+		})
+		ranges = changes.table.Services[name]
 		service.load.update(now)
 		service.nextPlanAt = now + planInterval
 	}
--- a/controlplane/granter/result.go
+++ b/controlplane/granter/result.go
@@ -60,6 +60,7 @@
 	state.inFlight = false
 	switch result.Outcome {
 	case ownership.CallAccepted:
+		state.accepted = true
 		state.renewAt = now + renewInterval
 	case ownership.CallFenced:
 		state.fenced = true
--- a/controlplane/ownership/planjoin.go
+++ b/controlplane/ownership/planjoin.go
@@ -5,6 +5,14 @@
 	"slices"
 )
 
+// maxRangesPerReplica bounds the ranges of a service with many replicas.
+const maxRangesPerReplica = 16
+
+// RangeLimit returns the number of ranges of a service above which small ones are joined.
+func RangeLimit(replicas int) int {
+	return max(DefaultTuning().MaxRanges, maxRangesPerReplica*replicas)
+}
+
 // joinSmallRanges moves small ranges without much load to the owner of a neighbouring range if there are more than MaxRanges. It moves at most as
 // many as there are too many.
 func (p *planner) joinSmallRanges() {
--- a/controlplane/ownership/planner.go
+++ b/controlplane/ownership/planner.go
@@ -58,6 +58,7 @@
 	p := &planner{PlanInput: input, Tuning: input.Tuning}
 	if p.Tuning == (Tuning{}) {
 		p.Tuning = DefaultTuning()
+		p.MaxRanges = RangeLimit(len(input.Replicas))
 	}
 	p.sumWeights()
 	index := make(map[string]int, len(input.Replicas))
