--- a/controlplane/granter/granter.go
+++ b/controlplane/granter/granter.go
@@ -18,9 +18,9 @@
 	AuthorityDuration = time.Second
 
 	// defaultLease is the duration of a lease unless the deployment allows only shorter ones.
-	defaultLease = 4 * time.Second
+	defaultLease = 3 * time.Second
 
-	renewInterval  = time.Second
+	renewInterval  = 750 * time.Millisecond
 	grantTimeout   = 400 * time.Millisecond
 	releaseTimeout = 3 * time.Second
 	retryInterval  = 150 * time.Millisecond // between calls to a replica that does not respond
@@ -83,6 +83,7 @@
 type grantState struct {
 	inFlight bool
 	renewAt  time.Duration
+	accepted bool // the owner has acknowledged the grant
 	fenced   bool // the token was refused and must not be used again
 }
 
@@ -188,6 +189,9 @@
 // Leading reports whether this member was the head of the chain at the last step, and since when without interruption.
 func (g *Granter) Leading() (leading bool, since time.Duration) { return g.leading, g.tenureStart }
 
+// CallsInFlight returns the number of calls without a result yet.
+func (g *Granter) CallsInFlight() int { return len(g.calls) }
+
 // Lease returns the duration of the leases that are granted.
 func (g *Granter) Lease() time.Duration { return g.lease }
 
