A sharded service that returns is not divided while its earlier leases run

Cause: a service that is not a sharded one of the configuration any more lost its ranges in the table and the head's record of their leases at once. If it returned within the lease, its keys were divided anew after 1.6 s while other replicas could still hold them. Even without a commit of the removal the head forgot the leases, and considered a range free that its owner still held. Results of calls that ended meanwhile were dropped, so that their leases did not count and the replica's calls in flight were never counted down.

Change: ranges leave the table once all leases of the service must have ended; until then a service that returns keeps its owners. The state of the service is kept for as long. A division waits for earlier leases, of former heads too, unless no token was ever issued.

--- a/controlplane/granter/changes.go
+++ b/controlplane/granter/changes.go
@@ -1,10 +1,6 @@
 package granter
 
-import (
-	"slices"
-
-	"zincloft.example/zincloft/controlplane/ownership"
-)
+import "zincloft.example/zincloft/controlplane/ownership"
 
 // changes collects the changes of a table that one step proposes together.
 type changes struct {
@@ -28,14 +24,9 @@
 	}
 }
 
-func (c *changes) removeOtherServices(services []string) {
-	for name := range c.table.Services {
-		if !slices.Contains(services, name) {
-			c.table = ownership.RemoveServices(c.table, func(name string) bool { return slices.Contains(services, name) })
-			c.record("services_removed")
-			return
-		}
-	}
+func (c *changes) remove(service string) {
+	c.table = ownership.RemoveServices(c.table, func(name string) bool { return name != service })
+	c.record("service_removed")
 }
 
 func (c *changes) divide(service string, replicas []ownership.Replica) {
--- a/controlplane/granter/granter.go
+++ b/controlplane/granter/granter.go
@@ -6,7 +6,6 @@
 package granter
 
 import (
-	"slices"
 	"time"
 
 	"zincloft.example/zincloft/controlplane/ownership"
@@ -143,9 +142,8 @@
 	if !g.leading || now >= input.AuthorizedUntil {
 		return output
 	}
-	g.dropServices(input.Services)
 	changes := newChanges(input.Table)
-	changes.removeOtherServices(input.Services)
+	g.removeServices(now, input, changes)
 	for _, name := range input.Services {
 		service := g.service(name)
 		pool := newReplicaPool(g, now, input, name)
@@ -205,14 +203,6 @@
 	return state
 }
 
-func (g *Granter) dropServices(keep []string) {
-	for name := range g.services {
-		if !slices.Contains(keep, name) {
-			delete(g.services, name)
-		}
-	}
-}
-
 func (g *Granter) replica(id string) *replicaState {
 	state := g.replicas[id]
 	if state == nil {
--- a/controlplane/granter/granter_test.go
+++ b/controlplane/granter/granter_test.go
@@ -64,8 +64,13 @@
 		return
 	}
 	h.input.Table = *output.Proposal
-	if err := ownership.CheckPartition(h.input.Table.Services[service]); err != nil {
-		h.t.Fatal(err)
+	for name, ranges := range h.input.Table.Services {
+		if err := ownership.CheckPartition(ranges); err != nil {
+			h.t.Fatalf("%s: %v", name, err)
+		}
+	}
+	if _, divided := h.input.Table.Services[service]; !divided && slices.Contains(h.input.Services, service) {
+		h.t.Fatal("the proposed table lacks a configured service")
 	}
 }
 
--- a/controlplane/granter/plan.go
+++ b/controlplane/granter/plan.go
@@ -26,6 +26,9 @@
 	if len(pool.eligible) == 0 || input.Bootstrapping || now-service.replicaCountedAt < divisionQuietPeriod {
 		return
 	}
+	if !g.mayDivide(now, name, service, input.Table) {
+		return
+	}
 	changes.divide(name, pool.eligible)
 }
 
