A new head waits for leases longer than its own

Cause: a new head took the former head's leases to be as long as its own. With a lower max_hold in its settings it waited for less than the leases that the former head had granted, and gave their keys to others.

Change: the wait for former heads uses the longest lease that any member may have granted.

--- a/controlplane/granter/granter.go
+++ b/controlplane/granter/granter.go
@@ -19,6 +19,10 @@
 	// defaultLease is the duration of a lease unless the deployment allows only shorter ones.
 	defaultLease = 4 * time.Second
 
+	// longestLease is the duration of the longest lease that another member may have granted: one with another limit, or of another build. A build
+	// with a longer defaultLease may follow only after all members run one that waits for it.
+	longestLease = 4 * time.Second
+
 	renewInterval  = time.Second
 	grantTimeout   = 400 * time.Millisecond
 	releaseTimeout = 3 * time.Second
--- a/controlplane/granter/leaseclock.go
+++ b/controlplane/granter/leaseclock.go
@@ -32,8 +32,13 @@
 func (g *Granter) leaseEnd(service *serviceState, from, to uint16) time.Duration {
 	// A former head may have started a call until its authority ended, and the call may have arrived until it timed out.
 	formerHeadArrival := g.tenureStart + AuthorityDuration + AuthorityDuration/clockRateDivisor + grantTimeout
-	arrival := max(formerHeadArrival, service.leases.latestArrival(from, to))
-	return arrival + g.lease + g.lease/clockRateDivisor + leaseMargin
+	ownArrival := service.leases.latestArrival(from, to)
+	return max(endOfLease(formerHeadArrival, longestLease), endOfLease(ownArrival, g.lease))
+}
+
+// endOfLease returns the time at which a lease has ended by all clocks.
+func endOfLease(arrival, lease time.Duration) time.Duration {
+	return arrival + lease + lease/clockRateDivisor + leaseMargin
 }
 
 // hasGrantInFlight reports whether a grant of some keys of the range has no result yet.
--- a/controlplane/granter/succession_test.go
+++ b/controlplane/granter/succession_test.go
@@ -124,3 +124,16 @@
 		t.Errorf("divided %v after the end of a grant, within the lease", waited)
 	}
 }
+
+func TestNewHeadWaitsForLeasesLongerThanItsOwn(t *testing.T) {
+	h := newHead(t, "a", "b")
+	h.granter = New(Options{MaxLease: time.Second})
+	h.input.Table = dividedHead(t, "a", "b").input.Table
+	h.silent["a"] = true
+	h.drain("a")
+	takenOverAt := h.now
+	h.runUntil("the move of all ranges", func() bool { return !h.owns("a") })
+	if waited := h.now - takenOverAt; waited < AuthorityDuration+defaultLease {
+		t.Errorf("the new head waited %v, less than the former head's authority and lease", waited)
+	}
+}
