A replica that responds again receives shard keys again

Cause: a replica whose calls fail is not eligible for keys until a call succeeds. Once its ranges were moved away, nothing called it any more, so that it received no keys as long as the head stayed the same. Replicas with failed calls could also prevent the division of a service that returned.

Change: a replica whose last call failed and that owns no range is called once per second with the release of a key that another replica owns, which has no effect there. Failures do not count for a service without ranges.

--- a/controlplane/granter/granter.go
+++ b/controlplane/granter/granter.go
@@ -150,8 +150,11 @@
 	g.removeServices(now, input, changes)
 	for _, name := range input.Services {
 		service := g.service(name)
-		pool := newReplicaPool(g, now, input, name)
 		ranges := input.Table.Services[name]
+		if len(ranges) == 0 {
+			g.forgetFailures(input, name)
+		}
+		pool := newReplicaPool(g, now, input, name)
 		g.syncRanges(service, ranges)
 		if len(ranges) == 0 {
 			g.divide(now, service, name, pool, input, changes)
@@ -159,6 +162,7 @@
 		}
 		g.renewGrants(now, name, service, ranges, pool, input, &output)
 		g.callReleases(now, name, service, ranges, pool, input, &output)
+		g.probeReplicas(now, name, ranges, input, &output)
 		g.grantFreeRanges(now, name, service, ranges, pool, changes)
 		g.retokenFenced(name, service, ranges, changes)
 		g.plan(now, name, service, pool, input, changes)
--- a/controlplane/granter/plan.go
+++ b/controlplane/granter/plan.go
@@ -32,6 +32,15 @@
 	changes.divide(name, pool.eligible)
 }
 
+// forgetFailures forgets failed calls to the replicas of a service without ranges: no call would show that a replica responds again.
+func (g *Granter) forgetFailures(input Input, service string) {
+	for _, instance := range input.Instances {
+		if replica := g.replicas[instance.ID]; replica != nil && instance.Service == service && !g.hasCallInFlight(instance.ID) {
+			replica.failures = 0
+		}
+	}
+}
+
 // plan starts the moves of ranges whose owners have to give them up and, once per planInterval, those that balance the load.
 func (g *Granter) plan(now time.Duration, name string, service *serviceState, pool *replicaPool, input Input, changes *changes) {
 	if len(pool.eligible) == 0 || input.ProposalPending {
