A head that cannot read the table of owners makes no calls

Cause: a head whose build cannot read the committed table went on with the last one that it could read. It renewed grants of ranges that a later build may have given to other replicas, without a release that had reached the owner.

Change: there is no authority to make calls as long as the committed table cannot be read. The failure is logged once per revision.

--- a/controlplane/controller/cluster_test.go
+++ b/controlplane/controller/cluster_test.go
@@ -7,6 +7,7 @@
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/coordinator"
+	"zincloft.example/zincloft/controlplane/ownership"
 	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/messages"
 )
@@ -26,6 +27,7 @@
 	lastToken     uint64
 	responses     map[uint64]Response // by token
 	diskFull      map[int]bool        // by member: writes fail
+	calls         []ownership.Call    // to replicas, which accept them
 
 	onSend func(from int, to string, message *Message) // called for each message if not nil
 }
@@ -85,6 +87,10 @@
 		c.writes[member] = append(c.writes[member], actions.Write)
 		c.step(member, Event{WriteResult: &WriteResult{}})
 	}
+	for _, call := range actions.Calls {
+		c.calls = append(c.calls, call)
+		c.step(member, Event{CallResult: &ownership.CallResult{ID: call.ID, Outcome: ownership.CallAccepted}})
+	}
 	for _, send := range actions.Send {
 		if c.onSend != nil {
 			c.onSend(member, send.To, &send.Message)
--- a/controlplane/controller/ownership.go
+++ b/controlplane/controller/ownership.go
@@ -25,7 +25,10 @@
 	granter  *granter.Granter
 	table    ownership.Table // decoded from the register's record
 	revision uint64          // revision of that record
-	services []string        // sharded services of the committed configuration, sorted
+
+	unreadableRevision uint64 // latest revision that could not be decoded
+
+	services []string // sharded services of the committed configuration, sorted
 
 	// Confirmation of the authority to make calls, by linearizable reads.
 	authorityRequest   uint64 // 0 if no read is in progress
@@ -46,16 +49,18 @@
 	}
 }
 
-// ownershipTable returns the committed table and the revision of its record.
+// ownershipTable returns the committed table and the revision of its record. If the record cannot be read, they are those of the last one that
+// could, see isOwnershipReadable.
 func (c *Controller) ownershipTable() (ownership.Table, uint64) {
 	register, known := c.coordinator.Register()
 	record, ok := register.Records[ownershipRecord]
 	if !known || !ok {
 		return ownership.Table{}, 0
 	}
-	if record.Revision != c.owners.revision {
+	if record.Revision != c.owners.revision && record.Revision != c.owners.unreadableRevision {
 		table, err := ownership.Decode(record.Value)
 		if err != nil {
+			c.owners.unreadableRevision = record.Revision
 			c.logWarning("ownership_table_unreadable", "revision", record.Revision, "error", err.Error())
 			return c.owners.table, c.owners.revision
 		}
@@ -65,6 +70,12 @@
 	return c.owners.table, c.owners.revision
 }
 
+// isOwnershipReadable reports whether the committed table is the one that ownershipTable returns. If another member committed one that this build
+// cannot read, ranges may have changed their owners.
+func (c *Controller) isOwnershipReadable() bool {
+	return c.owners.unreadableRevision <= c.owners.revision
+}
+
 // advanceOwnership confirms this member's authority and makes the calls and proposals that are due.
 func (c *Controller) advanceOwnership(now time.Duration) {
 	if len(c.owners.services) == 0 && c.owners.revision == 0 {
@@ -75,11 +86,11 @@
 	if isHead {
 		c.confirmAuthority(now, view.Number)
 	}
+	table, revision := c.ownershipTable()
 	authorizedUntil := time.Duration(0)
-	if c.owners.authorityView == view.Number && !c.rejectsCalls(now) {
+	if c.owners.authorityView == view.Number && !c.rejectsCalls(now) && c.isOwnershipReadable() {
 		authorizedUntil = c.owners.authorizedUntil
 	}
-	table, revision := c.ownershipTable()
 	output := c.owners.granter.Step(now, granter.Input{
 		View:            view.Number,
 		Head:            view.Position(c.coordinator.Self().ID) == 0,
