--- a/controlplane/controller/cluster_test.go
+++ b/controlplane/controller/cluster_test.go
@@ -27,6 +27,7 @@
 	lastToken     uint64
 	responses     map[uint64]Response // by token
 	diskFull      map[int]bool        // by member: writes fail
+	calls         []ownership.Call    // to replicas, which accept them
 
 	onSend func(from int, to string, message *Message) // called for each message if not nil
 }
@@ -87,6 +88,7 @@
 		c.step(member, Event{WriteResult: &WriteResult{}})
 	}
 	for _, call := range actions.Calls {
+		c.calls = append(c.calls, call)
 		c.step(member, Event{CallResult: &ownership.CallResult{ID: call.ID, Outcome: ownership.CallAccepted}})
 	}
 	for _, send := range actions.Send {
--- a/controlplane/granter/granter.go
+++ b/controlplane/granter/granter.go
@@ -6,7 +6,6 @@
 package granter
 
 import (
-	"slices"
 	"time"
 
 	"zincloft.example/zincloft/controlplane/ownership"
@@ -20,6 +19,10 @@
 	// defaultLease is the duration of a lease unless the deployment allows only shorter ones.
 	defaultLease = 3 * time.Second
 
+	// longestLease is the duration of the longest lease that another member may have granted: one with another limit, or of another build. A build
+	// with a longer defaultLease may follow only after all members run one that waits for it.
+	longestLease = 4 * time.Second
+
 	renewInterval  = 750 * time.Millisecond
 	grantTimeout   = 400 * time.Millisecond
 	releaseTimeout = 3 * time.Second
@@ -144,13 +147,15 @@
 	if !g.leading || now >= input.AuthorizedUntil {
 		return output
 	}
-	g.dropServices(input.Services)
 	changes := newChanges(input.Table)
-	changes.removeOtherServices(input.Services)
+	g.removeServices(now, input, changes)
 	for _, name := range input.Services {
 		service := g.service(name)
-		pool := newReplicaPool(g, now, input, name)
 		ranges := input.Table.Services[name]
+		if len(ranges) == 0 {
+			g.forgetFailures(input, name)
+		}
+		pool := newReplicaPool(g, now, input, name)
 		g.syncRanges(service, ranges)
 		if len(ranges) == 0 {
 			g.divide(now, service, name, pool, input, changes)
@@ -158,6 +163,7 @@
 		}
 		g.renewGrants(now, name, service, ranges, pool, input, &output)
 		g.callReleases(now, name, service, ranges, pool, input, &output)
+		g.probeReplicas(now, name, ranges, input, &output)
 		g.grantFreeRanges(now, name, service, ranges, pool, changes)
 		g.retokenFenced(name, service, ranges, changes)
 		g.plan(now, name, service, pool, input, changes)
@@ -209,14 +215,6 @@
 	return state
 }
 
-func (g *Granter) dropServices(keep []string) {
-	for name := range g.services {
-		if !slices.Contains(keep, name) {
-			delete(g.services, name)
-		}
-	}
-}
-
 func (g *Granter) replica(id string) *replicaState {
 	state := g.replicas[id]
 	if state == nil {
