--- a/internal/testbeds/standin/shardreplica/calls.go
+++ b/internal/testbeds/standin/shardreplica/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"time"
 )
@@ -19,7 +20,7 @@
 	return b.From != nil && b.To != nil && b.Fence != nil && *b.From >= 0 && *b.From <= *b.To && *b.To <= maxKey
 }
 
-// readCall reads the body of a grant or release and records the call. It rejects invalid calls and calls for another instance.
+// readCall reads the body of a grant or release. It rejects invalid calls and calls for another instance.
 func (r *Replica) readCall(w http.ResponseWriter, request *http.Request) (body callBody, ok bool) {
 	if r.rejectOtherInstance(w, request) {
 		return body, false
@@ -31,9 +32,17 @@
 	return body, true
 }
 
-// answer sends the response to a call and records the call, unless the hook suppresses the response.
-func (r *Replica) answer(w http.ResponseWriter, arrival time.Duration, path string, body callBody, status int) {
-	r.record.addCall(Call{At: arrival, Replica: r.ID, Path: path, From: *body.From, To: *body.To, Fence: *body.Fence, Handover: body.Handover, Status: status})
+// recordCall records a call that takes effect now. The caller must hold mu.
+func (r *Replica) recordCall(request *http.Request, at, until time.Duration, body callBody, status int) {
+	sender, _, _ := net.SplitHostPort(request.RemoteAddr) // empty if unknown
+	r.record.addCall(Call{
+		At: at, Until: until, Sender: sender, Replica: r.ID, Path: request.URL.Path, From: *body.From, To: *body.To, Fence: *body.Fence,
+		Handover: body.Handover, Status: status,
+	})
+}
+
+// answer sends the response to a call, unless the hook suppresses it.
+func (r *Replica) answer(w http.ResponseWriter, path string, status int) {
 	r.mu.Lock()
 	hook := r.callHook
 	r.mu.Unlock()
@@ -59,25 +68,28 @@
 	if !r.record.handoverCovers(body.Handover, r.options.Service, *body.From, *body.To) {
 		granted.slowUntil = arrival + r.options.WarmUp
 	}
-	r.mu.Lock()
-	accepted := !r.stopped && r.leases.grant(granted)
-	r.mu.Unlock()
+	r.awaitResumption()
 	status := http.StatusOK
-	if !accepted {
+	r.mu.Lock()
+	if r.stopped || !r.leases.grant(granted) {
 		status = http.StatusConflict
 	}
-	r.answer(w, arrival, grantPath, body, status)
+	r.recordCall(request, arrival, granted.until, body, status)
+	r.mu.Unlock()
+	r.answer(w, grantPath, status)
 }
 
 // release stops new executions on the keys at once, and responds when those that run have ended.
 func (r *Replica) release(w http.ResponseWriter, request *http.Request) {
-	arrival := r.record.now()
 	body, ok := r.readCall(w, request)
 	if !ok {
 		return
 	}
+	r.awaitResumption()
 	r.mu.Lock()
-	r.leases.release(*body.From, *body.To, *body.Fence, arrival)
+	now := r.record.now()
+	r.leases.release(*body.From, *body.To, *body.Fence, now)
+	r.recordCall(request, now, 0, body, http.StatusOK)
 	var running []chan struct{}
 	for execution, done := range r.executions {
 		if *body.From <= int(execution.Key) && int(execution.Key) <= *body.To {
@@ -93,5 +105,5 @@
 		}
 	}
 	w.Header().Set(handoverHeader, r.record.issueHandover(r.options.Service, *body.From, *body.To))
-	r.answer(w, arrival, releasePath, body, http.StatusOK)
+	r.answer(w, releasePath, http.StatusOK)
 }
--- a/internal/testbeds/standin/shardreplica/overlap.go
+++ b/internal/testbeds/standin/shardreplica/overlap.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -24,17 +25,39 @@
 func (r *Record) Overlaps() (overlaps []Overlap) {
 	executions := r.Executions()
 	for service, holds := range r.Holds() {
-		for i, first := range holds {
-			for _, second := range holds[i+1:] {
-				if overlap, found := findOverlap(service, first, second, executions); found {
-					overlaps = append(overlaps, overlap)
-				}
+		overlaps = append(overlaps, FindOverlaps(service, holds, executions)...)
+	}
+	return overlaps
+}
+
+// FindOverlaps returns the violations of exclusive ownership among the holds of one service.
+func FindOverlaps(service string, holds []Hold, executions []Execution) (overlaps []Overlap) {
+	for i, first := range holds {
+		for _, second := range holds[i+1:] {
+			if overlap, found := findOverlap(service, first, second, executions); found {
+				overlaps = append(overlaps, overlap)
 			}
 		}
 	}
 	return overlaps
 }
 
+// ReplayHolds returns the holds of a replica that follow from calls to it, in the order of their effect, until end. Calls may be left out, for
+// checks that do not count them.
+func ReplayHolds(replica string, calls []Call, end time.Duration) []Hold {
+	leases := newLeaseTable(replica)
+	for _, call := range calls {
+		switch {
+		case call.Path == releasePath:
+			leases.release(call.From, call.To, call.Fence, call.At)
+		case call.Status == http.StatusOK:
+			leases.grant(lease{from: call.From, to: call.To, fence: call.Fence, arrival: call.At, until: call.Until})
+		}
+	}
+	leases.endAll(end)
+	return leases.ended
+}
+
 func findOverlap(service string, first, second Hold, executions []Execution) (overlap Overlap, found bool) {
 	overlap = Overlap{
 		Service: service,
--- a/internal/testbeds/standin/shardreplica/record.go
+++ b/internal/testbeds/standin/shardreplica/record.go
@@ -25,9 +25,11 @@
 	Begin, End time.Duration
 }
 
-// Call is a grant or release that a replica received, and the status of its response.
+// Call is a grant or release that a replica received, and the status of its response, which may not have reached the caller.
 type Call struct {
-	At       time.Duration
+	At       time.Duration // arrival of a grant, effect of a release
+	Until    time.Duration // end of the lease of a grant
+	Sender   string        // IP address
 	Replica  string
 	Path     string
 	From, To int // inclusive
@@ -53,12 +55,17 @@
 	handovers  map[string]handover
 }
 
-// NewRecord returns an empty record.
-func NewRecord() *Record { return &Record{start: time.Now(), handovers: map[string]handover{}} }
+// NewRecord returns an empty record that starts now.
+func NewRecord() *Record { return NewRecordSince(time.Now()) }
+
+// NewRecordSince returns an empty record whose times are relative to start.
+func NewRecordSince(start time.Time) *Record {
+	return &Record{start: start, handovers: map[string]handover{}}
+}
 
 func (r *Record) now() time.Duration { return time.Since(r.start) }
 
-// Calls returns the grants and releases in the order of their responses.
+// Calls returns the grants and releases in the order of their effect.
 func (r *Record) Calls() []Call {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/testbeds/standin/shardreplica/replica.go
+++ b/internal/testbeds/standin/shardreplica/replica.go
@@ -49,6 +49,7 @@
 	listener net.Listener
 	server   *http.Server
 	slots    chan struct{} // holds one element for each execution
+	pause    sync.RWMutex  // locked while the replica is paused
 
 	mu         sync.Mutex // guards the fields below
 	leases     leaseTable
@@ -131,6 +132,19 @@
 	r.callHook = hook
 }
 
+// Pause stops all processing, as SIGSTOP does, until resume is called. Connections are still accepted, and the hold of a grant counts from its
+// arrival, even if it is processed later.
+func (r *Replica) Pause() (resume func()) {
+	r.pause.Lock()
+	return sync.OnceFunc(r.pause.Unlock)
+}
+
+// awaitResumption waits while the replica is paused.
+func (r *Replica) awaitResumption() {
+	r.pause.RLock()
+	defer r.pause.RUnlock()
+}
+
 // Close ends the replica as a crash does: it closes all connections, and its holds end.
 func (r *Replica) Close() {
 	r.mu.Lock()
@@ -141,6 +155,7 @@
 }
 
 func (r *Replica) health(w http.ResponseWriter, _ *http.Request) {
+	r.awaitResumption()
 	w.Header().Set(instanceHeader, r.ID)
 	w.Header().Set(instanceLoad, r.load())
 }
--- a/internal/testbeds/standin/shardreplica/serve.go
+++ b/internal/testbeds/standin/shardreplica/serve.go
@@ -26,6 +26,7 @@
 		return
 	}
 	defer func() { <-r.slots }()
+	r.awaitResumption()
 	execution, delay := r.begin(attempt, uint16(key))
 	if execution == nil {
 		r.reject(w, RejectedKeyNotHeld, http.StatusMisdirectedRequest)
@@ -37,6 +38,7 @@
 	case <-timer.C:
 	case <-request.Context().Done():
 	}
+	r.awaitResumption()
 	status := r.end(execution)
 	if status == http.StatusOK {
 		w.Header().Set(responseSeal, "seal-"+attempt)
