--- a/internal/testbeds/soak/check.go
+++ b/internal/testbeds/soak/check.go
@@ -46,6 +46,7 @@
 	RuleRecovery         Rule = "gateways did not recover after the last fault"
 
 	RuleOwner          Rule = "two replicas held a key and both began requests on it"
+	RuleDoubleHold     Rule = "two replicas held a key at the same time"
 	RuleKeysUnserved   Rule = "shard keys are not served after the last fault"
 	RuleShardUnserved  Rule = "request on a shard key was not served in a calm time"
 	RuleConnectionLost Rule = "request on an open connection got no complete response"
--- a/internal/testbeds/soak/check_test.go
+++ b/internal/testbeds/soak/check_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"zincloft.example/zincloft/internal/testbeds/standin/shardreplica"
 )
 
 const second = time.Second
@@ -65,6 +67,18 @@
 		},
 		RuleInternalFault: func(r *Record) { r.Findings = append(r.Findings, Finding{Process: "gateway-1", Text: "panic: "}) },
 		RuleRecovery:      func(r *Record) { r.RecoveredAt = 0 },
+		RuleOwner:         func(r *Record) { holdByTwoReplicas(r, 5*second) },
+		RuleDoubleHold: func(r *Record) {
+			holdByTwoReplicas(r, 5*second)
+			r.ShardExecutions = r.ShardExecutions[:1]
+		},
+		RuleKeysUnserved: func(r *Record) { r.UnservedKeys = []uint16{7} },
+		RuleShardUnserved: func(r *Record) {
+			r.Requests = append(r.Requests, Request{ID: "r2", Gateway: "gateway-1", Kind: ShardSafeRequest, SentAt: 12 * second, EndedAt: 12 * second, Status: 503})
+		},
+		RuleConnectionLost: func(r *Record) {
+			r.Requests = append(r.Requests, Request{ID: "r2", Gateway: "gateway-1", Kind: SafeRequest, SentAt: 12 * second, EndedAt: 12 * second, Reused: true})
+		},
 	} {
 		record := validRecord()
 		breaks(record)
@@ -75,6 +89,57 @@
 	}
 }
 
+// holdByTwoReplicas adds calls by which two replicas hold key 7 from two seconds after a time on, and executions of both on it.
+func holdByTwoReplicas(r *Record, at time.Duration) {
+	for i, replica := range []string{"s-1", "s-2"} {
+		granted := at + time.Duration(i)*2*second
+		r.Instances = append(r.Instances, &Instance{ID: replica, Service: shardedService})
+		r.ShardCalls = append(r.ShardCalls, shardreplica.Call{
+			At: granted, Until: granted + 4*second, Sender: "member-1", Replica: replica, Path: "/api/grant", To: 99, Fence: uint64(i), Status: 200,
+		})
+		r.ShardExecutions = append(r.ShardExecutions, shardreplica.Execution{Replica: replica, Service: shardedService, Attempt: replica, Key: 7, Begin: at + 3*second})
+	}
+}
+
+// TestCheckLeavesOutHeldBackGrants verifies that a grant is left out only if it arrives right after its sender was resumed or its link healed.
+func TestCheckLeavesOutHeldBackGrants(t *testing.T) {
+	for _, test := range []struct {
+		resumption Resumption
+		found      bool
+	}{
+		{Resumption{Member: "member-1", At: 7*second - thawSlack}, false},
+		{Resumption{Member: "member-1", Instance: "s-2", At: 7 * second}, false},
+		{Resumption{Member: "member-1", At: 7*second - thawSlack - time.Millisecond}, true},
+		{Resumption{Member: "member-1", At: 7*second + resumptionSlack + time.Millisecond}, true},
+		{Resumption{Member: "member-2", At: 7 * second}, true},
+		{Resumption{Member: "member-1", Instance: "s-9", At: 7 * second}, true},
+	} {
+		record := validRecord()
+		holdByTwoReplicas(record, 5*second)
+		record.Resumptions = []Resumption{test.resumption}
+		if found := len(Check(record)) > 0; found != test.found {
+			t.Errorf("%+v: violation reported: %v, want %v", test.resumption, found, test.found)
+		}
+	}
+}
+
+// TestCheckCountsHoldsOfRunningReplicas verifies that a hold ends with its replica and with a release.
+func TestCheckCountsHoldsOfRunningReplicas(t *testing.T) {
+	for name, ends := range map[string]func(*Record){
+		"crash": func(r *Record) { r.Instances[1].EndedAt = 6 * second },
+		"release": func(r *Record) {
+			r.ShardCalls = slices.Insert(r.ShardCalls, 1, shardreplica.Call{At: 6 * second, Replica: "s-1", Path: "/api/release", To: 99, Fence: 9, Status: 200})
+		},
+	} {
+		record := validRecord()
+		holdByTwoReplicas(record, 5*second)
+		ends(record)
+		if violations := Check(record); len(violations) > 0 {
+			t.Errorf("%s: got violations %v", name, violations)
+		}
+	}
+}
+
 // TestCheckFindsConfigurationRollback verifies that a rollback is reported even during faults, which excuse an outdated configuration,
 // but not after a restart of the gateway.
 func TestCheckFindsConfigurationRollback(t *testing.T) {
--- a/internal/testbeds/soak/ownershipcheck.go
+++ b/internal/testbeds/soak/ownershipcheck.go
@@ -22,8 +22,15 @@
 
 // checkOwnership checks that keys have one holder at a time, and that they are served when they must be.
 func (c *checker) checkOwnership() {
-	for _, overlap := range shardreplica.FindOverlaps(shardedService, c.countedHolds(), c.record.ShardExecutions) {
-		c.report(RuleOwner, overlap.Begin, "%v", overlap)
+	holds := c.countedHolds()
+	overlaps := shardreplica.FindOverlaps(shardedService, holds, c.record.ShardExecutions)
+	for _, overlap := range overlaps {
+		c.report(RuleOwner, overlap.Holds[0].Begin, "%v", overlap)
+	}
+	if len(overlaps) == 0 { // the stricter rule: nobody may rely on the absence of requests
+		for _, held := range shardreplica.FindDoubleHolds(holds) {
+			c.report(RuleDoubleHold, held.Begin, "%v", held)
+		}
 	}
 	if len(c.record.UnservedKeys) > 0 {
 		c.report(RuleKeysUnserved, c.record.FaultsEndedAt, "%d sampled keys within %v: %v", len(c.record.UnservedKeys), recoveryTimeout, c.record.UnservedKeys)
--- a/internal/testbeds/soak/soak_run_test.go
+++ b/internal/testbeds/soak/soak_run_test.go
@@ -111,7 +111,7 @@
 
 // TestSoakFindsPlantedFaults runs daemons built with each mutation and expects the checker to report the broken guarantee.
 func TestSoakFindsPlantedFaults(t *testing.T) {
-	for i, mutation := range mutations {
+	for i, mutation := range slices.Concat(mutations, ownershipMutations) {
 		t.Run(mutation.Name, func(t *testing.T) {
 			t.Parallel()
 			runMutation(t, mutation, byte(50+i))
