--- a/internal/testbeds/standin/shardreplica/overlap.go
+++ b/internal/testbeds/standin/shardreplica/overlap.go
@@ -126,26 +126,3 @@
 	leases.endAll(end)
 	return leases.ended
 }
-
-func findOverlap(service string, first, second Hold, executions []Execution) (overlap Overlap, found bool) {
-	overlap = Overlap{
-		Service: service,
-		From:    max(first.From, second.From), To: min(first.To, second.To),
-		Begin: max(first.Begin, second.Begin), End: min(first.End, second.End),
-	}
-	if first.Replica == second.Replica || overlap.From > overlap.To || overlap.Begin >= overlap.End {
-		return overlap, false
-	}
-	for _, execution := range executions {
-		key := int(execution.Key)
-		inside := key >= overlap.From && key <= overlap.To && execution.Begin >= overlap.Begin && execution.Begin < overlap.End
-		switch {
-		case !inside || execution.Service != service:
-		case execution.Replica == first.Replica && overlap.First.Replica == "":
-			overlap.First = execution
-		case execution.Replica == second.Replica && overlap.Second.Replica == "":
-			overlap.Second = execution
-		}
-	}
-	return overlap, overlap.First.Replica != "" && overlap.Second.Replica != ""
-}
