--- a/internal/testbeds/soak/soak_run_test.go
+++ b/internal/testbeds/soak/soak_run_test.go
@@ -20,10 +20,11 @@
 
 const moduleRoot = "../../.."
 
+// outputDir returns an empty directory for a run.
 func outputDir(t *testing.T) string {
 	if dir := os.Getenv("SOAK_KEEP"); dir != "" {
-		dir = filepath.Join(dir, filepath.Base(t.Name()))
-		if err := os.MkdirAll(dir, 0o700); err != nil {
+		dir, err := os.MkdirTemp(dir, filepath.Base(t.Name())+"-")
+		if err != nil {
 			t.Fatal(err)
 		}
 		return dir
