--- a/internal/testbeds/soak/ownershipmutations_test.go
+++ b/internal/testbeds/soak/ownershipmutations_test.go
@@ -20,12 +20,12 @@
 // ownershipMutations each break exclusive ownership.
 var ownershipMutations = []Mutation{
 	{
-		Name: "keys granted to another replica before the lease on them has ended",
-		File: "controlplane/granter/release.go",
-		Old:  "return now >= g.leaseEnd(service, r.From, r.To) && !g.hasGrantInFlight(name, r.From, r.To)",
-		New:  "return true",
+		Name:     "keys granted to another replica before the lease on them has ended",
+		File:     "controlplane/granter/release.go",
+		Old:      "return now >= g.leaseEnd(service, r.From, r.To) && !g.hasGrantInFlight(name, r.From, r.To)",
+		New:      "return true",
 		Schedule: Schedule{Seed: 5, Faults: cutOffOwner(CutShardReplica)},
-		Rule: RuleOwner,
+		Rule:     RuleOwner,
 	},
 	{
 		Name:     "head of the chain calls replicas without confirmed authority",
@@ -36,11 +36,11 @@
 		Rule:     RuleOwner,
 	},
 	{
-		Name: "release taken as acknowledged without an answer",
-		File: "controlplane/granter/result.go",
-		Old:  "if result.Outcome == ownership.CallAccepted {",
-		New:  "if result.Outcome != ownership.CallNotSent {",
+		Name:     "release taken as acknowledged without an answer",
+		File:     "controlplane/granter/result.go",
+		Old:      "if result.Outcome == ownership.CallAccepted {",
+		New:      "if result.Outcome != ownership.CallNotSent {",
 		Schedule: Schedule{Seed: 7, Faults: cutOffOwner(RefuseShardCalls)},
-		Rule: RuleOwner,
+		Rule:     RuleOwner,
 	},
 }
