--- a/cmd/zinclab/soak.go
+++ b/cmd/zinclab/soak.go
@@ -24,6 +24,7 @@
 	binDir, outDir        string
 	verbose               bool
 	network               uint8
+	size                  soak.Size
 }
 
 // errSoakViolations is returned if any run violated a guarantee.
@@ -40,12 +41,15 @@
 	}
 	command.Flags().Uint64Var(&flags.firstSeed, "from", 1, "first seed")
 	command.Flags().Uint64Var(&flags.seeds, "seeds", 4, "number of seeds, with one run each")
-	command.Flags().IntVar(&flags.episodes, "episodes", 4, "number of fault episodes per run, nine seconds each")
+	command.Flags().IntVar(&flags.episodes, "episodes", 4, "number of fault episodes per run, eleven seconds each")
 	command.Flags().IntVar(&flags.concurrency, "at-once", 2, "number of concurrent runs")
 	command.Flags().StringVar(&flags.schedule, "schedule", "", "JSON file with a fault schedule that replaces the random ones")
 	command.Flags().StringVar(&flags.binDir, "bin", "bin", "directory with the executables controlplane and gateway")
 	command.Flags().StringVar(&flags.outDir, "out", "found/soak", "output directory for logs and records")
 	command.Flags().Uint8Var(&flags.network, "network", 20, "second byte of the loopback addresses of the first run; concurrent commands need different ones")
+	command.Flags().IntVar(&flags.size.Members, "members", 0, "number of control-plane members, 3 by default")
+	command.Flags().IntVar(&flags.size.Gateways, "gateways", 0, "number of gateways, 4 by default")
+	command.Flags().IntVar(&flags.size.ShardReplicas, "replicas", 0, "number of replicas of the sharded service, 7 by default")
 	command.Flags().BoolVar(&flags.verbose, "verbose", false, "print each fault when it starts")
 	return command
 }
@@ -118,7 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
-	options := soak.Options{BinDir: binDir, Dir: dir, Schedule: schedule, Network: f.network + byte(worker)}
+	options := soak.Options{BinDir: binDir, Dir: dir, Size: f.size, Schedule: schedule, Network: f.network + byte(worker)}
 	if f.verbose {
 		options.Progress = command.ErrOrStderr()
 	}
--- a/internal/testbeds/soak/client.go
+++ b/internal/testbeds/soak/client.go
@@ -54,7 +54,7 @@
 		c.cluster.record.update(func(r *Record) { r.Requests = append(r.Requests, request) })
 		select {
 		case <-ctx.Done():
-		case <-time.After(time.Duration(c.random.Int64N(int64(2 * requestPause)))):
+		case <-time.After(time.Duration(c.random.Int64N(int64(2 * c.cluster.options.Size.requestPause())))):
 		}
 	}
 }
--- a/internal/testbeds/soak/cluster.go
+++ b/internal/testbeds/soak/cluster.go
@@ -53,7 +53,7 @@
 		options:      options,
 		startedAt:    startedAt,
 		shards:       shardreplica.NewRecordSince(startedAt),
-		record:       &Record{Schedule: options.Schedule},
+		record:       &Record{Schedule: options.Schedule, Size: options.Size},
 		links:        map[link]*relay{},
 		controlLinks: map[string]*relay{},
 		clientLinks:  map[string]*relay{},
@@ -100,22 +100,23 @@
 	if err := c.fleet.startAll(c.running); err != nil {
 		return merry.Prepend(err, "starting replicas")
 	}
-	deadline := time.Now().Add(startupTimeout)
+	limit := c.options.Size.startupTimeout()
+	deadline := time.Now().Add(limit)
 	first := Operation{Kind: PutOperation, Version: c.operators.nextVersion()}
 	for first.Member = c.members[0].name; !c.operators.call(first).Acknowledged(); {
 		if time.Now().After(deadline) || ctx.Err() != nil {
-			return merry.Errorf("no member acknowledged the first configuration within %v", startupTimeout)
+			return merry.Errorf("no member acknowledged the first configuration within %v", limit)
 		}
 		time.Sleep(ackRetryPause)
 	}
 	for !c.allGatewaysServe(ctx) {
 		if time.Now().After(deadline) || ctx.Err() != nil {
-			return merry.Errorf("not all gateways became ready within %v", startupTimeout)
+			return merry.Errorf("not all gateways became ready within %v", limit)
 		}
 		time.Sleep(ackRetryPause)
 	}
-	if unserved := c.awaitKeys(ctx, c.now()+startupTimeout); len(unserved) > 0 {
-		return merry.Errorf("%d sampled shard keys were not served within %v of the gateways", len(unserved), startupTimeout)
+	if unserved := c.awaitKeys(ctx, c.now()+limit); len(unserved) > 0 {
+		return merry.Errorf("%d sampled shard keys were not served within %v of the gateways", len(unserved), limit)
 	}
 	trafficFrom := c.now()
 	c.record.update(func(r *Record) { r.TrafficFrom = trafficFrom })
--- a/internal/testbeds/soak/record.go
+++ b/internal/testbeds/soak/record.go
@@ -131,6 +131,7 @@
 	mu sync.Mutex
 
 	Schedule      Schedule       `json:"schedule"`
+	Size          Size           `json:"size"`
 	Requests      []Request      `json:"requests"`
 	Executions    []Execution    `json:"executions"`
 	Instances     []*Instance    `json:"instances"`
--- a/internal/testbeds/soak/size.go
+++ b/internal/testbeds/soak/size.go
@@ -1,5 +1,7 @@
 package soak
 
+import "time"
+
 // Size is the number of processes and sharded replicas of a run. A field that is 0 has its default.
 type Size struct {
 	Members       int `json:"members"`
@@ -11,6 +13,7 @@
 	defaultMembers       = 3
 	defaultGateways      = 4
 	defaultShardReplicas = 7
+	fullRateGateways     = 8 // up to which clients send at their full rate
 
 	// spareShardAddresses are available to replicas that start while those that leave still serve. Addresses are reused after that.
 	spareShardAddresses = 24
@@ -32,5 +35,16 @@
 // shardAddresses returns how many addresses are prepared for sharded replicas.
 func (s Size) shardAddresses() int { return s.ShardReplicas + spareShardAddresses }
 
+// startupTimeout returns how long all gateways may take until they are ready for the first time.
+func (s Size) startupTimeout() time.Duration {
+	additional := max(s.Members+s.Gateways-defaultMembers-defaultGateways, 0)
+	return startupTimeout + time.Duration(additional)*startupPerDaemon
+}
+
+// requestPause returns the mean pause of a client between two requests. With many gateways it is longer, so that one machine bears the load.
+func (s Size) requestPause() time.Duration {
+	return requestPause * time.Duration(max(s.Gateways, fullRateGateways)) / fullRateGateways
+}
+
 // zoneAt returns the zone of the process or replica with an index.
 func zoneAt(index int) string { return string("abc"[index%len("abc")]) }
