--- a/internal/testbeds/soak/soak.go
+++ b/internal/testbeds/soak/soak.go
@@ -26,8 +26,8 @@
 const (
 	startupTimeout   = 15 * time.Second       // until all gateways are ready for the first time
 	startupPerDaemon = 500 * time.Millisecond // added for each daemon of a larger run than the default
-	warmUpTime       = time.Second      // traffic before the first fault
-	recoveryTimeout  = 15 * time.Second // until all gateways serve again after the last fault
+	warmUpTime       = time.Second            // traffic before the first fault
+	recoveryTimeout  = 15 * time.Second       // until all gateways serve again after the last fault
 	finalTrafficTime = contactBound + time.Second
 )
 
