--- a/internal/testbeds/soak/check_test.go
+++ b/internal/testbeds/soak/check_test.go
@@ -123,6 +123,18 @@
 	}
 }
 
+// TestCheckExcusesMachineStalls verifies that a request may fail after a stall of the machine, for as long as contact takes.
+func TestCheckExcusesMachineStalls(t *testing.T) {
+	for ended, found := range map[time.Duration]bool{9 * second: false, 8 * second: true, 13 * second: true} {
+		record := validRecord()
+		record.Requests = append(record.Requests, Request{ID: "r2", Gateway: "gateway-1", Kind: ShardSafeRequest, SentAt: 12 * second, EndedAt: 12 * second, Status: 503})
+		record.Stalls = []Stall{{Began: ended - 200*time.Millisecond, Ended: ended}}
+		if got := len(Check(record)) > 0; got != found {
+			t.Errorf("stall until %v: violation reported: %v, want %v", ended, got, found)
+		}
+	}
+}
+
 // TestCheckCountsHoldsOfRunningReplicas verifies that a hold ends with its replica and with a release.
 func TestCheckCountsHoldsOfRunningReplicas(t *testing.T) {
 	for name, ends := range map[string]func(*Record){
--- a/internal/testbeds/soak/ownershipcheck.go
+++ b/internal/testbeds/soak/ownershipcheck.go
@@ -97,10 +97,18 @@
 	return periods
 }
 
+// stallPeriods returns the times during which daemons may be out of contact because the machine stalled.
+func (c *checker) stallPeriods() (periods []period) {
+	for _, stall := range c.record.Stalls {
+		periods = append(periods, period{stall.Began, stall.Ended + contactBound})
+	}
+	return periods
+}
+
 // checkCalmRequests checks that requests on shard keys are served if all keys were seen to be served and nothing happened since, or if nothing
-// happened for shardCalmTime.
+// happened for shardCalmTime, and if the machine did not stall.
 func (c *checker) checkCalmRequests() {
-	departures, faults := c.departures(), c.faultPeriods()
+	departures, faults, stalls := c.departures(), c.faultPeriods(), c.stallPeriods()
 	for i := range c.record.Requests {
 		request := &c.record.Requests[i]
 		if !request.Kind.isSharded() || request.Status == 200 || request.SentAt < c.record.TrafficFrom {
@@ -109,7 +117,7 @@
 		first := !periodOverlaps(faults, c.record.TrafficFrom, request.EndedAt)
 		last := c.record.KeysServedAt > 0 && request.SentAt >= c.record.KeysServedAt
 		calm := first || last || !periodOverlaps(faults, request.SentAt-shardCalmTime, request.EndedAt)
-		if calm && !periodOverlaps(departures, request.SentAt-shardCalmTime, request.EndedAt) {
+		if calm && !periodOverlaps(departures, request.SentAt-shardCalmTime, request.EndedAt) && !periodOverlaps(stalls, request.SentAt, request.EndedAt) {
 			c.report(RuleShardUnserved, request.SentAt, "%s for key %d by %s: status %d %s", request.ID, request.Key, request.Gateway, request.Status, request.Problem)
 		}
 	}
