--- a/internal/testbeds/soak/soak_run_test.go
+++ b/internal/testbeds/soak/soak_run_test.go
@@ -47,7 +47,7 @@
 	if err := Build(t.Context(), absolute(t, moduleRoot), binDir); err != nil {
 		t.Fatal(err)
 	}
-	for i, seed := range []uint64{1, 2, 3} {
+	for i, seed := range []uint64{1, 2, 3, 5} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			runSchedule(t, binDir, Generate(seed, 2), byte(40+i))
