--- a/internal/testbeds/soak/soak.go
+++ b/internal/testbeds/soak/soak.go
@@ -17,15 +17,17 @@
 type Options struct {
 	BinDir   string // contains the controlplane and gateway binaries
 	Dir      string // for settings, data directories, logs and the record
+	Size     Size
 	Schedule Schedule
 	Network  byte      // second byte of the loopback addresses; must differ between concurrent runs
 	Progress io.Writer // progress messages; nil discards them
 }
 
 const (
-	startupTimeout   = 15 * time.Second // until all gateways are ready for the first time
-	warmUpTime       = time.Second      // traffic before the first fault
-	recoveryTimeout  = 15 * time.Second // until all gateways serve again after the last fault
+	startupTimeout   = 15 * time.Second       // until all gateways are ready for the first time
+	startupPerDaemon = 500 * time.Millisecond // added for each daemon of a larger run than the default
+	warmUpTime       = time.Second            // traffic before the first fault
+	recoveryTimeout  = 15 * time.Second       // until all gateways serve again after the last fault
 	finalTrafficTime = contactBound + time.Second
 )
 
--- a/internal/testbeds/soak/soak_run_test.go
+++ b/internal/testbeds/soak/soak_run_test.go
@@ -20,10 +20,11 @@
 
 const moduleRoot = "../../.."
 
+// outputDir returns an empty directory for a run.
 func outputDir(t *testing.T) string {
 	if dir := os.Getenv("SOAK_KEEP"); dir != "" {
-		dir = filepath.Join(dir, filepath.Base(t.Name()))
-		if err := os.MkdirAll(dir, 0o700); err != nil {
+		dir, err := os.MkdirTemp(dir, filepath.Base(t.Name())+"-")
+		if err != nil {
 			t.Fatal(err)
 		}
 		return dir
@@ -46,7 +47,7 @@
 	if err := Build(t.Context(), absolute(t, moduleRoot), binDir); err != nil {
 		t.Fatal(err)
 	}
-	for i, seed := range []uint64{1, 2, 3} {
+	for i, seed := range []uint64{1, 2, 3, 5} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			runSchedule(t, binDir, Generate(seed, 2), byte(40+i))
@@ -111,7 +112,7 @@
 
 // TestSoakFindsPlantedFaults runs daemons built with each mutation and expects the checker to report the broken guarantee.
 func TestSoakFindsPlantedFaults(t *testing.T) {
-	for i, mutation := range mutations {
+	for i, mutation := range slices.Concat(mutations, ownershipMutations) {
 		t.Run(mutation.Name, func(t *testing.T) {
 			t.Parallel()
 			runMutation(t, mutation, byte(50+i))
