Failed requests name their shard key, its owner's token and the kind of a 421

A 421 means that the replica does not hold the shard key, or that another instance has its address; logs and failure records did not tell which, nor the key and the token of the owner that it was decided on.

Records and request_failed lines now have shard_key and owner_token, attempts have owner_token and key_not_held or other_instance. The new event endpoint_misdirected says which instance answered at an endpoint's address.

--- a/internal/daemons/gateway/attempt.go
+++ b/internal/daemons/gateway/attempt.go
@@ -42,7 +42,7 @@
 		ConnectionRefused: outcome.ConnectionRefused,
 	}
 	if outcome.Response != nil {
-		result.Misdirected = outcome.Response.Status == http.StatusMisdirectedRequest && !outcome.NotOwner
+		result.Misdirected = isMisdirected(outcome)
 		result.Load = parseLoad(outcome.Response.Header)
 	}
 	if outcome.NotOwner {
@@ -58,9 +58,18 @@
 	g.mu.Lock()
 	effects := g.router.EndAttempt(g.now(), result)
 	g.mu.Unlock()
+	if effects.MisdirectedEndpoint != "" && g.logLimiter.Allow() {
+		g.logger.Info().Str("event", "endpoint_misdirected").Str("replica", effects.MisdirectedEndpoint).Str("address", picked.Addr).
+			Str("other_instance", otherInstance(outcome)).Msg("another instance responded at the endpoint's address; reporting the endpoint as gone")
+	}
 	g.queueEffects(effects)
 }
 
+// isMisdirected reports whether another instance than the one that was meant responded.
+func isMisdirected(outcome replica.Outcome) bool {
+	return outcome.Response != nil && outcome.Response.Status == http.StatusMisdirectedRequest && !outcome.NotOwner
+}
+
 // endpointResult maps an attempt's outcome to a load-balancer result. Attempts ended by the client, or by the deadline
 // before the request was sent, are Canceled: they say nothing about the endpoint.
 func endpointResult(outcome replica.Outcome, canceled bool) loadbalancer.Result {
--- a/internal/daemons/gateway/failures.go
+++ b/internal/daemons/gateway/failures.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	AttemptID     string          `json:"attempt_id"` // set by the client, truncated to maxLoggedIDBytes
 	Route         string          `json:"route"`
 	Service       string          `json:"service"`
+	ShardKey      *uint16         `json:"shard_key,omitempty"`   // nil if the service is not sharded
+	OwnerToken    uint64          `json:"owner_token,omitempty"` // of the shard key's range when an endpoint was picked last
 	Idempotent    bool            `json:"idempotent"`
 	Status        int             `json:"status"` // returned to the client; 0 if the connection was closed
 	EndedBy       endedBy         `json:"ended_by"`
@@ -50,7 +53,10 @@
 	Deadline         time.Duration `json:"deadline_ns"` // remaining when the attempt was sent
 	Execution        string        `json:"execution"`   // executionPending until the attempt has ended
 	Cause            replica.Cause `json:"cause,omitempty"`
-	Status           int           `json:"status,omitempty"` // of the replica's response
+	Status           int           `json:"status,omitempty"`      // of the replica's response
+	OwnerToken       uint64        `json:"owner_token,omitempty"` // on which the endpoint was picked as the shard key's owner; 0 if not sharded
+	KeyNotHeld       bool          `json:"key_not_held,omitempty"`
+	OtherInstance    string        `json:"other_instance,omitempty"` // ID of the instance that has the address instead of the endpoint
 	ConnID           uint64        `json:"conn,omitempty"`
 	ConnRequestCount int           `json:"conn_use,omitempty"`
 }
@@ -116,6 +122,16 @@
 // loggedID truncates an attempt ID for logging.
 func loggedID(attemptID string) string { return attemptID[:min(len(attemptID), maxLoggedIDBytes)] }
 
+// loggedText truncates a text that a client or a replica has chosen, and replaces all but printable ASCII characters in it.
+func loggedText(text string, maxBytes int) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r > '~' {
+			return '?'
+		}
+		return r
+	}, text[:min(len(text), maxBytes)])
+}
+
 // recordFailure stores a failed request, logs it subject to the rate limit, and returns the record's number.
 func (g *Gateway) recordFailure(failed FailedRequest) uint64 {
 	failed.AttemptID = loggedID(failed.AttemptID)
@@ -128,18 +144,32 @@
 	for _, attempt := range failed.Attempts[:min(len(failed.Attempts), maxLoggedAttempts)] {
 		attempts = append(attempts, attempt.summary())
 	}
-	g.logger.Info().Str("event", "request_failed").Str("attempt", failed.AttemptID).Str("route", failed.Route).Str("service", failed.Service).
+	entry := g.logger.Info().Str("event", "request_failed").Str("attempt", failed.AttemptID).Str("route", failed.Route).Str("service", failed.Service).
 		Int("status", failed.Status).Str("ended_by", string(failed.EndedBy)).Str("reason", failed.Reason).Dur("timeout", failed.Timeout).
-		Dur("duration", failed.Duration).Uint64("config_version", failed.ConfigVersion).Strs("attempts", attempts).Msg("request failed")
+		Dur("duration", failed.Duration).Uint64("config_version", failed.ConfigVersion)
+	if failed.ShardKey != nil {
+		entry = entry.Uint16("shard_key", *failed.ShardKey).Uint64("owner_token", failed.OwnerToken)
+	}
+	entry.Strs("attempts", attempts).Msg("request failed")
 	return number
 }
 
-// summary formats an attempt for a log line: endpoint@address, table update, times in milliseconds, execution and cause.
+// summary formats an attempt for a log line: endpoint@address, table update, times in milliseconds, execution, cause, the token of the
+// shard key's owner, and which kind of 421 it was.
 func (a AttemptRecord) summary() string {
 	text := a.Endpoint + "@" + a.Address + " update=" + formatUint(a.TableUpdate) + " after=" + formatMillis(a.SentAfter) +
 		" took=" + formatMillis(a.Duration) + " deadline=" + formatMillis(a.Deadline) + " " + a.Execution
 	if a.Cause != "" {
 		text += " " + string(a.Cause)
 	}
+	if a.OwnerToken > 0 {
+		text += " owner_token=" + formatUint(a.OwnerToken)
+	}
+	switch {
+	case a.KeyNotHeld:
+		text += " key_not_held"
+	case a.OtherInstance != "":
+		text += " other_instance=" + a.OtherInstance
+	}
 	return text
 }
--- a/internal/daemons/gateway/forward.go
+++ b/internal/daemons/gateway/forward.go
@@ -23,6 +23,8 @@
 	sharded bool   // only the owner of the shard key can serve the request
 	key     uint16 // shard key; valid if sharded is set
 
+	ownerToken uint64 // of the shard key's range at the last pick; 0 if there was none
+
 	request   replica.Request    // template of each attempt, without InstanceID
 	attempted []string           // endpoints tried so far
 	results   chan attemptResult // buffered for all attempts, so that no send blocks
--- a/internal/daemons/gateway/forwardfailure.go
+++ b/internal/daemons/gateway/forwardfailure.go
@@ -5,11 +5,15 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"zincloft.example/zincloft/internal/daemons/replica"
 )
 
 const (
 	reasonNoEndpoint = "no_endpoint" // a retry was allowed but no endpoint was available
 	reasonNotOwner   = "not_owner"   // the last attempt the route allows met a replica that did not hold the shard key
+
+	unnamedInstance = "unnamed" // in place of the ID of an instance that does not state it
 )
 
 // reject answers a request that no replica has executed and records the failure.
@@ -39,7 +43,12 @@
 
 // recordFailure records that the request failed with a status, or 0 if its connection is closed.
 func (f *forwarding) recordFailure(status int, by endedBy) {
-	f.failureNumber = f.gateway.recordFailure(FailedRequest{
+	f.failureNumber = f.gateway.recordFailure(f.record(status, by))
+}
+
+// record describes the request for a failure record.
+func (f *forwarding) record(status int, by endedBy) FailedRequest {
+	record := FailedRequest{
 		At:            time.Now(),
 		AttemptID:     f.request.AttemptID,
 		Route:         f.route.Name,
@@ -52,7 +61,12 @@
 		Duration:      time.Since(f.arrivedAt),
 		ConfigVersion: f.configVersion,
 		Attempts:      f.attemptRecords(),
-	})
+	}
+	if f.sharded {
+		key := f.key
+		record.ShardKey, record.OwnerToken = &key, f.ownerToken
+	}
+	return record
 }
 
 // attemptRecords returns the failed attempts, followed by the pending ones.
@@ -82,15 +96,30 @@
 		Deadline:         deadline.Sub(result.sentAt),
 		Execution:        result.Execution.String(),
 		Cause:            result.Cause,
+		OwnerToken:       result.picked.Token,
+		KeyNotHeld:       result.NotOwner,
 		ConnID:           result.ConnID,
 		ConnRequestCount: result.ConnRequestCount,
 	}
 	if result.Response != nil {
 		record.Status = result.Response.Status
+		record.OtherInstance = otherInstance(result.Outcome)
 	}
 	return record
 }
 
+// otherInstance returns the ID of the instance that answered in place of the one that was meant, "unnamed" if the answer does not name
+// it, and an empty ID if the answer is no such rejection.
+func otherInstance(outcome replica.Outcome) string {
+	if !isMisdirected(outcome) {
+		return ""
+	}
+	if id := outcome.Response.Header.Get("X-Instance-Id"); id != "" {
+		return loggedText(id, maxLoggedIDBytes)
+	}
+	return unnamedInstance
+}
+
 func formatUint(n uint64) string { return strconv.FormatUint(n, 10) }
 
 func formatMillis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) + "ms" }
--- a/internal/daemons/gateway/shardkey.go
+++ b/internal/daemons/gateway/shardkey.go
@@ -66,6 +66,7 @@
 func (f *forwarding) awaitEndpoint(client context.Context) pickedEndpoint {
 	for waited := false; ; waited = true {
 		picked := f.pickEndpoint(false)
+		f.ownerToken = picked.Token
 		if !picked.OwnerPending {
 			return picked
 		}
