Canceled attempts are no longer counted as time-outs

Both end by the connection's deadline. An attempt that was canceled before its deadline now has the cause canceled; decisions do not depend on the cause.

TestCanceledAttemptIsNoTimeout fails without the change (cause deadline).

--- a/internal/daemons/replica/pool.go
+++ b/internal/daemons/replica/pool.go
@@ -123,6 +123,9 @@
 	}
 	if !stop() {
 		c.unusable = true
+		if outcome.Cause == CauseDeadline && time.Now().Before(request.Deadline) {
+			outcome.Cause = CauseCanceled
+		}
 	}
 	p.release(instanceID, c, request, outcome.Response)
 	return outcome
--- a/internal/daemons/replica/pool_test.go
+++ b/internal/daemons/replica/pool_test.go
@@ -177,3 +177,18 @@
 		So(p.OpenCount(), ShouldEqual, 0)
 	})
 }
+
+// Guards against counting canceled attempts, as those of hedged requests, as time-outs.
+func TestCanceledAttemptIsNoTimeout(t *testing.T) {
+	addr, _ := startScriptedReplica(t, func(q *http.Request, n int) (string, bool) { time.Sleep(time.Second); return "", true })
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	canceled := request("1", time.Second)
+	canceled.Cancel = ctx
+	if outcome := NewPool(testMaxOpen).Do("i1", addr, canceled); outcome.Cause != CauseCanceled {
+		t.Errorf("canceled: %s", outcome.Cause)
+	}
+	if outcome := NewPool(testMaxOpen).Do("i1", addr, request("2", 20*time.Millisecond)); outcome.Cause != CauseDeadline {
+		t.Errorf("expired: %s", outcome.Cause)
+	}
+}
--- a/internal/daemons/replica/replica.go
+++ b/internal/daemons/replica/replica.go
@@ -83,6 +83,7 @@
 	CauseClosed               Cause = "closed"      // the replica closed the connection before its response
 	CauseConnectionLost       Cause = "broken"      // the connection failed before the response
 	CauseDeadline             Cause = "deadline"    // no response by the deadline
+	CauseCanceled             Cause = "canceled"    // Request.Cancel ended the attempt: another one was answered, or the client disconnected
 	CauseTruncated            Cause = "truncated"   // the response body ended early
 	CauseNotHTTP              Cause = "not_http"    // malformed or ambiguous response head
 	CauseInvalid              Cause = "invalid"     // missing seal, attempt ID or length, or invalid status
