Floods of one reason no longer hide the first failures of another; 404 names its target

All request_failed lines shared one limit, so a flood of one reason used it up and displaced the lines of other reasons. Each reason now has a limit of its own: a burst of 20, then one line a second; at most 32 reasons have one. Requests without a route are logged with their host and the start of their path, 64 bytes each, without the query and with printable characters only.

--- a/internal/daemons/gateway/failures.go
+++ b/internal/daemons/gateway/failures.go
@@ -12,6 +12,8 @@
 const (
 	maxRecordedFailures = 256 // newest failed requests kept in memory
 	maxLoggedIDBytes    = 64  // of an attempt ID, which is chosen by the client
+	maxLoggedHostBytes  = 64  // of a request without a route
+	maxLoggedPathBytes  = 64  // likewise
 	maxLoggedAttempts   = 8   // no request can have more, given the route limit and the limit of failed connections
 )
 
@@ -40,6 +42,8 @@
 	Timeout       time.Duration   `json:"timeout_ns"`
 	Duration      time.Duration   `json:"duration_ns"`
 	ConfigVersion uint64          `json:"config_version"` // used to route the request
+	Host          string          `json:"host,omitempty"` // of a request without a route, sanitized and truncated
+	Path          string          `json:"path,omitempty"` // likewise, without the query
 	Attempts      []AttemptRecord `json:"attempts"`
 }
 
@@ -124,19 +128,20 @@
 
 // loggedText truncates a text that a client or a replica has chosen, and replaces all but printable ASCII characters in it.
 func loggedText(text string, maxBytes int) string {
+	truncated := strings.Clone(text[:min(len(text), maxBytes)]) // a part would keep the request's head in memory
 	return strings.Map(func(r rune) rune {
 		if r < ' ' || r > '~' {
 			return '?'
 		}
 		return r
-	}, text[:min(len(text), maxBytes)])
+	}, truncated)
 }
 
 // recordFailure stores a failed request, logs it subject to the rate limit, and returns the record's number.
 func (g *Gateway) recordFailure(failed FailedRequest) uint64 {
 	failed.AttemptID = loggedID(failed.AttemptID)
 	number := g.failures.add(failed)
-	if !g.logLimiter.Allow() {
+	if !g.reasonLimiter.allow(failed.Reason) {
 		g.count(countFailuresNotLogged)
 		return number
 	}
@@ -150,6 +155,9 @@
 	if failed.ShardKey != nil {
 		entry = entry.Uint16("shard_key", *failed.ShardKey).Uint64("owner_token", failed.OwnerToken)
 	}
+	if failed.Path != "" {
+		entry = entry.Str("host", failed.Host).Str("path", failed.Path)
+	}
 	entry.Strs("attempts", attempts).Msg("request failed")
 	return number
 }
--- a/internal/daemons/gateway/gateway.go
+++ b/internal/daemons/gateway/gateway.go
@@ -33,6 +33,9 @@
 	headMemoryShare     = 0.02                  // of the memory limit, for incomplete heads; parsing needs several times their size
 	logRate             = 10                    // log lines per second caused by clients and replicas
 	logBurst            = 100                   // log lines in a burst
+	reasonLogRate       = 1                     // log lines per second of requests that failed for the same reason
+	reasonLogBurst      = 20                    // log lines in a burst for the same reason
+	maxLoggedReasons    = 32                    // reasons with a limit of their own; further ones share one
 	slowRequestOverhead = 50 * time.Millisecond // time outside attempts above which a request counts as delayed by the gateway
 	maxQueuedReports    = 64                    // queue lengths for observations and misdirected endpoints awaiting the control stream
 	maxServeErrors      = 4                     // capacity for concurrent listener failures
@@ -79,7 +82,8 @@
 	misdirected  chan string            // endpoints whose address belongs to another instance
 	cpuTime      time.Duration          // of the process at the last report; owned by the report loop
 
-	logLimiter *rate.Limiter // limits log lines caused by clients and replicas
+	logLimiter    *rate.Limiter // limits log lines caused by clients and replicas, but for those of reasonLimiter
+	reasonLimiter reasonLimiter // limits log lines of failed requests
 
 	metrics  *gatewayMetrics
 	counters *eventCounters
--- a/internal/daemons/gateway/response.go
+++ b/internal/daemons/gateway/response.go
@@ -47,6 +47,9 @@
 	if rejected.aborts {
 		failed.EndedBy = endedByClient
 	}
+	if rejected.counter == countNoRoute {
+		failed.Host, failed.Path = loggedText(r.Host, maxLoggedHostBytes), loggedText(r.URL.EscapedPath(), maxLoggedPathBytes)
+	}
 	if config := g.config.Load(); config != nil {
 		failed.ConfigVersion = config.Version
 	}
