Requests answered after their latency target are recorded and logged

A request that was answered, but late, left no trace. The counter answered_late counts all of them. For a request in time it costs one reading of the clock.

--- a/internal/daemons/gateway/counters.go
+++ b/internal/daemons/gateway/counters.go
@@ -30,6 +30,7 @@
 	countOwnerPending         counter = "owner_pending"          // answered 503, as the shard key had no owner in time
 	countNotOwner             counter = "not_owner"              // the replica did not hold the shard key
 	countHedged               counter = "hedged"                 // sent to a second replica while the first attempt is pending
+	countAnsweredLate         counter = "answered_late"          // answered by a replica after the latency target
 	countRetryBudgetExhausted counter = "retry_budget_exhausted" // retry denied by the retry budget
 
 	countNoConfig          counter = "no_configuration"    // rejected because no configuration has been received
--- a/internal/daemons/gateway/failures.go
+++ b/internal/daemons/gateway/failures.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"zincloft.example/zincloft/internal/daemons/replica"
 )
 
@@ -27,7 +29,7 @@
 	endedByDeadline endedBy = "deadline" // set by the client, or by the route's timeout
 )
 
-// FailedRequest describes a request that did not get a successful response.
+// FailedRequest describes a request that did not get a successful response, or got it after its latency target.
 type FailedRequest struct {
 	At            time.Time       `json:"at"`
 	AttemptID     string          `json:"attempt_id"` // set by the client, truncated to maxLoggedIDBytes
@@ -40,6 +42,8 @@
 	EndedBy       endedBy         `json:"ended_by"`
 	Reason        string          `json:"reason"` // why no further attempt was made
 	Timeout       time.Duration   `json:"timeout_ns"`
+	Target        time.Duration   `json:"target_ns,omitempty"`   // latency target of the route; only of slow requests
+	Overhead      time.Duration   `json:"overhead_ns,omitempty"` // part of Duration outside attempts and waits for an owner; likewise
 	Duration      time.Duration   `json:"duration_ns"`
 	ConfigVersion uint64          `json:"config_version"` // used to route the request
 	Host          string          `json:"host,omitempty"` // of a request without a route, sanitized and truncated
@@ -68,14 +72,14 @@
 // executionPending is the Execution of an attempt that outlasts its request.
 const executionPending = "pending"
 
-// failureLog keeps the newest failed requests. The zero value is ready; it is safe for concurrent use.
+// failureLog keeps the newest failed requests, or the newest slow ones. The zero value is ready; it is safe for concurrent use.
 type failureLog struct {
 	mu    sync.Mutex
 	ring  [maxRecordedFailures]FailedRequest
 	count uint64 // added so far; the next one goes to ring[count % maxRecordedFailures]
 }
 
-// add stores a failed request in place of the oldest one and returns its number, which is never 0.
+// add stores a request in place of the oldest one and returns its number, which is never 0.
 func (l *failureLog) add(failed FailedRequest) uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -84,7 +88,7 @@
 	return l.count
 }
 
-// complete replaces the pending attempt at the same endpoint in the record of a failed request. It does nothing if the
+// complete replaces the pending attempt at the same endpoint in the record of a request. It does nothing if the
 // record has been overwritten.
 func (l *failureLog) complete(number uint64, attempt AttemptRecord) {
 	l.mu.Lock()
@@ -94,15 +98,21 @@
 	}
 	kept := &l.ring[(number-1)%maxRecordedFailures]
 	kept.Attempts = slices.Clone(kept.Attempts) // newest may have returned the previous slice
-	for i, known := range kept.Attempts {
+	replacePending(kept.Attempts, attempt)
+}
+
+// replacePending replaces the pending attempt at the same endpoint, and reports whether there was one.
+func replacePending(attempts []AttemptRecord, attempt AttemptRecord) bool {
+	for i, known := range attempts {
 		if known.Endpoint == attempt.Endpoint && known.Execution == executionPending {
-			kept.Attempts[i] = attempt
-			return
+			attempts[i] = attempt
+			return true
 		}
 	}
+	return false
 }
 
-// newest returns the stored failed requests, newest first.
+// newest returns the stored requests, newest first.
 func (l *failureLog) newest() []FailedRequest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -139,29 +149,39 @@
 
 // recordFailure stores a failed request, logs it subject to the rate limit, and returns the record's number.
 func (g *Gateway) recordFailure(failed FailedRequest) uint64 {
-	failed.AttemptID = loggedID(failed.AttemptID)
 	number := g.failures.add(failed)
 	if !g.reasonLimiter.allow(failed.Reason) {
 		g.count(countFailuresNotLogged)
 		return number
 	}
-	attempts := make([]string, 0, len(failed.Attempts))
-	for _, attempt := range failed.Attempts[:min(len(failed.Attempts), maxLoggedAttempts)] {
-		attempts = append(attempts, attempt.summary())
-	}
 	entry := g.logger.Info().Str("event", "request_failed").Str("attempt", failed.AttemptID).Str("route", failed.Route).Str("service", failed.Service).
 		Int("status", failed.Status).Str("ended_by", string(failed.EndedBy)).Str("reason", failed.Reason).Dur("timeout", failed.Timeout).
 		Dur("duration", failed.Duration).Uint64("config_version", failed.ConfigVersion)
-	if failed.ShardKey != nil {
-		entry = entry.Uint16("shard_key", *failed.ShardKey).Uint64("owner_token", failed.OwnerToken)
-	}
+	entry = logShardKey(entry, failed)
 	if failed.Path != "" {
 		entry = entry.Str("host", failed.Host).Str("path", failed.Path)
 	}
-	entry.Strs("attempts", attempts).Msg("request failed")
+	entry.Strs("attempts", failed.attemptSummaries()).Msg("request failed")
 	return number
 }
 
+// logShardKey adds the shard key of a request to its log line, if it has one.
+func logShardKey(entry *log.Entry, request FailedRequest) *log.Entry {
+	if request.ShardKey == nil {
+		return entry
+	}
+	return entry.Uint16("shard_key", *request.ShardKey).Uint64("owner_token", request.OwnerToken)
+}
+
+// attemptSummaries formats the attempts for a log line.
+func (r FailedRequest) attemptSummaries() []string {
+	summaries := make([]string, 0, len(r.Attempts))
+	for _, attempt := range r.Attempts[:min(len(r.Attempts), maxLoggedAttempts)] {
+		summaries = append(summaries, attempt.summary())
+	}
+	return summaries
+}
+
 // summary formats an attempt for a log line: endpoint@address, table update, times in milliseconds, execution, cause, the token of the
 // shard key's owner, and which kind of 421 it was.
 func (a AttemptRecord) summary() string {
--- a/internal/daemons/gateway/forward.go
+++ b/internal/daemons/gateway/forward.go
@@ -40,7 +40,8 @@
 	failedAttempts []attemptResult // attempts without a successful response, for the failure record
 	reason         string          // why no further attempt was made
 	retryAfter     time.Duration   // sent if the request ends unexecuted after its attempts
-	failureNumber  uint64          // number of this request's failure record; 0 if there is none
+	recordedIn     *failureLog     // that has the record of this request; nil if it neither failed nor was slow
+	recordNumber   uint64          // of that record
 
 	// strongest is the outcome with the highest Execution so far: a later attempt that was not executed proves nothing about
 	// an earlier one.
@@ -97,7 +98,9 @@
 			f.recordResult(result)
 			switch f.decide(r.Context(), result.Outcome) {
 			case returnResponse:
+				answeredAfter := time.Since(f.arrivedAt)
 				f.writeReplicaResponse(w, r, result.Response)
+				f.recordIfSlow(result, answeredAfter)
 				return
 			case retryRequest:
 				f.retry(r.Context(), result)
@@ -309,28 +312,33 @@
 func (f *forwarding) discardResponses() {
 	f.strongest.Discard()
 	if f.pending > 0 {
-		go pendingAttempts{f.gateway, f.results, f.pending, f.failureNumber, f.request.AttemptID, f.arrivedAt, f.request.Deadline}.discard()
+		go pendingAttempts{f.gateway, f.results, f.pending, f.recordedIn, f.recordNumber, f.request.AttemptID, f.arrivedAt, f.request.Deadline}.discard()
 	}
 }
 
 // pendingAttempts are attempts that outlast their request, with copies of the request data they need.
 type pendingAttempts struct {
-	gateway       *Gateway
-	results       <-chan attemptResult
-	count         int
-	failureNumber uint64 // number of the request's failure record; 0 if it did not fail
-	attemptID     string
-	arrivedAt     time.Time
-	deadline      time.Time
+	gateway      *Gateway
+	results      <-chan attemptResult
+	count        int
+	recordedIn   *failureLog // that has the record of the request; nil if there is none
+	recordNumber uint64
+	attemptID    string
+	arrivedAt    time.Time
+	deadline     time.Time
 }
 
-// discard waits for the attempts to end, discards their responses and completes the request's failure record.
+// discard waits for the attempts to end, discards their responses and completes the request's record.
 func (p pendingAttempts) discard() {
 	for range p.count {
 		result := <-p.results
 		result.Discard()
-		if p.failureNumber != 0 {
-			p.gateway.completeFailure(p.failureNumber, p.attemptID, newAttemptRecord(result, p.arrivedAt, p.deadline))
+		switch p.recordedIn {
+		case nil:
+		case &p.gateway.failures:
+			p.gateway.completeFailure(p.recordNumber, p.attemptID, newAttemptRecord(result, p.arrivedAt, p.deadline))
+		default:
+			p.recordedIn.complete(p.recordNumber, newAttemptRecord(result, p.arrivedAt, p.deadline))
 		}
 	}
 }
--- a/internal/daemons/gateway/forwardfailure.go
+++ b/internal/daemons/gateway/forwardfailure.go
@@ -43,14 +43,15 @@
 
 // recordFailure records that the request failed with a status, or 0 if its connection is closed.
 func (f *forwarding) recordFailure(status int, by endedBy) {
-	f.failureNumber = f.gateway.recordFailure(f.record(status, by))
+	f.recordNumber = f.gateway.recordFailure(f.record(status, by))
+	f.recordedIn = &f.gateway.failures
 }
 
 // record describes the request for a failure record.
 func (f *forwarding) record(status int, by endedBy) FailedRequest {
 	record := FailedRequest{
 		At:            time.Now(),
-		AttemptID:     f.request.AttemptID,
+		AttemptID:     loggedID(f.request.AttemptID),
 		Route:         f.route.Name,
 		Service:       f.service,
 		Idempotent:    f.route.Idempotent,
--- a/internal/daemons/gateway/gateway.go
+++ b/internal/daemons/gateway/gateway.go
@@ -89,6 +89,8 @@
 	counters *eventCounters
 	failures failureLog
 
+	slowRequests failureLog // answered after their latency targets
+
 	mu        sync.Mutex // guards router, settings.Seeds and ownership.changed
 	router    *router.Router
 	ownership ownershipWaits
--- a/internal/daemons/gateway/lifecycle.go
+++ b/internal/daemons/gateway/lifecycle.go
@@ -46,7 +46,10 @@
 	// The control stream outlives ctx, as maintenance drains still apply during shutdown.
 	streamContext, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	source := telemetry.Source{Metrics: g.metrics.set, Connections: g.metricsConns, Failures: func() any { return g.failures.newest() }}
+	source := telemetry.Source{Metrics: g.metrics.set, Connections: g.metricsConns, Records: map[string]func() any{
+		telemetry.FailuresPath:     func() any { return g.failures.newest() },
+		telemetry.SlowRequestsPath: func() any { return g.slowRequests.newest() },
+	}}
 	if err := telemetry.Serve(streamContext, g.settings.IP, g.settings.Metrics, source); err != nil {
 		return err
 	}
--- a/internal/daemons/gateway/response.go
+++ b/internal/daemons/gateway/response.go
@@ -39,7 +39,7 @@
 func (g *Gateway) reject(w http.ResponseWriter, r *http.Request, rejected rejection) {
 	failed := FailedRequest{
 		At:        time.Now(),
-		AttemptID: r.Header.Get("X-Attempt-Id"),
+		AttemptID: loggedID(r.Header.Get("X-Attempt-Id")),
 		Status:    rejected.status,
 		EndedBy:   endedByGateway,
 		Reason:    rejected.reason(),
--- a/internal/daemons/telemetry/telemetry.go
+++ b/internal/daemons/telemetry/telemetry.go
@@ -1,4 +1,4 @@
-// Package telemetry serves a daemon's metrics in the Prometheus text exposition format, and its records of failed requests, on a
+// Package telemetry serves a daemon's metrics in the Prometheus text exposition format, and its records of failed and slow requests, on a
 // separate port.
 package telemetry
 
@@ -31,14 +31,19 @@
 	heapMetric = "/memory/classes/heap/objects:bytes"
 )
 
-// FailuresPath is the path at which the newest failures are served as JSON.
-const FailuresPath = "/failures"
+// Paths at which records of requests are served as JSON.
+const (
+	FailuresPath     = "/failures" // the newest failed requests
+	SlowRequestsPath = "/slow"     // the newest requests that were answered after their latency target
+)
 
 // Source is the data served for a daemon.
 type Source struct {
 	Metrics     *metrics.Set
 	Connections *connlimit.Limiter // limits the connections of clients
-	Failures    func() any         // returns the newest failures, to be encoded as JSON; may be nil
+
+	// Records maps paths to functions that return the newest records of requests, to be encoded as JSON. It may be nil.
+	Records map[string]func() any
 }
 
 // NewMetrics creates a set with the metrics common to all daemons: goroutines, heap and invariant violations.
@@ -98,10 +103,10 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 		s.Metrics.WritePrometheus(w)
 	})
-	if s.Failures != nil {
-		router.Get(FailuresPath, func(w http.ResponseWriter, _ *http.Request) {
+	for recordsPath, newest := range s.Records {
+		router.Get(recordsPath, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Type", "application/json")
-			_ = json.NewEncoder(w).Encode(s.Failures()) // fails only if the client has disconnected
+			_ = json.NewEncoder(w).Encode(newest()) // fails only if the client has disconnected
 		})
 	}
 	return router
