The time at which a configuration came into force is logged and a metric

config_applied said which configuration a gateway serves, not which one it replaced, and once the line is gone from a kept log only the version is left. The line now has previous_version, services and sharded_services; the metric zincloft_gateway_config_applied_timestamp_seconds has the time.

TestConfigurationInForceIsLoggedWithItsTime passes.

--- a/internal/daemons/gateway/controlstream.go
+++ b/internal/daemons/gateway/controlstream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"zincloft.example/zincloft/fleet"
+	"zincloft.example/zincloft/gatewayconfig"
 	"zincloft.example/zincloft/internal/daemons/peertransport"
 	"zincloft.example/zincloft/invariant"
 	"zincloft.example/zincloft/messages"
@@ -169,15 +170,30 @@
 	for _, endpoint := range result.RemovedEndpoints {
 		g.pool.CloseIdle(endpoint)
 	}
-	if config := result.Config; config != nil {
-		if previous := g.config.Swap(config); previous != nil {
-			invariant.NotBelow(invariant.ConfigVersionMonotonic, config.Version, previous.Version)
-		}
-		g.logger.Info().Str("event", "config_applied").Uint64("version", config.Version).Int("routes", config.RouteCount).Msg("configuration applied")
-		g.startFrontServer(config.Limits)
+	if result.Config != nil {
+		g.applyConfig(result.Config)
 	}
 	if result.FullTable {
 		g.hasTable.Store(true)
 	}
 	return result.Stale
 }
+
+// applyConfig puts a newer configuration in force.
+func (g *Gateway) applyConfig(config *gatewayconfig.Config) {
+	var previousVersion uint64
+	if previous := g.config.Swap(config); previous != nil {
+		previousVersion = previous.Version
+		invariant.NotBelow(invariant.ConfigVersionMonotonic, config.Version, previousVersion)
+	}
+	g.configAppliedAt.Store(time.Now().UnixMilli())
+	sharded := 0
+	for _, service := range config.Services {
+		if service.Sharded {
+			sharded++
+		}
+	}
+	g.logger.Info().Str("event", "config_applied").Uint64("version", config.Version).Uint64("previous_version", previousVersion).
+		Int("routes", config.RouteCount).Int("services", len(config.Services)).Int("sharded_services", sharded).Msg("configuration in force")
+	g.startFrontServer(config.Limits)
+}
--- a/internal/daemons/gateway/failures_test.go
+++ b/internal/daemons/gateway/failures_test.go
@@ -5,11 +5,14 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"zincloft.example/zincloft/internal/daemons/program"
 	"zincloft.example/zincloft/internal/daemons/replica"
 	"zincloft.example/zincloft/internal/testbeds/standin/upstream"
+	"zincloft.example/zincloft/messages"
 )
 
 // TestFailedRequestRecord guards the record of a failed request: its attempts, their outcomes, and why no further attempt was
@@ -53,6 +56,22 @@
 	})
 }
 
+// TestConfigurationInForceIsLoggedWithItsTime guards against a configuration of which nobody can tell when it came into force.
+func TestConfigurationInForceIsLoggedWithItsTime(t *testing.T) {
+	Convey("A newer configuration is logged with its predecessor, and its time is a metric", t, func() {
+		f := newFixture("safe", 0)
+		var lines logBuffer
+		f.gateway.logger = program.NewLogger(&lines, "gateway")
+		appliedAt := time.Now().UnixMilli()
+		f.gateway.applyUpdate(&messages.StateUpdate{Sequence: 2, ConfigVersion: 2, Config: testConfig(2, "safe")})
+		So(lines.String(), ShouldContainSubstring, "event=config_applied version=2 previous_version=1 routes=1 services=1 sharded_services=0")
+		So(f.gateway.configAppliedAt.Load(), ShouldBeGreaterThanOrEqualTo, appliedAt)
+		var exposition strings.Builder
+		f.gateway.metrics.set.WritePrometheus(&exposition)
+		So(exposition.String(), ShouldContainSubstring, "zincloft_gateway_config_applied_timestamp_seconds ")
+	})
+}
+
 func TestFailureLogKeepsNewest(t *testing.T) {
 	var kept failureLog
 	for i := range maxRecordedFailures + 3 {
--- a/internal/daemons/gateway/gateway.go
+++ b/internal/daemons/gateway/gateway.go
@@ -58,10 +58,12 @@
 	logger    *log.Logger
 	startedAt time.Time
 
-	config   atomic.Pointer[gatewayconfig.Config] // nil until a configuration is received
-	hasTable atomic.Bool                          // a full endpoint table has been received
-	draining atomic.Bool                          // a maintenance window is in progress
-	stopping atomic.Bool                          // the process is shutting down
+	config          atomic.Pointer[gatewayconfig.Config] // nil until a configuration is received
+	configAppliedAt atomic.Int64                         // when config came into force, in milliseconds since 1970; 0 if there is none
+
+	hasTable atomic.Bool // a full endpoint table has been received
+	draining atomic.Bool // a maintenance window is in progress
+	stopping atomic.Bool // the process is shutting down
 
 	frontServerOnce sync.Once // guards starting server
 	frontListener   net.Listener
--- a/internal/daemons/gateway/metrics.go
+++ b/internal/daemons/gateway/metrics.go
@@ -7,6 +7,8 @@
 	"zincloft.example/zincloft/internal/daemons/telemetry"
 )
 
+const millisPerSecond = 1000
+
 // gatewayMetrics are the gateway's own metrics. Counters updated for every request are fields; other events are counted in
 // eventCounters.
 type gatewayMetrics struct {
@@ -34,6 +36,7 @@
 		}
 		return 0
 	})
+	gauge("zincloft_gateway_config_applied_timestamp_seconds", func() float64 { return float64(g.configAppliedAt.Load()) / millisPerSecond })
 	lockedGauge := func(name string, read func() float64) {
 		set.NewGauge(name, func() float64 {
 			g.mu.Lock()
