Requests are counted by service and outcome

requests_total has the outcome only, so a service without any success hid behind the others. zincloft_gateway_service_requests_total counts by the services of the configuration; counters of services that are gone are removed, and at most 128 services have their own.

--- a/internal/daemons/gateway/controlstream.go
+++ b/internal/daemons/gateway/controlstream.go
@@ -181,6 +181,7 @@
 
 // applyConfig puts a newer configuration in force.
 func (g *Gateway) applyConfig(config *gatewayconfig.Config) {
+	g.metrics.services.update(config.Services)
 	var previousVersion uint64
 	if previous := g.config.Swap(config); previous != nil {
 		previousVersion = previous.Version
--- a/internal/daemons/gateway/forward.go
+++ b/internal/daemons/gateway/forward.go
@@ -17,13 +17,14 @@
 // forwarding is the state of one client request across its attempts. It is owned by the request's goroutine; attempts run
 // in goroutines of their own and send to results.
 type forwarding struct {
-	gateway *Gateway
-	route   gatewayconfig.Route
-	service string
-	sharded bool   // only the owner of the shard key can serve the request
-	key     uint16 // shard key; valid if sharded is set
+	gateway  *Gateway
+	route    gatewayconfig.Route
+	service  string
+	outcomes *outcomeCounters // of the service
 
-	ownerToken uint64 // of the shard key's range at the last pick; 0 if there was none
+	sharded    bool   // only the owner of the shard key can serve the request
+	key        uint16 // shard key; valid if sharded is set
+	ownerToken uint64 // of the key's range at the last pick; 0 if there was none
 
 	request   replica.Request    // template of each attempt, without InstanceID
 	attempted []string           // endpoints tried so far
@@ -106,6 +107,7 @@
 				f.retry(r.Context(), result)
 			case abortClient:
 				f.gateway.metrics.failed.Inc()
+				f.outcomes.failed.Inc()
 				f.recordFailure(0, endedByClient)
 				panic(http.ErrAbortHandler)
 			case waitForPending:
@@ -119,10 +121,11 @@
 	route := request.route
 	service := route.PickService(rand.Float64())
 	return forwarding{
-		gateway: g,
-		route:   route,
-		service: service,
-		sharded: request.config.Services[service].Sharded,
+		gateway:  g,
+		route:    route,
+		service:  service,
+		outcomes: g.metrics.services.of(service),
+		sharded:  request.config.Services[service].Sharded,
 		request: replica.Request{
 			Method:          r.Method,
 			URI:             request.target,
@@ -284,10 +287,12 @@
 	if err := writeResponse(w, r, response); err != nil {
 		f.reason = string(replica.CauseTruncated)
 		f.gateway.metrics.failed.Inc()
+		f.outcomes.failed.Inc()
 		f.recordFailure(0, endedByReplica)
 		panic(http.ErrAbortHandler)
 	}
 	f.gateway.metrics.answered.Inc()
+	f.outcomes.answered.Inc()
 }
 
 // finish answers a request whose attempts have all ended without a successful response.
@@ -303,6 +308,7 @@
 		return
 	}
 	f.gateway.metrics.failed.Inc()
+	f.outcomes.failed.Inc()
 	f.gateway.count(countFinalPrefix + counter(strconv.Itoa(status)))
 	f.recordFailure(status, f.endedBy(r))
 	writeEmptyResponse(w, status)
--- a/internal/daemons/gateway/forwardfailure.go
+++ b/internal/daemons/gateway/forwardfailure.go
@@ -27,6 +27,7 @@
 	} else {
 		f.recordFailure(rejected.status, endedByGateway)
 	}
+	f.outcomes.rejected.Inc()
 	f.gateway.writeRejection(w, r, rejected)
 }
 
--- a/internal/daemons/gateway/metrics.go
+++ b/internal/daemons/gateway/metrics.go
@@ -17,6 +17,7 @@
 	rejected *metrics.Counter // requests that reached no replica, or were confirmed not executed
 	failed   *metrics.Counter // requests that may have been executed, or whose client disconnected
 	attempts *metrics.Counter
+	services *serviceCounters
 }
 
 func newGatewayMetrics(set *metrics.Set, g *Gateway) *gatewayMetrics {
@@ -58,5 +59,6 @@
 		rejected: outcomeCounter("rejected"),
 		failed:   outcomeCounter("failed"),
 		attempts: set.NewCounter("zincloft_gateway_attempts_total"),
+		services: newServiceCounters(set),
 	}
 }
