Deregistrations name their evidence; a service without instances is a warning

112 replicas were deregistered within 0.15 s on reports of gateways, and the log told neither the evidence nor the service; time-outs left no line at all. instance_deregistered now has service and evidence (own_call, misdirected, address_reused, timeout), zincloft_controlplane_deregistrations_total counts by evidence, also those merged from other members, and service_without_instances warns when a service loses its last registered instance. by is empty where evidence tells all (it was "itself" for own_call).

--- a/controlplane/controller/cluster_test.go
+++ b/controlplane/controller/cluster_test.go
@@ -27,6 +27,8 @@
 	responses     map[uint64]Response // by token
 	diskFull      map[int]bool        // by member: writes fail
 
+	logged [3][]LogEvent // by member
+
 	onSend func(from int, to string, message *Message) // called for each message if not nil
 }
 
@@ -73,6 +75,7 @@
 			c.receive(stream, publication.Update)
 		}
 	}
+	c.logged[member] = append(c.logged[member], actions.LogEvents...)
 	for _, stream := range actions.CloseStreams {
 		c.closedStreams[stream] = true
 	}
--- a/controlplane/controller/controller.go
+++ b/controlplane/controller/controller.go
@@ -50,6 +50,9 @@
 	coordinator *coordinator.Coordinator
 	registry    *registry.Registry
 	outliers    *outlier.Detector
+
+	deregistrations map[registry.Evidence]uint64 // number of instances deregistered here
+
 	maintenance maintenanceTracker
 	owners      ownershipTracker
 
@@ -100,6 +103,7 @@
 		random:             *rand.NewPCG(options.RandomSeed, 1),
 		registry:           registry.New(time.Duration(heartbeatTimeoutIntervals * float64(options.HeartbeatInterval))),
 		outliers:           outlier.New(),
+		deregistrations:    map[registry.Evidence]uint64{},
 		maintenance:        newMaintenanceTracker(),
 		owners:             newOwnershipTracker(options),
 		callTokens:         map[uint64]uint64{},
@@ -187,6 +191,7 @@
 	default:
 		c.tick(now)
 	}
+	c.reportDeregistrations()
 	return c.takeActions()
 }
 
--- a/controlplane/controller/instances.go
+++ b/controlplane/controller/instances.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"zincloft.example/zincloft/controlplane/registry"
 	"zincloft.example/zincloft/fleet"
 )
 
@@ -65,7 +66,7 @@
 		c.respond(Response{Token: token, Status: http.StatusServiceUnavailable, Reason: reasonInstanceLimit})
 		return
 	}
-	c.deregisterLocally(now, id, "itself")
+	c.deregisterLocally(now, id, registry.EvidenceOwnCall, "")
 	c.replicateRemoval(now, removalCall{
 		removal:  removal{id: id, deregistered: true},
 		instance: fleet.Instance{ID: id, Deregistered: true},
@@ -74,18 +75,17 @@
 }
 
 // deregister deregisters an instance that a gateway has proven gone, and notifies all members and gateways immediately.
-func (c *Controller) deregister(now time.Duration, id, by string) {
-	if c.deregisterLocally(now, id, by) {
+func (c *Controller) deregister(now time.Duration, id, gateway string) {
+	if c.deregisterLocally(now, id, registry.EvidenceMisdirected, gateway) {
 		c.broadcastInstances(now, []fleet.Instance{{ID: id, Deregistered: true}})
 	}
 }
 
 // deregisterLocally deregisters an instance and notifies this member's gateways immediately. It reports whether the instance was registered.
-func (c *Controller) deregisterLocally(now time.Duration, id, by string) bool {
-	if !c.registry.Deregister(now, id) {
+func (c *Controller) deregisterLocally(now time.Duration, id string, evidence registry.Evidence, by string) bool {
+	if !c.registry.Deregister(now, id, evidence, by) {
 		return false
 	}
-	c.logInfo("instance_deregistered", "instance", id, "by", by)
 	c.publish(now, true)
 	return true
 }
--- a/controlplane/controller/metrics.go
+++ b/controlplane/controller/metrics.go
@@ -21,6 +21,8 @@
 	DrainingInstances int
 	TimedOutInstances int
 
+	Deregistrations []EvidenceCount
+
 	TrackedInstances      int // including recently deregistered ones
 	TrackedInstancesLimit int // 0 means unlimited
 }
@@ -40,6 +42,8 @@
 		EvacuatedZones:    len(register.EvacuatedZones),
 		GatewayStreams:    len(c.streams),
 
+		Deregistrations: c.deregistrationCounts(),
+
 		TrackedInstances:      c.registry.Len(),
 		TrackedInstancesLimit: c.options.MaxInstances,
 	}
--- a/controlplane/registry/capacity_test.go
+++ b/controlplane/registry/capacity_test.go
@@ -130,8 +130,9 @@
 				instance := instances[i%n]
 				instance.ID, instance.Addr = fmt.Sprintf("%s-%d", instance.ID, i), fmt.Sprintf("10.200.%d.%d:80", i>>8&255, i&255)
 				r.Heartbeat(now, instance)
-				r.Deregister(now-2*time.Minute, instance.ID)
+				r.Deregister(now-2*time.Minute, instance.ID, registry.EvidenceOwnCall, "")
 				r.Expire(now)
+				r.TakeDeregistrations()
 			}
 		})
 	}
--- a/controlplane/registry/expiry.go
+++ b/controlplane/registry/expiry.go
@@ -25,7 +25,7 @@
 			delete(r.records, id)
 			removed++
 		case !known.Deregistered && sinceHeartbeat > deregistrationTimeout:
-			r.markDeregistered(now, known)
+			r.markDeregistered(now, known, EvidenceTimeout, "")
 		case !known.Deregistered && !known.HeartbeatTimedOut && sinceHeartbeat > r.heartbeatTimeout:
 			known.HeartbeatTimedOut = true
 			r.markChanged(known)
--- a/controlplane/registry/merge.go
+++ b/controlplane/registry/merge.go
@@ -34,6 +34,9 @@
 	fleet.Instance
 	receivedAt time.Duration
 	direct     bool // sent by the replica to this process
+
+	evidence Evidence // if Deregistered is set
+	by       string   // see Deregistration.By
 }
 
 // sentAt returns when the replica sent the heartbeat that the report is based on, by the local clock.
@@ -54,9 +57,10 @@
 	return change
 }
 
-// Deregister deregisters an instance, at its own request or because it is proven gone. It reports whether the instance was registered.
-func (r *Registry) Deregister(now time.Duration, id string) bool {
-	return r.apply(&instanceReport{Instance: fleet.Instance{ID: id, Deregistered: true}, receivedAt: now, direct: true}).Changed
+// Deregister deregisters an instance, at its own request or because it is proven gone. It reports whether that is a change.
+func (r *Registry) Deregister(now time.Duration, id string, evidence Evidence, by string) bool {
+	report := &instanceReport{Instance: fleet.Instance{ID: id, Deregistered: true}, receivedAt: now, direct: true, evidence: evidence, by: by}
+	return r.apply(report).Changed
 }
 
 // Merge applies reports from another member or a gateway.
@@ -66,7 +70,7 @@
 		if instance.Addr == "" && !instance.Deregistered && r.records[instance.ID] == nil {
 			continue // a heartbeat without endpoint data of an unknown instance
 		}
-		change := r.apply(&instanceReport{Instance: instance, receivedAt: now})
+		change := r.apply(&instanceReport{Instance: instance, receivedAt: now, evidence: EvidenceMerged})
 		total.Changed = total.Changed || change.Changed
 		total.Urgent = total.Urgent || change.Urgent
 	}
@@ -84,7 +88,7 @@
 	case known.Deregistered:
 		return Change{}
 	case report.Deregistered:
-		r.markDeregistered(report.receivedAt, known)
+		r.markDeregistered(report.receivedAt, known, report.evidence, report.by)
 		return Change{Changed: true, Urgent: true}
 	}
 	startedDraining := known.startDraining(report)
@@ -110,6 +114,9 @@
 	}
 	if report.Deregistered {
 		added.deregisteredAt = report.receivedAt
+		if report.direct {
+			r.noteDeregistration(added, report.evidence, report.by)
+		}
 	}
 	r.records[report.ID] = added
 	position, _ := slices.BinarySearch(r.sortedIDs, report.ID)
@@ -126,7 +133,7 @@
 	for _, id := range r.sortedIDs {
 		other := r.records[id]
 		if other != added && other.Addr == added.Addr && !other.Deregistered {
-			r.markDeregistered(now, other)
+			r.markDeregistered(now, other, EvidenceAddressReused, added.ID)
 			replaced = true
 		}
 	}
--- a/controlplane/registry/merge_test.go
+++ b/controlplane/registry/merge_test.go
@@ -30,7 +30,7 @@
 			So(got.Draining, ShouldBeTrue)
 		})
 		Convey("deregistration is final: late heartbeats change nothing", func() {
-			So(registry.Deregister(2*second, "i1"), ShouldBeTrue)
+			So(registry.Deregister(2*second, "i1", EvidenceOwnCall, ""), ShouldBeTrue)
 			registry.Merge(3*second, []fleet.Instance{newHeartbeat("i1", 9)})
 			got, _ := lookup(registry, 3*second, "i1")
 			So(got.Deregistered, ShouldBeTrue)
--- a/controlplane/registry/registry.go
+++ b/controlplane/registry/registry.go
@@ -20,6 +20,7 @@
 	sortedIDs        []string // iteration order wherever it affects results, which keeps them deterministic
 	revision         uint64
 	heartbeatTimeout time.Duration
+	deregistrations  []Deregistration // since TakeDeregistrations was called last
 }
 
 // Change describes the effect of a report on the registry.
@@ -103,10 +104,3 @@
 	r.revision++
 	changed.revision = r.revision
 }
-
-// markDeregistered deregisters an instance permanently.
-func (r *Registry) markDeregistered(now time.Duration, known *record) {
-	known.Deregistered = true
-	known.deregisteredAt = now
-	r.markChanged(known)
-}
--- a/internal/daemons/controlserver/metrics.go
+++ b/internal/daemons/controlserver/metrics.go
@@ -6,6 +6,7 @@
 
 	metrics "github.com/VictoriaMetrics/metrics"
 
+	"zincloft.example/zincloft/controlplane/controller"
 	"zincloft.example/zincloft/internal/daemons/connlimit"
 	"zincloft.example/zincloft/internal/daemons/telemetry"
 )
@@ -30,10 +31,14 @@
 		name  string
 		value float64
 	}
-	done := make(chan []gauge, 1)
+	type collected struct {
+		gauges          []gauge
+		deregistrations []controller.EvidenceCount
+	}
+	done := make(chan collected, 1)
 	collect := func() {
 		current := s.controller.Metrics(s.now())
-		done <- []gauge{
+		gauges := []gauge{
 			{"zincloft_controlplane_quorum_contact", telemetry.BoolGauge(current.HasQuorumContact)},
 			{"zincloft_controlplane_disk_healthy", telemetry.BoolGauge(current.DiskHealthy)},
 			{"zincloft_controlplane_view_number", float64(current.ViewNumber)},
@@ -51,17 +56,21 @@
 			{"zincloft_controlplane_call_body_bytes", float64(s.bodyBudget.Used())},
 			{"zincloft_controlplane_pending_calls", float64(len(s.pendingCalls))},
 		}
+		done <- collected{gauges, current.Deregistrations}
 	}
 	select {
 	case s.tasks <- collect:
 	case <-time.After(metricsTimeout):
 	}
 	select {
-	case gauges := <-done:
+	case current := <-done:
 		metrics.WriteGaugeFloat64(w, "zincloft_controlplane_responsive", 1)
-		for _, gauge := range gauges {
+		for _, gauge := range current.gauges {
 			metrics.WriteGaugeFloat64(w, gauge.name, gauge.value)
 		}
+		for _, count := range current.deregistrations {
+			metrics.WriteCounterUint64(w, `zincloft_controlplane_deregistrations_total{evidence="`+string(count.Evidence)+`"}`, count.Count)
+		}
 	case <-time.After(metricsTimeout):
 		metrics.WriteGaugeFloat64(w, "zincloft_controlplane_responsive", 0)
 	}
--- a/internal/daemons/program/log.go
+++ b/internal/daemons/program/log.go
@@ -53,6 +53,7 @@
 	"gateway_left":                 "gateway disconnected",
 	"heartbeat_timed_out":          "instance expired without a heartbeat",
 	"instance_deregistered":        "instance deregistered",
+	"service_without_instances":    "the last registered instance of a service was deregistered",
 	"instance_ejected":             "instance ejected as an outlier",
 	"maintenance_state_unreadable": "maintenance state could not be decoded",
 	"maintenance_state_unwritable": "maintenance state could not be encoded",
