--- a/controlplane/controller/cluster_test.go
+++ b/controlplane/controller/cluster_test.go
@@ -29,6 +29,8 @@
 	diskFull      map[int]bool        // by member: writes fail
 	calls         []ownership.Call    // to replicas, which accept them
 
+	logged [3][]LogEvent // by member
+
 	onSend func(from int, to string, message *Message) // called for each message if not nil
 }
 
@@ -75,6 +77,7 @@
 			c.receive(stream, publication.Update)
 		}
 	}
+	c.logged[member] = append(c.logged[member], actions.LogEvents...)
 	for _, stream := range actions.CloseStreams {
 		c.closedStreams[stream] = true
 	}
--- a/controlplane/controller/metrics.go
+++ b/controlplane/controller/metrics.go
@@ -22,6 +22,7 @@
 	TimedOutInstances int
 
 	Ownership OwnershipMetrics
+	Deregistrations []EvidenceCount
 
 	TrackedInstances      int // including recently deregistered ones
 	TrackedInstancesLimit int // 0 means unlimited
@@ -51,6 +52,8 @@
 		EvacuatedZones:    len(register.EvacuatedZones),
 		GatewayStreams:    len(c.streams),
 
+		Deregistrations: c.deregistrationCounts(),
+
 		TrackedInstances:      c.registry.Len(),
 		TrackedInstancesLimit: c.options.MaxInstances,
 	}
--- a/internal/daemons/gateway/forward.go
+++ b/internal/daemons/gateway/forward.go
@@ -17,11 +17,14 @@
 // forwarding is the state of one client request across its attempts. It is owned by the request's goroutine; attempts run
 // in goroutines of their own and send to results.
 type forwarding struct {
-	gateway *Gateway
-	route   gatewayconfig.Route
-	service string
-	sharded bool   // only the owner of the shard key can serve the request
-	key     uint16 // shard key; valid if sharded is set
+	gateway  *Gateway
+	route    gatewayconfig.Route
+	service  string
+	outcomes *outcomeCounters // of the service
+
+	sharded    bool   // only the owner of the shard key can serve the request
+	key        uint16 // shard key; valid if sharded is set
+	ownerToken uint64 // of the key's range at the last pick; 0 if there was none
 
 	request   replica.Request    // template of each attempt, without InstanceID
 	attempted []string           // endpoints tried so far
@@ -38,7 +41,8 @@
 	failedAttempts []attemptResult // attempts without a successful response, for the failure record
 	reason         string          // why no further attempt was made
 	retryAfter     time.Duration   // sent if the request ends unexecuted after its attempts
-	failureNumber  uint64          // number of this request's failure record; 0 if there is none
+	recordedIn     *failureLog     // that has the record of this request; nil if it neither failed nor was slow
+	recordNumber   uint64          // of that record
 
 	// strongest is the outcome with the highest Execution so far: a later attempt that was not executed proves nothing about
 	// an earlier one.
@@ -95,12 +99,15 @@
 			f.recordResult(result)
 			switch f.decide(r.Context(), result.Outcome) {
 			case returnResponse:
+				answeredAfter := time.Since(f.arrivedAt)
 				f.writeReplicaResponse(w, r, result.Response)
+				f.recordIfSlow(result, answeredAfter)
 				return
 			case retryRequest:
 				f.retry(r.Context(), result)
 			case abortClient:
 				f.gateway.metrics.failed.Inc()
+				f.outcomes.failed.Inc()
 				f.recordFailure(0, endedByClient)
 				panic(http.ErrAbortHandler)
 			case waitForPending:
@@ -114,10 +121,11 @@
 	route := request.route
 	service := route.PickService(rand.Float64())
 	return forwarding{
-		gateway: g,
-		route:   route,
-		service: service,
-		sharded: request.config.Services[service].Sharded,
+		gateway:  g,
+		route:    route,
+		service:  service,
+		outcomes: g.metrics.services.of(service),
+		sharded:  request.config.Services[service].Sharded,
 		request: replica.Request{
 			Method:          r.Method,
 			URI:             request.target,
@@ -279,10 +287,12 @@
 	if err := writeResponse(w, r, response); err != nil {
 		f.reason = string(replica.CauseTruncated)
 		f.gateway.metrics.failed.Inc()
+		f.outcomes.failed.Inc()
 		f.recordFailure(0, endedByReplica)
 		panic(http.ErrAbortHandler)
 	}
 	f.gateway.metrics.answered.Inc()
+	f.outcomes.answered.Inc()
 }
 
 // finish answers a request whose attempts have all ended without a successful response.
@@ -298,6 +308,7 @@
 		return
 	}
 	f.gateway.metrics.failed.Inc()
+	f.outcomes.failed.Inc()
 	f.gateway.count(countFinalPrefix + counter(strconv.Itoa(status)))
 	f.recordFailure(status, f.endedBy(r))
 	writeEmptyResponse(w, status)
@@ -307,28 +318,33 @@
 func (f *forwarding) discardResponses() {
 	f.strongest.Discard()
 	if f.pending > 0 {
-		go pendingAttempts{f.gateway, f.results, f.pending, f.failureNumber, f.request.AttemptID, f.arrivedAt, f.request.Deadline}.discard()
+		go pendingAttempts{f.gateway, f.results, f.pending, f.recordedIn, f.recordNumber, f.request.AttemptID, f.arrivedAt, f.request.Deadline}.discard()
 	}
 }
 
 // pendingAttempts are attempts that outlast their request, with copies of the request data they need.
 type pendingAttempts struct {
-	gateway       *Gateway
-	results       <-chan attemptResult
-	count         int
-	failureNumber uint64 // number of the request's failure record; 0 if it did not fail
-	attemptID     string
-	arrivedAt     time.Time
-	deadline      time.Time
+	gateway      *Gateway
+	results      <-chan attemptResult
+	count        int
+	recordedIn   *failureLog // that has the record of the request; nil if there is none
+	recordNumber uint64
+	attemptID    string
+	arrivedAt    time.Time
+	deadline     time.Time
 }
 
-// discard waits for the attempts to end, discards their responses and completes the request's failure record.
+// discard waits for the attempts to end, discards their responses and completes the request's record.
 func (p pendingAttempts) discard() {
 	for range p.count {
 		result := <-p.results
 		result.Discard()
-		if p.failureNumber != 0 {
-			p.gateway.completeFailure(p.failureNumber, p.attemptID, newAttemptRecord(result, p.arrivedAt, p.deadline))
+		switch p.recordedIn {
+		case nil:
+		case &p.gateway.failures:
+			p.gateway.completeFailure(p.recordNumber, p.attemptID, newAttemptRecord(result, p.arrivedAt, p.deadline))
+		default:
+			p.recordedIn.complete(p.recordNumber, newAttemptRecord(result, p.arrivedAt, p.deadline))
 		}
 	}
 }
--- a/internal/daemons/gateway/metrics.go
+++ b/internal/daemons/gateway/metrics.go
@@ -7,6 +7,8 @@
 	"zincloft.example/zincloft/internal/daemons/telemetry"
 )
 
+const millisPerSecond = 1000
+
 // gatewayMetrics are the gateway's own metrics. Counters updated for every request are fields; other events are counted in
 // eventCounters.
 type gatewayMetrics struct {
@@ -15,6 +17,7 @@
 	rejected *metrics.Counter // requests that reached no replica, or were confirmed not executed
 	failed   *metrics.Counter // requests that may have been executed, or whose client disconnected
 	attempts *metrics.Counter
+	services *serviceCounters
 }
 
 func newGatewayMetrics(set *metrics.Set, g *Gateway) *gatewayMetrics {
@@ -34,6 +37,7 @@
 		}
 		return 0
 	})
+	gauge("zincloft_gateway_config_applied_timestamp_seconds", func() float64 { return float64(g.configAppliedAt.Load()) / millisPerSecond })
 	lockedGauge := func(name string, read func() float64) {
 		set.NewGauge(name, func() float64 {
 			g.mu.Lock()
@@ -55,5 +59,6 @@
 		rejected: outcomeCounter("rejected"),
 		failed:   outcomeCounter("failed"),
 		attempts: set.NewCounter("zincloft_gateway_attempts_total"),
+		services: newServiceCounters(set),
 	}
 }
--- a/internal/daemons/gateway/response.go
+++ b/internal/daemons/gateway/response.go
@@ -39,7 +39,7 @@
 func (g *Gateway) reject(w http.ResponseWriter, r *http.Request, rejected rejection) {
 	failed := FailedRequest{
 		At:        time.Now(),
-		AttemptID: r.Header.Get("X-Attempt-Id"),
+		AttemptID: loggedID(r.Header.Get("X-Attempt-Id")),
 		Status:    rejected.status,
 		EndedBy:   endedByGateway,
 		Reason:    rejected.reason(),
@@ -47,6 +47,9 @@
 	if rejected.aborts {
 		failed.EndedBy = endedByClient
 	}
+	if rejected.counter == countNoRoute {
+		failed.Host, failed.Path = loggedText(r.Host, maxLoggedHostBytes), loggedText(r.URL.EscapedPath(), maxLoggedPathBytes)
+	}
 	if config := g.config.Load(); config != nil {
 		failed.ConfigVersion = config.Version
 	}
