--- a/controlplane/controller/metrics.go
+++ b/controlplane/controller/metrics.go
@@ -21,7 +21,7 @@
 	DrainingInstances int
 	TimedOutInstances int
 
-	Ownership OwnershipMetrics
+	Ownership       OwnershipMetrics
 	Deregistrations []EvidenceCount
 
 	TrackedInstances      int // including recently deregistered ones
