Random faults around two granters: afterwards every key has its holder

Cause: the test checked only that no two replicas hold the same keys.

Change: after the faults end, every key must be held by its owner and every replica must own keys.

--- a/controlplane/granter/random_test.go
+++ b/controlplane/granter/random_test.go
@@ -15,6 +15,8 @@
 const (
 	worldTick  = 50 * time.Millisecond
 	worldTicks = 1600
+
+	worldRecoveryTicks = 500
 )
 
 // world runs two members with Granters against replicas, with random delays, losses, crashes and view changes, and clocks of different rates.
@@ -32,6 +34,7 @@
 	services []string
 	grants   int // accepted
 	moves    int // accepted grants of keys that another replica held last
+	quiet    bool
 }
 
 type worldMember struct {
@@ -58,7 +61,7 @@
 	run func()
 }
 
-// TestNoTwoHoldersInRandomFaults guards against leases of two replicas on the same keys.
+// TestNoTwoHoldersInRandomFaults guards against leases of two replicas on the same keys, and against keys that nobody holds after the faults.
 func TestNoTwoHoldersInRandomFaults(t *testing.T) {
 	seeds := uint64(12)
 	if os.Getenv("ZINCLOFT_LONG") != "" {
@@ -75,6 +78,8 @@
 			if w.moves == 0 {
 				t.Error("no keys were moved")
 			}
+			w.recover()
+			w.checkHolders()
 		})
 	}
 }
@@ -134,6 +139,7 @@
 
 func (w *world) injectFaults() {
 	switch {
+	case w.quiet:
 	case w.chance(100):
 		w.view++
 		w.heads[w.view] = w.random.IntN(2)
@@ -155,6 +161,34 @@
 	}
 }
 
+// recover ends all faults and gives the members time.
+func (w *world) recover() {
+	w.quiet = true
+	w.services = []string{service}
+	for _, replica := range w.replicas {
+		replica.silentUntil, replica.instance.Draining = 0, false
+	}
+	for range worldRecoveryTicks {
+		w.tick()
+	}
+}
+
+// checkHolders checks that every replica owns keys, and that owners hold theirs.
+func (w *world) checkHolders() {
+	owned := map[string]int{}
+	for _, r := range w.table.Services[service] {
+		owned[r.Owner] += r.Size()
+		for key := int(r.From); key <= int(r.To); key++ {
+			if r.Phase != ownership.PhaseGranted || w.replicas[r.Owner].leaseUntil[key] <= w.now {
+				w.t.Fatalf("key %d of %+v is not held after the faults", key, r)
+			}
+		}
+	}
+	if len(owned) != len(w.replicas) {
+		w.t.Errorf("keys by owner: %v, want keys for each of %d replicas", owned, len(w.replicas))
+	}
+}
+
 // read starts a linearizable read of a member, which a quorum confirms in the latest view only.
 func (w *world) read(i int) {
 	member, started := w.members[i], w.members[i].started
