A replica that has deregistered is asked to release its keys

Cause: the granter received only registered instances. Some replicas deregister first and serve on; such a replica had no address any more, so that no release was called, and its keys were served by nobody until its leases ended (over 3 s). Result: TestDeregisteredReplicaReleasesItsKeys failed before (no release within 0.5 s, keys still owned) and passes. The tests of the controller, granter and registry and the simulation's sharded tests pass.

--- a/controlplane/controller/ownership.go
+++ b/controlplane/controller/ownership.go
@@ -163,14 +163,15 @@
 	}
 }
 
-// shardedInstances returns the registered instances of sharded services, ordered by ID.
+// shardedInstances returns the instances of sharded services, ordered by ID. They include those that have deregistered recently: such a replica
+// may still run and release its keys.
 func (c *Controller) shardedInstances(now time.Duration) []fleet.Instance {
 	sharded := map[string]bool{}
 	for _, service := range c.owners.services {
 		sharded[service] = true
 	}
 	var instances []fleet.Instance
-	c.registry.Each(now, func(instance fleet.Instance) {
+	c.registry.EachTracked(now, func(instance fleet.Instance) {
 		if sharded[instance.Service] {
 			instances = append(instances, instance)
 		}
--- a/controlplane/controller/ownership_test.go
+++ b/controlplane/controller/ownership_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
+	"zincloft.example/zincloft/controlplane/ownership"
 	"zincloft.example/zincloft/fleet"
 )
 
@@ -70,3 +71,21 @@
 		t.Errorf("%d unchanged ranges were published", len(unchanged.Ranges))
 	}
 }
+
+// TestDeregisteredReplicaReleasesItsKeys guards against keys that nobody serves until their leases end: a replica may deregister first and end later.
+func TestDeregisteredReplicaReleasesItsKeys(t *testing.T) {
+	c, head := newShardedCluster(t)
+	c.calls = nil
+	for i := range c.controllers {
+		c.controllers[i].mergeInstances(c.now, []fleet.Instance{{ID: "r1", Deregistered: true}})
+	}
+	c.run(500 * time.Millisecond)
+	isRelease := func(call ownership.Call) bool { return call.Kind == ownership.CallRelease && call.Replica == "r1" }
+	if !slices.ContainsFunc(c.calls, isRelease) {
+		t.Error("the replica was not asked to release its keys")
+	}
+	table, _ := c.controllers[head].ownershipTable()
+	if slices.ContainsFunc(table.Services["svc"], func(r ownership.Range) bool { return r.Owner == "r1" }) {
+		t.Error("some keys still belong to the replica")
+	}
+}
--- a/controlplane/granter/granter.go
+++ b/controlplane/granter/granter.go
@@ -127,7 +127,7 @@
 
 	Table           ownership.Table  // committed
 	Services        []string         // sharded services of the committed configuration, sorted
-	Instances       []fleet.Instance // all registered instances, ordered by ID
+	Instances       []fleet.Instance // of sharded services, including those deregistered recently; ordered by ID
 	EvacuatedZones  []string
 	Bootstrapping   bool // the member may not know all instances yet
 	ProposalPending bool // an earlier proposal has no result yet
--- a/controlplane/granter/pool.go
+++ b/controlplane/granter/pool.go
@@ -15,10 +15,10 @@
 type replicaPool struct {
 	eligible  []ownership.Replica // may receive ranges, ordered by ID
 	keeps     map[string]bool     // may keep the ranges that they own, by ID
-	addresses map[string]string   // of all registered replicas, by ID
+	addresses map[string]string   // of all known replicas, by ID
 }
 
-// newReplicaPool classifies the registered replicas of a service. A replica that is draining, in an evacuated zone or unreachable loses its ranges; one
+// newReplicaPool classifies the replicas of a service. One that is draining, deregistered, in an evacuated zone or unreachable loses its ranges; one
 // that is warming up keeps them and receives none.
 func newReplicaPool(g *Granter, now time.Duration, input Input, service string) *replicaPool {
 	pool := &replicaPool{keeps: map[string]bool{}, addresses: map[string]string{}}
--- a/controlplane/registry/registry.go
+++ b/controlplane/registry/registry.go
@@ -99,6 +99,13 @@
 	}
 }
 
+// EachTracked is like Each, but includes the instances deregistered within deregisteredRetention.
+func (r *Registry) EachTracked(now time.Duration, visit func(fleet.Instance)) {
+	for _, id := range r.sortedIDs {
+		visit(r.records[id].snapshot(now))
+	}
+}
+
 // markChanged assigns the next revision to a record.
 func (r *Registry) markChanged(changed *record) {
 	r.revision++
