A 421 without an instance ID is about a shard key only if the request has one

Cause: each 421 with X-Not-Executed that names no instance was taken for a shard key that is not held, also of a plain service. The endpoint then stayed in use although another instance may have its address, and as it rejects fast it looked idle. Change: requests to replicas say whether they bear a shard key; without one, only a 421 that names the target itself is no misdirection. Result: the new row of TestMisdirectedResponses failed before and passes; its other rows are unchanged, for requests with a key. The tests of the replica client and the gateway pass.

--- a/internal/daemons/gateway/forward.go
+++ b/internal/daemons/gateway/forward.go
@@ -120,12 +120,13 @@
 func newForwarding(g *Gateway, r *http.Request, request clientRequest) forwarding {
 	route := request.route
 	service := route.PickService(rand.Float64())
+	sharded := request.config.Services[service].Sharded
 	return forwarding{
 		gateway:  g,
 		route:    route,
 		service:  service,
 		outcomes: g.metrics.services.of(service),
-		sharded:  request.config.Services[service].Sharded,
+		sharded:  sharded,
 		request: replica.Request{
 			Method:          r.Method,
 			URI:             request.target,
@@ -135,6 +136,7 @@
 			AttemptID:       r.Header.Get("X-Attempt-Id"),
 			Deadline:        request.deadline,
 			Service:         service,
+			Sharded:         sharded,
 			WaitForDeadline: !route.Idempotent,
 		},
 		results:       make(chan attemptResult, route.MaxAttempts+retry.MaxConnectFailures+1),
--- a/internal/daemons/replica/notowner_test.go
+++ b/internal/daemons/replica/notowner_test.go
@@ -13,16 +13,18 @@
 		name     string
 		status   int
 		header   http.Header
+		sharded  bool
 		notOwner bool
 	}{
-		{"not executed, without an instance", 421, http.Header{"X-Not-Executed": {"1"}}, true},
-		{"not executed, by the target", 421, http.Header{"X-Not-Executed": {"1"}, "X-Instance-Id": {"i1"}}, true},
-		{"not executed, by another instance", 421, http.Header{"X-Not-Executed": {"1"}, "X-Instance-Id": {"i2"}}, false},
-		{"another instance", 421, http.Header{"X-Instance-Id": {"i2"}}, false},
-		{"no statement", 421, http.Header{}, false},
-		{"a full replica", 503, http.Header{"X-Not-Executed": {"1"}}, false},
+		{"not executed, without an instance", 421, http.Header{"X-Not-Executed": {"1"}}, true, true},
+		{"not executed, without an instance, of a request without a key", 421, http.Header{"X-Not-Executed": {"1"}}, false, false},
+		{"not executed, by the target", 421, http.Header{"X-Not-Executed": {"1"}, "X-Instance-Id": {"i1"}}, true, true},
+		{"not executed, by another instance", 421, http.Header{"X-Not-Executed": {"1"}, "X-Instance-Id": {"i2"}}, true, false},
+		{"another instance", 421, http.Header{"X-Instance-Id": {"i2"}}, true, false},
+		{"no statement", 421, http.Header{}, true, false},
+		{"a full replica", 503, http.Header{"X-Not-Executed": {"1"}}, true, false},
 	} {
-		outcome := new(conn).classify(&Request{InstanceID: "i1", AttemptID: "a"}, &Response{Status: test.status, Header: test.header}, "a", true)
+		outcome := new(conn).classify(&Request{InstanceID: "i1", AttemptID: "a", Sharded: test.sharded}, &Response{Status: test.status, Header: test.header}, "a", true)
 		if outcome.NotOwner != test.notOwner || outcome.Execution != retry.NotExecuted || !outcome.Rejected {
 			t.Errorf("%s: not owner %v, want %v; %+v", test.name, outcome.NotOwner, test.notOwner, outcome)
 		}
--- a/internal/daemons/replica/replica.go
+++ b/internal/daemons/replica/replica.go
@@ -23,6 +23,7 @@
 	InstanceID        string // sent as X-Target-Instance
 	Service           string // key of the learned idle limit; empty to learn none
 	Deadline          time.Time
+	Sharded           bool // the request bears a shard key, which the replica may not hold
 
 	// WaitForDeadline disables TCP keep-alive probes during the request, so that a silent link does not end it before the
 	// deadline. It is for requests that cannot be retried.
--- a/internal/daemons/replica/response.go
+++ b/internal/daemons/replica/response.go
@@ -154,11 +154,14 @@
 }
 
 // isNotOwner reports whether a rejection means that the replica does not hold the request's shard key. The rejection of a
-// request that was meant for another instance has the same status and names the instance that has the address.
+// request that was meant for another instance has the same status and may name the instance that has the address. One that
+// names none is about the key only if the request has one.
 func isNotOwner(request *Request, response *Response) bool {
+	if response.Status != http.StatusMisdirectedRequest || response.Header.Get("X-Not-Executed") == "" {
+		return false
+	}
 	instance := response.Header.Get("X-Instance-Id")
-	return response.Status == http.StatusMisdirectedRequest && response.Header.Get("X-Not-Executed") != "" &&
-		(instance == "" || instance == request.InstanceID)
+	return instance == request.InstanceID || instance == "" && request.Sharded
 }
 
 func invalidResponse() Outcome {
