A request for a shard key waits less than half of the time until its deadline

Cause: the limit of a wait was 60% of the latency target or of the deadline if that is earlier. Change: the wait also ends at 45% of the time until the deadline. Result: TestWaitForOwnerEndsBeforeHalfOfTheDeadline failed before (600 ms of 1 s, 240 ms of 400 ms) and passes; the gateway's tests of owners, shards and moves pass.

--- a/internal/daemons/gateway/shardkey.go
+++ b/internal/daemons/gateway/shardkey.go
@@ -17,6 +17,8 @@
 	ownerWaitShare   = 0.6 // leaves enough to be served in time after an ordinary move
 	overdueWaitShare = 0.2 // a client that is refused early can be served by a later attempt
 
+	maxDeadlineShare = 0.45 // of the time until the deadline, for which a request waits at most
+
 	maxOwnerWaits     = 1024                   // requests that wait at the same time
 	ownerRetryAfter   = 300 * time.Millisecond // for a request whose shard key had no owner in time
 	overdueRetryAfter = time.Second
@@ -83,14 +85,15 @@
 	}
 }
 
-// waitLimit returns the time at which a share of the request's latency target, or of its deadline if that is earlier, has passed
-// since its arrival.
+// waitLimit returns the time until which the request may wait: a share of its latency target after its arrival, but no more than
+// maxDeadlineShare of the time until its deadline. A route without a target uses the share of that time alone.
 func (f *forwarding) waitLimit(share float64) time.Time {
 	allowed := f.request.Deadline.Sub(f.arrivedAt)
+	limit := min(share, maxDeadlineShare) * float64(allowed)
 	if target := f.route.LatencyTarget; target > 0 {
-		allowed = min(allowed, target)
+		limit = min(limit, share*float64(target))
 	}
-	return f.arrivedAt.Add(time.Duration(share * float64(allowed)))
+	return f.arrivedAt.Add(time.Duration(limit))
 }
 
 // waitForOwnership waits until changed is closed. It returns false at the limit, if the client disconnects or if too many
--- a/internal/daemons/gateway/shardkey_test.go
+++ b/internal/daemons/gateway/shardkey_test.go
@@ -243,3 +243,20 @@
 		So(f.counter(countHedged), ShouldEqual, 0)
 	})
 }
+
+// Guards against a request held for over half of the time that its client allows, which costs more than its refusal.
+func TestWaitForOwnerEndsBeforeHalfOfTheDeadline(t *testing.T) {
+	for _, test := range []struct{ deadline, target, want time.Duration }{
+		{3 * time.Second, time.Second, 600 * time.Millisecond},
+		{time.Second, time.Second, 450 * time.Millisecond},
+		{400 * time.Millisecond, time.Second, 180 * time.Millisecond},
+		{2 * time.Second, 0, 900 * time.Millisecond},
+	} {
+		arrivedAt := time.Now()
+		f := forwarding{arrivedAt: arrivedAt}
+		f.request.Deadline, f.route.LatencyTarget = arrivedAt.Add(test.deadline), test.target
+		if got := f.waitLimit(ownerWaitShare).Sub(arrivedAt).Round(time.Millisecond); got != test.want {
+			t.Errorf("deadline %v, target %v: waits %v, want %v", test.deadline, test.target, got, test.want)
+		}
+	}
+}
