Keys are divided at the latest 4 s after the first replica

Cause: the first division waited until no replica had been added for 1.6 s, without a limit. Replicas that are added one after the other would keep a service without owners. Change: the wait ends 4 s after the first replica that may own keys was seen; later replicas are filled as usual. Result: TestKeysAreDividedWhileReplicasAreAdded failed before (no owner after 10 s) and passes, as do the granter's other tests.

--- a/controlplane/granter/granter.go
+++ b/controlplane/granter/granter.go
@@ -73,6 +73,7 @@
 
 	replicaCount     int           // greatest number of replicas seen before the first division
 	replicaCountedAt time.Duration // when replicaCount was last exceeded
+	firstReplicaAt   time.Duration // when replicaCount was first exceeded
 	nextPlanAt       time.Duration
 }
 
--- a/controlplane/granter/granter_test.go
+++ b/controlplane/granter/granter_test.go
@@ -203,3 +203,16 @@
 		t.Error("the keys were not granted with a new token")
 	}
 }
+
+// Guards against a service that serves nobody as long as replicas keep being added.
+func TestKeysAreDividedWhileReplicasAreAdded(t *testing.T) {
+	h := newHead(t)
+	for i := range 10 {
+		id := string(rune('a' + i))
+		h.input.Instances = append(h.input.Instances, fleet.Instance{ID: id, Service: service, Addr: id + ":80", Slots: 4})
+		h.run(time.Second)
+	}
+	if len(h.owners()) < 8 {
+		t.Errorf("owners after 10 s: %v, want most of 10 replicas", h.owners())
+	}
+}
--- a/controlplane/granter/plan.go
+++ b/controlplane/granter/plan.go
@@ -13,17 +13,22 @@
 	planInterval    = time.Second
 	maxMovesPerPlan = 48
 
-	// The first division waits until no replica has been added for divisionQuietPeriod.
+	// The first division waits until no replica has been added for divisionQuietPeriod, but no longer than maxDivisionWait after the first one.
 	divisionQuietPeriod = 1600 * time.Millisecond
+	maxDivisionWait     = 4 * time.Second
 )
 
 // divide makes the first division of a service's keys.
 func (g *Granter) divide(now time.Duration, service *serviceState, name string, pool *replicaPool, input Input, changes *changes) {
 	if count := len(pool.eligible); count > service.replicaCount {
+		if service.replicaCount == 0 {
+			service.firstReplicaAt = now
+		}
 		service.replicaCount = count
 		service.replicaCountedAt = now
 	}
-	if len(pool.eligible) == 0 || input.Bootstrapping || now-service.replicaCountedAt < divisionQuietPeriod {
+	mayBeIncomplete := now-service.replicaCountedAt < divisionQuietPeriod && now-service.firstReplicaAt < maxDivisionWait
+	if len(pool.eligible) == 0 || input.Bootstrapping || mayBeIncomplete {
 		return
 	}
 	if !g.mayDivide(now, name, service, input.Table) {
