Changes of owners are determined once for all gateways of a member

Cause: for each commit of the table, each gateway's stream compared all ranges of all services with those published before. Change: streams at the same revision, usually all, share the changes. TestOwnersAreComparedOncePerPublication fails if the changes are not shared.

--- a/controlplane/controller/ownership_test.go
+++ b/controlplane/controller/ownership_test.go
@@ -9,6 +9,7 @@
 	"zincloft.example/zincloft/controlplane/chainreplication"
 	"zincloft.example/zincloft/controlplane/ownership"
 	"zincloft.example/zincloft/fleet"
+	"zincloft.example/zincloft/messages"
 )
 
 // newShardedCluster starts a cluster with a sharded service of two replicas, whose keys are granted, and returns its head.
@@ -89,3 +90,29 @@
 		t.Error("some keys still belong to the replica")
 	}
 }
+
+// TestOwnersAreComparedOncePerPublication guards against a comparison of all ranges for each gateway.
+func TestOwnersAreComparedOncePerPublication(t *testing.T) {
+	c, head := newShardedCluster(t)
+	for stream := range uint64(2) {
+		c.step(head, Event{GatewayJoined: &GatewayJoined{Stream: stream + 1, Gateway: string(rune('g' + stream)), Zone: "a"}})
+	}
+	c.run(time.Second)
+	member := c.controllers[head]
+	published := [][]messages.ServiceOwnership{}
+	round := publicationRound{ownership: map[uint64][]messages.ServiceOwnership{}}
+	table, _ := member.ownershipTable()
+	for _, id := range []uint64{1, 2} {
+		stream := member.findStream(id)
+		stream.ownersRevision--
+		stream.owners = ownership.Retoken(table, "svc", 0, ownership.MaxKey)
+		update := messages.StateUpdate{}
+		if !member.addOwnership(&update, round, stream) {
+			t.Fatal("no changes were published")
+		}
+		published = append(published, update.Ownership)
+	}
+	if &published[0][0] != &published[1][0] {
+		t.Error("the changes for the second gateway were determined anew")
+	}
+}
--- a/controlplane/controller/ownershippublication.go
+++ b/controlplane/controller/ownershippublication.go
@@ -6,22 +6,34 @@
 )
 
 // addOwnership adds the ranges of sharded services that changed since the last update on the stream, or all ranges.
-func (c *Controller) addOwnership(update *messages.StateUpdate, stream *gatewayStream) bool {
+func (c *Controller) addOwnership(update *messages.StateUpdate, round publicationRound, stream *gatewayStream) bool {
 	table, revision := c.ownershipTable()
 	if revision == 0 || revision <= stream.ownersRevision && !update.Full {
 		return false
 	}
-	for _, service := range sortedKeys(table.Services) {
-		change := serviceOwnership(service, table, stream.owners.Services[service])
-		if len(change.Ranges) > 0 {
-			update.Ownership = append(update.Ownership, change)
-		}
+	changes, known := round.ownership[stream.ownersRevision]
+	if !known {
+		changes = ownershipChanges(table, stream.owners)
+		round.ownership[stream.ownersRevision] = changes
 	}
+	update.Ownership = changes
 	stream.owners = table
 	stream.ownersRevision = revision
 	return len(update.Ownership) > 0
 }
 
+// ownershipChanges describes the ranges of all services that differ from those published before.
+func ownershipChanges(table, published ownership.Table) []messages.ServiceOwnership {
+	var changes []messages.ServiceOwnership
+	for _, service := range sortedKeys(table.Services) {
+		change := serviceOwnership(service, table, published.Services[service])
+		if len(change.Ranges) > 0 {
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
+
 // serviceOwnership describes the ranges of a service that differ from those published before, or all ranges if there were none.
 func serviceOwnership(service string, table ownership.Table, published []ownership.Range) messages.ServiceOwnership {
 	change := messages.ServiceOwnership{Service: service, LastToken: table.LastToken, Complete: len(published) == 0}
--- a/controlplane/controller/publication.go
+++ b/controlplane/controller/publication.go
@@ -28,6 +28,8 @@
 	complete     bool // publish all changes; otherwise only the register
 	gatewayCount int
 	warmupRates  map[*gatewayStream]map[string]float32 // set if complete
+
+	ownership map[uint64][]messages.ServiceOwnership // changes of the owners of shard keys since a revision, once they are needed
 }
 
 // publish sends pending updates to the gateways: first a snapshot, then deltas. Register changes are sent immediately. Other changes are batched
@@ -42,6 +44,7 @@
 		register:     register,
 		complete:     urgent || now-c.lastPublishAt >= publishInterval || c.snapshotsDue(),
 		gatewayCount: c.gatewayCount(),
+		ownership:    map[uint64][]messages.ServiceOwnership{},
 	}
 	c.updateWeights(now)
 	if round.complete {
@@ -88,7 +91,7 @@
 		needed = true
 	}
 	needed = c.addRegister(&update, round, stream) || needed
-	needed = c.addOwnership(&update, stream) || needed
+	needed = c.addOwnership(&update, round, stream) || needed
 	if !round.complete {
 		return update, needed
 	}
