A request whose client has left during the pause after a 421 is not sent again

Cause: the pause before the next attempt ended with the client's disconnection, but the attempt was made nevertheless; a request that cannot be repeated then ran for nobody. Change: no attempt is made for a client that has left. Result: the new case of TestNotOwner failed before (one execution) and passes, as do the gateway's tests of owners, shards and moves.

--- a/internal/daemons/gateway/forward.go
+++ b/internal/daemons/gateway/forward.go
@@ -211,10 +211,14 @@
 	if last.NotOwner {
 		f.pauseAfterNotOwner(client, last.picked)
 	}
+	if client.Err() != nil {
+		f.reason = string(countClientGone)
+		return
+	}
 	picked := f.awaitEndpoint(client)
 	switch {
 	case f.startAttempt(picked):
-	case client.Err() != nil:
+	case client.Err() != nil: // it left during the wait
 		f.reason = string(countClientGone)
 	case picked.OwnerPending:
 		f.reason = string(countOwnerPending)
--- a/internal/daemons/gateway/shardkey_test.go
+++ b/internal/daemons/gateway/shardkey_test.go
@@ -220,6 +220,19 @@
 		So([]int{executed, rejected}, ShouldResemble, []int{1, 1})
 		So(time.Since(startedAt), ShouldBeGreaterThanOrEqualTo, notOwnerPause)
 	})
+	Convey("A request whose client leaves before its next attempt is not sent again", t, func() {
+		f := newShardFixture("unsafe", 1)
+		f.publish(0, false)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		f.holders[0].onRejection = func() {
+			f.holders[0].holds.Store(true)
+			time.AfterFunc(notOwnerPause/2, cancel)
+		}
+		f.send(ctx, "POST", "7")
+		executed, rejected := f.holders[0].counts()
+		So([]int{executed, rejected}, ShouldResemble, []int{0, 1})
+	})
 	Convey("A replica that never holds the key gets no more attempts than the route allows, and the client 503", t, func() {
 		f := newShardFixture("unsafe", 1)
 		f.publish(0, false)
