No release is called while a proposal may grant its keys to the replica

Cause: a release call spans the ranges of others between those that it ends. Made while a proposal to grant such a range to the same replica is pending, it may arrive after that grant and end it; the replica then answered 421 until the next renewal. Change: releases and probes wait for the result of a pending proposal, after which the table decides again.

--- a/controlplane/granter/granter.go
+++ b/controlplane/granter/granter.go
@@ -164,8 +164,10 @@
 			continue
 		}
 		g.renewGrants(now, name, service, ranges, pool, input, &output)
-		g.callReleases(now, name, service, ranges, pool, input, &output)
-		g.probeReplicas(now, name, ranges, input, &output)
+		if !input.ProposalPending { // it may grant the replica the keys that a release would end
+			g.callReleases(now, name, service, ranges, pool, input, &output)
+			g.probeReplicas(now, name, ranges, input, &output)
+		}
 		g.grantFreeRanges(now, name, service, ranges, pool, changes)
 		g.retokenFenced(name, service, ranges, changes)
 		g.plan(now, name, service, pool, input, changes)
--- a/controlplane/granter/granter_test.go
+++ b/controlplane/granter/granter_test.go
@@ -216,3 +216,35 @@
 		t.Errorf("owners after 10 s: %v, want most of 10 replicas", h.owners())
 	}
 }
+
+// Guards against a release call that is made after the proposal to grant the same keys to the same replica, and ends that grant.
+func TestNoReleaseIsCalledWhileAProposalMayGrantTheKeys(t *testing.T) {
+	h := newHead(t, "x", "y")
+	h.input.Table = ownership.Table{LastToken: 5, Services: map[string][]ownership.Range{service: {
+		{From: 0, To: 99, Owner: "x", Token: 5, Phase: ownership.PhaseReleasing, Target: "y"},
+		{From: 100, To: 199, Owner: "y", Token: 5, Phase: ownership.PhaseReleasing, Target: "x"},
+		{From: 200, To: ownership.MaxKey, Owner: "x", Token: 5, Phase: ownership.PhaseReleasing, Target: "y"},
+	}}}
+	var proposal *ownership.Table
+	for range 4 {
+		h.now += 100 * time.Millisecond
+		h.input.AuthorizedUntil = h.now + AuthorityDuration
+		output := h.granter.Step(h.now, h.input)
+		for _, call := range output.Calls {
+			if proposal != nil && call.Kind == ownership.CallRelease && call.Replica == "x" {
+				t.Fatalf("release of %d to %d at x while keys 100 to 199 may be granted to it", call.From, call.To)
+			}
+			outcome := ownership.CallAccepted
+			if call.Replica == "x" {
+				outcome = ownership.CallRejected
+			}
+			h.granter.HandleResult(h.now, ownership.CallResult{ID: call.ID, Outcome: outcome})
+		}
+		if output.Proposal != nil {
+			proposal, h.input.ProposalPending = output.Proposal, true
+		}
+	}
+	if proposal == nil || proposal.Services[service][1].Owner != "x" {
+		t.Fatal("keys 100 to 199 were not proposed to be granted to x")
+	}
+}
