Keys are divided at the latest 8 s after the first replica

Cause: 4 s may be less than the time in which all replicas of a deployment start; keys divided too early move again, which has a price. Change: 8 s, still before most traffic. Result: TestKeysAreDividedWhileReplicasAreAdded (12 replicas, one a second) and the other tests of the granter pass.

--- a/controlplane/granter/plan.go
+++ b/controlplane/granter/plan.go
@@ -15,7 +15,7 @@
 
 	// The first division waits until no replica has been added for divisionQuietPeriod, but no longer than maxDivisionWait after the first one.
 	divisionQuietPeriod = 1600 * time.Millisecond
-	maxDivisionWait     = 4 * time.Second
+	maxDivisionWait     = 8 * time.Second
 )
 
 // divide makes the first division of a service's keys.
