Keys of a replica that warms up again move to warm ones

Cause: a replica that warmed up kept its keys. One gateway of each member may send to it until it is warm; all others refused the requests on its keys, which nobody else can serve. Change: the ranges of a replica that is known to warm up for a second or more move, with handover. If its state is unknown or stale it keeps them, as do all if none is warm. Result: TestKeysOfAReplicaThatWarmsUpAgainMove failed before and passes, as do TestAllReplicasThatWarmUpKeepTheirKeys, the tests of the granter and the controller and the simulation's sharded tests.

--- a/controlplane/granter/granter_test.go
+++ b/controlplane/granter/granter_test.go
@@ -248,3 +248,41 @@
 		t.Fatal("keys 100 to 199 were not proposed to be granted to x")
 	}
 }
+
+// Guards against keys that are refused for as long as their owner warms up again.
+func TestKeysOfAReplicaThatWarmsUpAgainMove(t *testing.T) {
+	for _, test := range []struct {
+		instance fleet.Instance
+		moves    bool
+	}{
+		{fleet.Instance{WarmupMillis: 3000}, true},
+		{fleet.Instance{WarmupMillis: 300}, false},
+		{fleet.Instance{WarmupMillis: 3000, Stale: true}, false},
+		{fleet.Instance{WarmupStateUnknown: true}, false},
+	} {
+		h := dividedHead(t, "a", "b", "c")
+		warming := &h.input.Instances[0]
+		warming.WarmupMillis, warming.Stale, warming.WarmupStateUnknown = test.instance.WarmupMillis, test.instance.Stale, test.instance.WarmupStateUnknown
+		h.run(500 * time.Millisecond)
+		if moved := !h.owns("a"); moved != test.moves {
+			t.Errorf("%+v: moved %v, want %v", test.instance, moved, test.moves)
+		}
+		h.input.Instances[0].WarmupMillis, warming.Stale, warming.WarmupStateUnknown = 0, false, false
+		h.run(3 * time.Second)
+		if !h.owners()["a"] {
+			t.Errorf("%+v: the replica owns no keys after its warm-up", test.instance)
+		}
+	}
+}
+
+func TestAllReplicasThatWarmUpKeepTheirKeys(t *testing.T) {
+	h := dividedHead(t, "a", "b")
+	token := h.input.Table.LastToken
+	for i := range h.input.Instances {
+		h.input.Instances[i].WarmupMillis = 3000
+	}
+	h.run(2 * time.Second)
+	if h.input.Table.LastToken != token {
+		t.Error("keys were moved although no replica is warm")
+	}
+}
--- a/controlplane/granter/pool.go
+++ b/controlplane/granter/pool.go
@@ -11,6 +11,9 @@
 // unreachableAfter is how long calls to a replica must have failed before its ranges are given to others.
 const unreachableAfter = 1200 * time.Millisecond
 
+// longWarmup is the remaining warm-up from which a replica loses its ranges: it bears few requests until then, and a move takes less time.
+const longWarmup = time.Second
+
 // replicaPool is what a step knows about the replicas of one service.
 type replicaPool struct {
 	eligible  []ownership.Replica // may receive ranges, ordered by ID
@@ -18,8 +21,8 @@
 	addresses map[string]string   // of all known replicas, by ID
 }
 
-// newReplicaPool classifies the replicas of a service. One that is draining, deregistered, in an evacuated zone or unreachable loses its ranges; one
-// that is warming up keeps them and receives none.
+// newReplicaPool classifies the replicas of a service. One that is draining, deregistered, in an evacuated zone, unreachable or known to warm up for
+// long loses its ranges; one that may be warming up keeps them and receives none.
 func newReplicaPool(g *Granter, now time.Duration, input Input, service string) *replicaPool {
 	pool := &replicaPool{keeps: map[string]bool{}, addresses: map[string]string{}}
 	for _, instance := range input.Instances {
@@ -28,7 +31,7 @@
 		}
 		pool.addresses[instance.ID] = instance.Addr
 		leaving := instance.Deregistered || instance.Draining || slices.Contains(input.EvacuatedZones, instance.Zone)
-		if leaving || g.isUnreachable(now, instance.ID) {
+		if leaving || g.isUnreachable(now, instance.ID) || warmsUpForLong(instance) {
 			continue
 		}
 		pool.keeps[instance.ID] = true
@@ -49,6 +52,12 @@
 	return replica.misdirected || replica.failures > 1 && now-replica.failingSince >= unreachableAfter
 }
 
+// warmsUpForLong reports whether a replica is known to be warming up for longWarmup or more.
+func warmsUpForLong(instance fleet.Instance) bool {
+	isKnown := !instance.WarmupStateUnknown && !instance.Stale
+	return isKnown && instance.WarmupMillis >= longWarmup.Milliseconds()
+}
+
 // isSuitable reports whether a replica that stays may receive ranges.
 func (g *Granter) isSuitable(instance fleet.Instance) bool {
 	warmingUp := instance.WarmupMillis > 0 || instance.WarmupStateUnknown
