--- a/controlplane/granter/granter.go
+++ b/controlplane/granter/granter.go
@@ -66,6 +66,7 @@
 
 // serviceState is the state of one sharded service.
 type serviceState struct {
+	ranges   []ownership.Range // that grants and releases are about
 	grants   map[grantID]*grantState
 	releases map[releaseID]*releaseState
 	leases   *leaseClock
@@ -73,6 +74,7 @@
 
 	replicaCount     int           // greatest number of replicas seen before the first division
 	replicaCountedAt time.Duration // when replicaCount was last exceeded
+	firstReplicaAt   time.Duration // when replicaCount was first exceeded
 	nextPlanAt       time.Duration
 }
 
@@ -127,7 +129,7 @@
 
 	Table           ownership.Table  // committed
 	Services        []string         // sharded services of the committed configuration, sorted
-	Instances       []fleet.Instance // all registered instances, ordered by ID
+	Instances       []fleet.Instance // of sharded services, including those deregistered recently; ordered by ID
 	EvacuatedZones  []string
 	Bootstrapping   bool // the member may not know all instances yet
 	ProposalPending bool // an earlier proposal has no result yet
@@ -162,8 +164,10 @@
 			continue
 		}
 		g.renewGrants(now, name, service, ranges, pool, input, &output)
-		g.callReleases(now, name, service, ranges, pool, input, &output)
-		g.probeReplicas(now, name, ranges, input, &output)
+		if !input.ProposalPending { // it may grant the replica the keys that a release would end
+			g.callReleases(now, name, service, ranges, pool, input, &output)
+			g.probeReplicas(now, name, ranges, input, &output)
+		}
 		g.grantFreeRanges(now, name, service, ranges, pool, changes)
 		g.retokenFenced(name, service, ranges, changes)
 		g.plan(now, name, service, pool, input, changes)
@@ -226,6 +230,9 @@
 
 // syncRanges drops the state of ranges that are not in the table any more and adds that of new ranges.
 func (g *Granter) syncRanges(service *serviceState, ranges []ownership.Range) {
+	if len(ranges) > 0 && len(ranges) == len(service.ranges) && &ranges[0] == &service.ranges[0] {
+		return // tables are immutable
+	}
 	grants := make(map[grantID]*grantState, len(ranges))
 	releases := map[releaseID]*releaseState{}
 	for _, r := range ranges {
@@ -241,5 +248,5 @@
 			releases[id] = &releaseState{owner: r.Owner}
 		}
 	}
-	service.grants, service.releases = grants, releases
+	service.ranges, service.grants, service.releases = ranges, grants, releases
 }
--- a/controlplane/granter/granter_test.go
+++ b/controlplane/granter/granter_test.go
@@ -203,3 +203,86 @@
 		t.Error("the keys were not granted with a new token")
 	}
 }
+
+// Guards against a service that serves nobody as long as replicas keep being added.
+func TestKeysAreDividedWhileReplicasAreAdded(t *testing.T) {
+	h := newHead(t)
+	for i := range 12 {
+		id := string(rune('a' + i))
+		h.input.Instances = append(h.input.Instances, fleet.Instance{ID: id, Service: service, Addr: id + ":80", Slots: 4})
+		h.run(time.Second)
+	}
+	if len(h.owners()) < 8 {
+		t.Errorf("owners after 12 s: %v, want most of 12 replicas", h.owners())
+	}
+}
+
+// Guards against a release call that is made after the proposal to grant the same keys to the same replica, and ends that grant.
+func TestNoReleaseIsCalledWhileAProposalMayGrantTheKeys(t *testing.T) {
+	h := newHead(t, "x", "y")
+	h.input.Table = ownership.Table{LastToken: 5, Services: map[string][]ownership.Range{service: {
+		{From: 0, To: 99, Owner: "x", Token: 5, Phase: ownership.PhaseReleasing, Target: "y"},
+		{From: 100, To: 199, Owner: "y", Token: 5, Phase: ownership.PhaseReleasing, Target: "x"},
+		{From: 200, To: ownership.MaxKey, Owner: "x", Token: 5, Phase: ownership.PhaseReleasing, Target: "y"},
+	}}}
+	var proposal *ownership.Table
+	for range 4 {
+		h.now += 100 * time.Millisecond
+		h.input.AuthorizedUntil = h.now + AuthorityDuration
+		output := h.granter.Step(h.now, h.input)
+		for _, call := range output.Calls {
+			if proposal != nil && call.Kind == ownership.CallRelease && call.Replica == "x" {
+				t.Fatalf("release of %d to %d at x while keys 100 to 199 may be granted to it", call.From, call.To)
+			}
+			outcome := ownership.CallAccepted
+			if call.Replica == "x" {
+				outcome = ownership.CallRejected
+			}
+			h.granter.HandleResult(h.now, ownership.CallResult{ID: call.ID, Outcome: outcome})
+		}
+		if output.Proposal != nil {
+			proposal, h.input.ProposalPending = output.Proposal, true
+		}
+	}
+	if proposal == nil || proposal.Services[service][1].Owner != "x" {
+		t.Fatal("keys 100 to 199 were not proposed to be granted to x")
+	}
+}
+
+// Guards against keys that are refused for as long as their owner warms up again.
+func TestKeysOfAReplicaThatWarmsUpAgainMove(t *testing.T) {
+	for _, test := range []struct {
+		instance fleet.Instance
+		moves    bool
+	}{
+		{fleet.Instance{WarmupMillis: 3000}, true},
+		{fleet.Instance{WarmupMillis: 300}, false},
+		{fleet.Instance{WarmupMillis: 3000, Stale: true}, false},
+		{fleet.Instance{WarmupStateUnknown: true}, false},
+	} {
+		h := dividedHead(t, "a", "b", "c")
+		warming := &h.input.Instances[0]
+		warming.WarmupMillis, warming.Stale, warming.WarmupStateUnknown = test.instance.WarmupMillis, test.instance.Stale, test.instance.WarmupStateUnknown
+		h.run(500 * time.Millisecond)
+		if moved := !h.owns("a"); moved != test.moves {
+			t.Errorf("%+v: moved %v, want %v", test.instance, moved, test.moves)
+		}
+		h.input.Instances[0].WarmupMillis, warming.Stale, warming.WarmupStateUnknown = 0, false, false
+		h.run(3 * time.Second)
+		if !h.owners()["a"] {
+			t.Errorf("%+v: the replica owns no keys after its warm-up", test.instance)
+		}
+	}
+}
+
+func TestAllReplicasThatWarmUpKeepTheirKeys(t *testing.T) {
+	h := dividedHead(t, "a", "b")
+	token := h.input.Table.LastToken
+	for i := range h.input.Instances {
+		h.input.Instances[i].WarmupMillis = 3000
+	}
+	h.run(2 * time.Second)
+	if h.input.Table.LastToken != token {
+		t.Error("keys were moved although no replica is warm")
+	}
+}
--- a/internal/daemons/gateway/shardkey_test.go
+++ b/internal/daemons/gateway/shardkey_test.go
@@ -220,6 +220,19 @@
 		So([]int{executed, rejected}, ShouldResemble, []int{1, 1})
 		So(time.Since(startedAt), ShouldBeGreaterThanOrEqualTo, notOwnerPause)
 	})
+	Convey("A request whose client leaves before its next attempt is not sent again", t, func() {
+		f := newShardFixture("unsafe", 1)
+		f.publish(0, false)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		f.holders[0].onRejection = func() {
+			f.holders[0].holds.Store(true)
+			time.AfterFunc(notOwnerPause/2, cancel)
+		}
+		f.send(ctx, "POST", "7")
+		executed, rejected := f.holders[0].counts()
+		So([]int{executed, rejected}, ShouldResemble, []int{0, 1})
+	})
 	Convey("A replica that never holds the key gets no more attempts than the route allows, and the client 503", t, func() {
 		f := newShardFixture("unsafe", 1)
 		f.publish(0, false)
@@ -243,3 +256,20 @@
 		So(f.counter(countHedged), ShouldEqual, 0)
 	})
 }
+
+// Guards against a request held for over half of the time that its client allows, which costs more than its refusal.
+func TestWaitForOwnerEndsBeforeHalfOfTheDeadline(t *testing.T) {
+	for _, test := range []struct{ deadline, target, want time.Duration }{
+		{3 * time.Second, time.Second, 600 * time.Millisecond},
+		{time.Second, time.Second, 450 * time.Millisecond},
+		{400 * time.Millisecond, time.Second, 180 * time.Millisecond},
+		{2 * time.Second, 0, 900 * time.Millisecond},
+	} {
+		arrivedAt := time.Now()
+		f := forwarding{arrivedAt: arrivedAt}
+		f.request.Deadline, f.route.LatencyTarget = arrivedAt.Add(test.deadline), test.target
+		if got := f.waitLimit(ownerWaitShare).Sub(arrivedAt).Round(time.Millisecond); got != test.want {
+			t.Errorf("deadline %v, target %v: waits %v, want %v", test.deadline, test.target, got, test.want)
+		}
+	}
+}
