Short leases of shard keys are renewed in proportion more often

Cause: the interval between renewals was 0.75 s whatever the lease. Where max_hold allows only leases about that long, they would end between two renewals. Change: the interval is a quarter of the lease; it is unchanged for leases of 3 s. Result: TestShortLeasesAreRenewedMoreOften failed before (2 renewals of 0.8 s leases in 2 s) and passes, as do the tests of the granter and the controller.

--- a/controlplane/granter/granter.go
+++ b/controlplane/granter/granter.go
@@ -23,7 +23,7 @@
 	// with a longer defaultLease may follow only after all members run one that waits for it.
 	longestLease = 4 * time.Second
 
-	renewInterval  = 750 * time.Millisecond
+	renewInterval  = 750 * time.Millisecond // of leases that are not shorter than defaultLease
 	grantTimeout   = 400 * time.Millisecond
 	releaseTimeout = 3 * time.Second
 	retryInterval  = 150 * time.Millisecond // between calls to a replica that does not respond
@@ -205,6 +205,11 @@
 // Lease returns the duration of the leases that are granted.
 func (g *Granter) Lease() time.Duration { return g.lease }
 
+// renewalInterval returns the time between the renewals of a lease.
+func (g *Granter) renewalInterval() time.Duration {
+	return renewInterval * g.lease / defaultLease
+}
+
 func (g *Granter) service(name string) *serviceState {
 	state := g.services[name]
 	if state == nil {
--- a/controlplane/granter/granter_test.go
+++ b/controlplane/granter/granter_test.go
@@ -286,3 +286,16 @@
 		t.Error("keys were moved although no replica is warm")
 	}
 }
+
+// Guards against leases that end between two renewals if the deployment allows only short ones.
+func TestShortLeasesAreRenewedMoreOften(t *testing.T) {
+	h := newHead(t, "a")
+	h.granter = New(Options{MaxLease: 800 * time.Millisecond})
+	h.run(divisionQuietPeriod + time.Second)
+	h.calls = nil
+	h.run(2 * time.Second)
+	ranges := len(h.input.Table.Services[service])
+	if renewals := len(h.calls) / ranges; renewals < 5 {
+		t.Errorf("each lease of %v was renewed %d times in 2 s", h.granter.Lease(), renewals)
+	}
+}
--- a/controlplane/granter/result.go
+++ b/controlplane/granter/result.go
@@ -61,7 +61,7 @@
 	switch result.Outcome {
 	case ownership.CallAccepted:
 		state.accepted = true
-		state.renewAt = now + renewInterval
+		state.renewAt = now + g.renewalInterval()
 	case ownership.CallFenced:
 		state.fenced = true
 		return true
