--- a/internal/testbeds/standin/shardreplica/shardreplica_test.go
+++ b/internal/testbeds/standin/shardreplica/shardreplica_test.go
@@ -139,6 +139,16 @@
 			So(read(first, "50").status, ShouldEqual, 200)
 			So(record.Overlaps(), ShouldHaveLength, 1)
 		})
+		Convey("a paused replica processes nothing, and the hold of a grant counts from its arrival", func() {
+			resume := first.Pause()
+			granted := make(chan int)
+			go func() { granted <- grant(first, 0, 9, 1, "200ms", "") }()
+			time.Sleep(300 * time.Millisecond)
+			So(record.Calls(), ShouldBeEmpty)
+			resume()
+			So(<-granted, ShouldEqual, 200)
+			So(first.Holds(9), ShouldBeFalse)
+		})
 		Convey("a call whose answer is suppressed takes effect", func() {
 			first.SetCallHook(func(string) bool { return false })
 			So(grant(first, 0, 9, 1, "5s", ""), ShouldEqual, 0)
