Calls that a member did not try no longer count against the replica

Cause: "not sent" meant a refused connection as well as a late call, a full queue or the member's own limit of connections. The head could move the keys of replicas that it had not called.

Change: the outcome CallNotTried for the member's own limits, which the granter ignores. The soak's clients send more than twice as often, so that requests without a key are as many as before sharded ones were added.

Result: TestOwnLimitsDoNotCountAgainstReplica; the tests of the client expect the new outcome for late calls, limits and shutdown. They and those of granter, controller, controlserver and simulation pass.

--- a/controlplane/granter/granter_test.go
+++ b/controlplane/granter/granter_test.go
@@ -299,3 +299,20 @@
 		t.Errorf("each lease of %v was renewed %d times in 2 s", h.granter.Lease(), renewals)
 	}
 }
+
+// TestOwnLimitsDoNotCountAgainstReplica guards against moving the keys of replicas that the head itself could not call.
+func TestOwnLimitsDoNotCountAgainstReplica(t *testing.T) {
+	h := dividedHead(t, "a", "b")
+	h.run(12 * time.Second)
+	for range 30 {
+		h.now += 100 * time.Millisecond
+		h.input.AuthorizedUntil = h.now + AuthorityDuration
+		output := h.granter.Step(h.now, h.input)
+		for _, call := range output.Calls {
+			h.granter.HandleResult(h.now, ownership.CallResult{ID: call.ID, Outcome: ownership.CallNotTried})
+		}
+		if output.Proposal != nil {
+			t.Fatalf("ranges were moved: %s", output.Reason)
+		}
+	}
+}
--- a/controlplane/granter/result.go
+++ b/controlplane/granter/result.go
@@ -37,9 +37,6 @@
 	case ownership.CallMisdirected:
 		replica.misdirected = true
 	case ownership.CallNotSent, ownership.CallUnanswered:
-		if now >= call.NotAfter {
-			return // says nothing about the replica: the call may not have been tried
-		}
 		if replica.failures == 0 {
 			replica.failingSince = now
 		}
@@ -48,9 +45,14 @@
 	}
 }
 
+// mayHaveArrived reports whether a replica may have received a call that ended with an outcome.
+func mayHaveArrived(outcome ownership.CallOutcome) bool {
+	return outcome != ownership.CallNotSent && outcome != ownership.CallNotTried
+}
+
 // recordGrant records the result of a grant call.
 func (g *Granter) recordGrant(now time.Duration, service *serviceState, call ownership.Call, result ownership.CallResult) (urgent bool) {
-	if result.Outcome != ownership.CallNotSent {
+	if mayHaveArrived(result.Outcome) {
 		service.leases.recordArrival(now, call.From, call.To)
 	}
 	state := service.grants[grantID{call.From, call.Token}]
--- a/controlplane/ownership/replicacall.go
+++ b/controlplane/ownership/replicacall.go
@@ -54,6 +54,10 @@
 
 	// CallRejected means that the replica responded with any other status.
 	CallRejected
+
+	// CallNotTried means that the calling member made no attempt: the call was late, or the member's own limits did not allow it. It says nothing
+	// about the replica.
+	CallNotTried
 )
 
 // CallResult is the outcome of a Call.
--- a/internal/daemons/grantclient/client.go
+++ b/internal/daemons/grantclient/client.go
@@ -99,7 +99,7 @@
 // start queues a call in its lane. The caller must hold mu.
 func (c *Client) start(call *ownership.Call) {
 	if c.closed {
-		c.end(call, failed(ownership.CallNotSent, errClosed))
+		c.end(call, failed(ownership.CallNotTried, errClosed))
 		return
 	}
 	key := laneKey{replica: call.Replica, kind: call.Kind}
@@ -111,7 +111,7 @@
 		go l.run()
 	}
 	if len(l.queue) >= maxQueuedCalls {
-		c.end(call, failed(ownership.CallNotSent, errQueueFull))
+		c.end(call, failed(ownership.CallNotTried, errQueueFull))
 		return
 	}
 	l.queue = append(l.queue, *call)
--- a/internal/daemons/grantclient/client_test.go
+++ b/internal/daemons/grantclient/client_test.go
@@ -161,13 +161,13 @@
 	client.expect(t, 1, ownership.CallNotSent)
 }
 
-// TestLateCallIsNotSent covers calls that are late at their start and calls that are late once the connection is open.
-func TestLateCallIsNotSent(t *testing.T) {
+// TestLateCallIsNotTried covers calls that are late at their start and calls that are late once the connection is open.
+func TestLateCallIsNotTried(t *testing.T) {
 	replica := newReplica(t)
 	client := newTestClient(t, nil)
 	client.clock.Store(int64(time.Second) + 1)
 	client.Start([]ownership.Call{grant(1, replica.address)})
-	client.expect(t, 1, ownership.CallNotSent)
+	client.expect(t, 1, ownership.CallNotTried)
 
 	var dialing *testClient
 	dialing = newTestClient(t, func(config *Config) {
@@ -177,7 +177,7 @@
 		}
 	})
 	dialing.Start([]ownership.Call{grant(2, replica.address)})
-	dialing.expect(t, 2, ownership.CallNotSent)
+	dialing.expect(t, 2, ownership.CallNotTried)
 	inTime := grant(3, replica.address)
 	inTime.NotAfter = time.Duration(dialing.clock.Load())
 	dialing.Start([]ownership.Call{inTime})
@@ -235,12 +235,12 @@
 	client.Start([]ownership.Call{grant(1, replica.address)})
 	first := next(t, replica.requests, "request")
 	client.Start([]ownership.Call{release(2, replica.address)})
-	client.expect(t, 2, ownership.CallNotSent)
+	client.expect(t, 2, ownership.CallNotTried)
 	for id := uint64(3); id < 3+maxQueuedCalls; id++ {
 		client.Start([]ownership.Call{grant(id, replica.address)})
 	}
 	client.Start([]ownership.Call{grant(1000, replica.address)})
-	client.expect(t, 1000, ownership.CallNotSent)
+	client.expect(t, 1000, ownership.CallNotTried)
 	first.answer(okResponse)
 	client.expect(t, 1, ownership.CallAccepted)
 }
@@ -272,7 +272,7 @@
 		}
 		got[result.ID] = result.Outcome
 	}
-	if len(got) != 3 || got[1] != ownership.CallUnanswered || got[2] != ownership.CallNotSent || got[3] != ownership.CallUnanswered {
+	if len(got) != 3 || got[1] != ownership.CallUnanswered || got[2] != ownership.CallNotTried || got[3] != ownership.CallUnanswered {
 		t.Errorf("results: %v", got)
 	}
 	if err := next(t, replica.ended, "end of the connection"); !errors.Is(err, syscall.ECONNRESET) {
--- a/internal/daemons/grantclient/conn.go
+++ b/internal/daemons/grantclient/conn.go
@@ -109,11 +109,11 @@
 		return failed(ownership.CallNotSent, err)
 	}
 	if c.client.context.Err() != nil { // after SetDeadline: a later interrupt is not undone by it
-		return failed(ownership.CallNotSent, errClosed)
+		return failed(ownership.CallNotTried, errClosed)
 	}
 	if c.client.config.Now() > call.NotAfter {
 		c.reusable = true
-		return failed(ownership.CallNotSent, errTooLate)
+		return failed(ownership.CallNotTried, errTooLate)
 	}
 	n, err := c.tcp.Write(request)
 	if err != nil {
--- a/internal/daemons/grantclient/lane.go
+++ b/internal/daemons/grantclient/lane.go
@@ -1,6 +1,7 @@
 package grantclient
 
 import (
+	"errors"
 	"time"
 
 	"zincloft.example/zincloft/controlplane/ownership"
@@ -94,12 +95,22 @@
 	l.client.mu.Lock()
 	defer l.client.mu.Unlock()
 	for i := range l.queue {
-		l.client.end(&l.queue[i], failed(ownership.CallNotSent, errClosed))
+		l.client.end(&l.queue[i], failed(ownership.CallNotTried, errClosed))
 	}
 	l.queue = nil
 	delete(l.client.lanes, l.key)
 }
 
+// connectOutcome returns the outcome of a call for which no connection was opened. The limits of this member say nothing about the replica.
+func connectOutcome(err error) ownership.CallOutcome {
+	for _, own := range []error{errTooManyConnections, errTooLate, errClosed} {
+		if errors.Is(err, own) {
+			return ownership.CallNotTried
+		}
+	}
+	return ownership.CallNotSent
+}
+
 // perform performs a call on the kept connection or on a new one.
 func (l *lane) perform(call *ownership.Call) ownership.CallResult {
 	if !isSendable(call.Replica) || !isSendable(call.Address) {
@@ -110,7 +121,7 @@
 	}
 	if l.conn == nil {
 		if err := l.connect(call); err != nil {
-			return failed(ownership.CallNotSent, err)
+			return failed(connectOutcome(err), err)
 		}
 	}
 	result := l.conn.roundTrip(call, &l.encoder)
--- a/internal/daemons/grantclient/metrics.go
+++ b/internal/daemons/grantclient/metrics.go
@@ -16,7 +16,7 @@
 	maxLoggedBytes = 256 // of a replica's ID and of an error text
 
 	kindCount    = int(ownership.CallRelease) + 1
-	outcomeCount = int(ownership.CallRejected) + 1
+	outcomeCount = int(ownership.CallNotTried) + 1
 )
 
 // kindNames and outcomeNames are the terms of metrics and logs. Index 0 is not used.
@@ -29,6 +29,7 @@
 		ownership.CallFenced:      "fenced",
 		ownership.CallMisdirected: "misdirected",
 		ownership.CallRejected:    "rejected",
+		ownership.CallNotTried:    "not_tried",
 	}
 )
 
--- a/internal/testbeds/soak/client.go
+++ b/internal/testbeds/soak/client.go
@@ -16,7 +16,7 @@
 
 const (
 	clientsPerGateway = 2
-	requestPause      = 40 * time.Millisecond // mean pause between two requests of a client
+	requestPause      = 18 * time.Millisecond // mean pause between two requests of a client
 	requestDeadline   = 2 * time.Second       // sent in X-Deadline-Ms
 	responseSlack     = 700 * time.Millisecond
 	clientDialTimeout = time.Second
