--- a/internal/daemons/grantclient/client_test.go
+++ b/internal/daemons/grantclient/client_test.go
@@ -286,14 +286,14 @@
 	call := grant(1, "127.0.0.1:1")
 	call.Timeout = 0
 	client.Start([]ownership.Call{call})
-	client.expect(t, 1, ownership.CallNotSent)
+	client.expect(t, 1, ownership.CallNotTried)
 	var text strings.Builder
 	client.WriteMetrics(&text)
 	client.Close()
-	if want := "replica=replica-1 from_key=4096 to_key=8191 token=12 outcome=not_sent"; !strings.Contains(logs.String(), want) {
+	if want := "replica=replica-1 from_key=4096 to_key=8191 token=12 outcome=not_tried"; !strings.Contains(logs.String(), want) {
 		t.Errorf("no %q in the log: %s", want, logs.String())
 	}
-	for _, want := range []string{`zincloft_controlplane_replica_calls_total{kind="grant",outcome="not_sent"} 1`, "zincloft_controlplane_replica_connections 0"} {
+	for _, want := range []string{`zincloft_controlplane_replica_calls_total{kind="grant",outcome="not_tried"} 1`, "zincloft_controlplane_replica_connections 0"} {
 		if !strings.Contains(text.String(), want) {
 			t.Errorf("no %q in\n%s", want, text.String())
 		}
