--- a/internal/testbeds/soak/check.go
+++ b/internal/testbeds/soak/check.go
@@ -45,6 +45,7 @@
 	RuleInternalFault    Rule = "daemon reported an internal fault"
 	RuleRecovery         Rule = "gateways did not recover after the last fault"
 
+	RuleUnresponsive   Rule = "member does not respond"
 	RuleOwner          Rule = "two replicas held a key and both began requests on it"
 	RuleDoubleHold     Rule = "two replicas held a key at the same time"
 	RuleKeysUnserved   Rule = "shard keys are not served after the last fault"
@@ -98,6 +99,7 @@
 	c.checkConfigurations()
 	c.checkOperations()
 	c.checkProcesses()
+	c.checkSilences()
 	c.checkOwnership()
 	c.checkOpenConnections()
 	slices.SortStableFunc(c.violations, func(a, b Violation) int { return int(a.At - b.At) })
--- a/internal/testbeds/soak/check_test.go
+++ b/internal/testbeds/soak/check_test.go
@@ -76,6 +76,10 @@
 		RuleShardUnserved: func(r *Record) {
 			r.Requests = append(r.Requests, Request{ID: "r2", Gateway: "gateway-1", Kind: ShardSafeRequest, SentAt: 12 * second, EndedAt: 12 * second, Status: 503})
 		},
+		RuleUnresponsive: func(r *Record) {
+			r.Faults = []FaultEvent{{Fault: Fault{Kind: PauseHead}, BeganAt: 30 * second, EndedAt: 35 * second}}
+			r.Silences = []Silence{{Member: "member-1", From: 30 * second, To: 38 * second}, {Member: "member-2", From: 30 * second, To: 40 * second}}
+		},
 		RuleConnectionLost: func(r *Record) {
 			r.Requests = append(r.Requests, Request{ID: "r2", Gateway: "gateway-1", Kind: SafeRequest, SentAt: 12 * second, EndedAt: 12 * second, Reused: true})
 		},
--- a/internal/testbeds/soak/cluster.go
+++ b/internal/testbeds/soak/cluster.go
@@ -132,6 +132,7 @@
 func (c *cluster) startTraffic(ctx context.Context) {
 	ctx, c.stopTraffic = context.WithCancel(ctx)
 	c.watchMachine(ctx)
+	c.watchMembers(ctx)
 	for i, gateway := range c.gateways {
 		for j := range clientsPerGateway {
 			number := i*clientsPerGateway + j
--- a/internal/testbeds/soak/record.go
+++ b/internal/testbeds/soak/record.go
@@ -146,7 +146,8 @@
 	ShardCalls      []shardreplica.Call      `json:"shard_calls"` // grants and releases, in the order of their effect on each replica
 	ShardExecutions []shardreplica.Execution `json:"shard_executions"`
 	Resumptions     []Resumption             `json:"resumptions"`
-	Stalls          []Stall                  `json:"stalls"`         // of the machine
+	Stalls          []Stall                  `json:"stalls"` // of the machine
+	Silences        []Silence                `json:"silences"`
 	UnservedKeys    []uint16                 `json:"unserved_keys"`  // sampled keys that were not served in time after the last fault
 	KeysServedAt    time.Duration            `json:"keys_served_at"` // when each sampled key was served after the last fault
 	TrafficFrom     time.Duration            `json:"traffic_from"`   // when each sampled key was served for the first time
