--- a/cmd/zinclab/soak.go
+++ b/cmd/zinclab/soak.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -141,6 +142,10 @@
 	for _, violation := range result.Violations {
 		_, _ = fmt.Fprintf(out, "  %s\n", violation)
 	}
+	if len(result.Violations) > 0 && len(record.Stalls) > 0 {
+		longest := slices.MaxFunc(record.Stalls, func(a, b soak.Stall) int { return cmp.Compare(a.Ended-a.Began, b.Ended-b.Began) })
+		_, _ = fmt.Fprintf(out, "  the machine stalled %d times, for %.1f s at %.2f s\n", len(record.Stalls), (longest.Ended - longest.Began).Seconds(), longest.Began.Seconds())
+	}
 }
 
 // printCoverage prints how often each pair of faults overlapped.
