The test of late hedged answers no longer counts on the scheduling of the hedge

Cause: both replicas answered after 1.1 s, and the second attempt was to start after 0.55 s. In a run at a load of 68 on 8 cores the first answer came after 1.54 s with no second attempt begun, so that the record held one attempt instead of two.

Change: the replicas answer 0.6 s after both attempts have arrived. The assertions are unchanged.

--- a/internal/daemons/gateway/shardkey_test.go
+++ b/internal/daemons/gateway/shardkey_test.go
@@ -35,6 +35,7 @@
 	latency time.Duration
 
 	onRejection func() // called before the response; may be nil
+	onRequest   func() // called before the latency of a request that is executed; may be nil
 
 	mu       sync.Mutex
 	executed map[string]int // by attempt ID
@@ -62,6 +63,9 @@
 		}
 		h.executed[attempt]++
 		h.mu.Unlock()
+		if h.onRequest != nil {
+			h.onRequest()
+		}
 		time.Sleep(h.latency)
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok", attempt)
 	}
--- a/internal/daemons/gateway/slowrequests_test.go
+++ b/internal/daemons/gateway/slowrequests_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,8 +35,14 @@
 	})
 	Convey("The other attempt of a hedged request is completed in the record once it has ended", t, func() {
 		f := newFixture("safe", 2)
+		var attemptsArrived sync.WaitGroup
+		attemptsArrived.Add(2)
+		awaitBoth := func() {
+			attemptsArrived.Done()
+			attemptsArrived.Wait()
+		}
 		for _, replica := range f.replicas {
-			holder := &keyHolder{Replica: replica, executed: map[string]int{}, latency: 1100 * time.Millisecond}
+			holder := &keyHolder{Replica: replica, executed: map[string]int{}, latency: 600 * time.Millisecond, onRequest: awaitBoth}
 			holder.holds.Store(true)
 			replica.SetConnectionHandler(holder.serve)
 		}
