--- a/internal/daemons/gateway/slowrequests_test.go
+++ b/internal/daemons/gateway/slowrequests_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,9 +38,14 @@
 		f := newFixture("safe", 2)
 		var attemptsArrived sync.WaitGroup
 		attemptsArrived.Add(2)
+		var arrivals atomic.Int64
 		awaitBoth := func() {
+			isSecond := arrivals.Add(1) == 2
 			attemptsArrived.Done()
 			attemptsArrived.Wait()
+			if isSecond {
+				time.Sleep(time.Second) // answers after the first one, which cancels it
+			}
 		}
 		for _, replica := range f.replicas {
 			holder := &keyHolder{Replica: replica, executed: map[string]int{}, latency: 600 * time.Millisecond, onRequest: awaitBoth}
