--- a/internal/testbeds/soak/check_test.go
+++ b/internal/testbeds/soak/check_test.go
@@ -78,6 +78,7 @@
 		},
 		RuleUnresponsive: func(r *Record) {
 			r.Faults = []FaultEvent{{Fault: Fault{Kind: PauseHead}, BeganAt: 30 * second, EndedAt: 35 * second}}
+			r.Stalls = []Stall{{Began: 33 * second, Ended: 33*second + longStall}}
 			r.Silences = []Silence{{Member: "member-1", From: 30 * second, To: 38 * second}, {Member: "member-2", From: 30 * second, To: 40 * second}}
 		},
 		RuleConnectionLost: func(r *Record) {
--- a/internal/testbeds/soak/memberwatch.go
+++ b/internal/testbeds/soak/memberwatch.go
@@ -12,6 +12,9 @@
 
 	// maxSilence is how long a member may not respond after the last fault that acted on the control plane.
 	maxSilence = 4 * time.Second
+
+	// longStall is the length of a stall of the machine that may silence a member.
+	longStall = 500 * time.Millisecond
 )
 
 // Silence is a time during which a member's main goroutine did not respond.
@@ -49,8 +52,8 @@
 	}
 }
 
-// checkSilences checks that each member responds again soon after the faults on the control plane, the connections held at its ports and its own
-// start.
+// checkSilences checks that each member responds again soon after the faults on the control plane, the connections held at its ports, its own start
+// and long stalls of the machine.
 func (c *checker) checkSilences() {
 	for _, silence := range c.record.Silences {
 		disturbed := silence.From
@@ -65,6 +68,11 @@
 				disturbed = max(disturbed, event.At)
 			}
 		}
+		for _, stall := range c.record.Stalls {
+			if stall.Ended-stall.Began > longStall && stall.Began <= silence.To {
+				disturbed = max(disturbed, stall.Ended)
+			}
+		}
 		if silence.To-disturbed > maxSilence {
 			c.report(RuleUnresponsive, silence.To, "%s did not respond from %.2f s on; the last fault that may explain it ended at %.2f s", silence.Member,
 				silence.From.Seconds(), disturbed.Seconds())
