Comments and a log line on shard ownership say what they are about

Cause: the comment on a confirmed authority did not say what a later head may rely on, some fields and errors needed a second look, and the warning about a table that cannot be encoded named neither reason, token nor revision.

--- a/controlplane/controller/ownership.go
+++ b/controlplane/controller/ownership.go
@@ -123,8 +123,8 @@
 	c.applyCoordinatorActions(now, actions)
 }
 
-// completeAuthority records the result of a read. A quorum has confirmed that it accepted no later view after the read was started, so no other
-// member can act as the head of a later view until then.
+// completeAuthority records the result of a read. A quorum has confirmed, after the read was started, that it had accepted no later view. No later
+// view was decided before the start, so the head of a later one can rely on this authority to end within AuthorityDuration of its own first view.
 func (c *Controller) completeAuthority(now time.Duration, response coordinator.Response) {
 	c.owners.authorityRequest = 0
 	if response.Err != nil {
@@ -140,7 +140,7 @@
 func (c *Controller) proposeOwnership(now time.Duration, table ownership.Table, revision uint64, reason string) {
 	value, err := ownership.Encode(table)
 	if err != nil {
-		c.logWarning("ownership_table_unwritable", "error", err.Error())
+		c.logWarning("ownership_table_unwritable", "reason", reason, "token", table.LastToken, "revision", revision, "error", err.Error())
 		return
 	}
 	c.owners.proposalCount++
--- a/controlplane/granter/changes.go
+++ b/controlplane/granter/changes.go
@@ -5,7 +5,7 @@
 // changes collects the changes of a table that one step proposes together.
 type changes struct {
 	table  ownership.Table
-	reason string // of the first change
+	reason string // why the first change was made, as logged with the proposal; empty if there is none
 }
 
 func newChanges(table ownership.Table) *changes { return &changes{table: table} }
--- a/controlplane/granter/leaseclock.go
+++ b/controlplane/granter/leaseclock.go
@@ -36,7 +36,7 @@
 	return max(endOfLease(formerHeadArrival, longestLease), endOfLease(ownArrival, g.lease))
 }
 
-// endOfLease returns the time at which a lease has ended by all clocks.
+// endOfLease returns the time from which a lease that began at arrival has ended, also by a replica's clock that runs slow by 1/clockRateDivisor.
 func endOfLease(arrival, lease time.Duration) time.Duration {
 	return arrival + lease + lease/clockRateDivisor + leaseMargin
 }
--- a/controlplane/granter/load.go
+++ b/controlplane/granter/load.go
@@ -17,9 +17,9 @@
 // keyLoad is a moving average of the request rate of each key of a service.
 type keyLoad struct {
 	average   ownership.Load // requests per second
-	counts    []uint32       // requests since updatedAt
+	counts    []uint32       // requests since updatedAt, by key; nil until some are reported
 	updatedAt time.Duration
-	known     bool // some requests were counted
+	known     bool // some requests were reported, so that the average means something
 }
 
 func newKeyLoad() *keyLoad { return &keyLoad{} }
--- a/controlplane/granter/result.go
+++ b/controlplane/granter/result.go
@@ -16,7 +16,7 @@
 	delete(g.calls, result.ID)
 	service := g.services[call.Service]
 	if service == nil {
-		return false // of a former tenure, which leaseEnd accounts for
+		return false // the call was made in a former tenure; leaseEnd waits for the leases of those
 	}
 	g.recordReachability(now, call, result.Outcome)
 	if call.Kind == ownership.CallRelease {
--- a/internal/daemons/grantclient/client.go
+++ b/internal/daemons/grantclient/client.go
@@ -22,7 +22,7 @@
 // maxQueuedCalls limits the calls that wait in a lane.
 const maxQueuedCalls = 256
 
-// Reasons for which a call is not sent.
+// Reasons for which a call is not sent. Logs give them with the replica, the range and the token.
 var (
 	errTooLate            = errors.New("the time for sending the call has passed")
 	errQueueFull          = errors.New("too many calls to the replica are waiting")
