--- a/review/_rig/latebeat.go
+++ b/review/_rig/latebeat.go
@@ -20,8 +20,8 @@
 	}
 	users := newClients(r.record)
 	for _, gateway := range r.gateways {
-		users.start(load{gateway: gateway, path: "/ledger/2f", method: "GET", perS: 45})
-		users.start(load{gateway: gateway, path: "/order/2f", method: "POST", perS: 5})
+		users.start(load{gateway: gateway, path: "/ledger/2f", method: "GET", perS: 30})
+		users.start(load{gateway: gateway, path: "/order/2f", method: "POST", perS: 20})
 	}
 	time.Sleep(contact)
 	broken := 0
@@ -47,7 +47,7 @@
 	name := zones[zone]
 	var local []*replica
 	for _, p := range r.replicas {
-		if p.zone == name {
+		if p.zone == name && !p.hasFallen() {
 			local = append(local, p)
 		}
 	}
@@ -75,6 +75,11 @@
 		most := busiestSecond(p.arrivalsIn(coldFrom, coldFrom+coldTime))
 		r.record.write("%s received up to %d requests in one second while it was cold", p.id, most)
 		highest = max(highest, most)
+		if p.hasFallen() {
+			if err := r.startReplica(zone, name, p.work); err != nil {
+				return 0, err
+			}
+		}
 	}
 	time.Sleep(contact)
 	return highest, nil
--- a/review/_rig/replica.go
+++ b/review/_rig/replica.go
@@ -15,7 +15,8 @@
 	heartbeatInterval = 1500 * time.Millisecond
 	slots             = 4
 	queue             = 16
-	coldSlowness      = 2 // a cold replica works so many times as long
+	coldSlowness      = 2       // a cold replica works so many times as long
+	fallsOverAbove    = 5 * 4.1 // requests in one second, five times cold_per_s, at which a cold replica falls over
 )
 
 // arrival is a request at a replica.
@@ -41,7 +42,9 @@
 	waiting  int // requests that run or wait
 	arrivals []arrival
 	sequence int
+	coldFrom time.Duration
 	coldTill time.Time
+	fallen   bool // it has fallen over
 }
 
 // newReplica starts a replica without sending a beat.
@@ -69,7 +72,7 @@
 // turnCold makes the replica cold for a time, which its next beats tell.
 func (p *replica) turnCold(duration time.Duration) {
 	p.mu.Lock()
-	p.coldTill = time.Now().Add(duration)
+	p.coldFrom, p.coldTill = p.record.now(), time.Now().Add(duration)
 	p.mu.Unlock()
 	p.record.write("%s in %s turns cold for %v", p.id, p.zone, duration)
 }
@@ -140,6 +143,10 @@
 	}
 	time.Sleep(work)
 	<-p.running
+	if p.hasFallen() {
+		p.record.write("%s (%s) is lost with %s", attempt, r.Method, p.id)
+		return // its connection is closed
+	}
 	w.Header().Set("X-Instance-Load", p.leave())
 	w.Header().Set("X-Response-Seal", "seal-of-"+attempt)
 	w.Header().Set("Content-Length", strconv.Itoa(len(attempt)))
@@ -151,6 +158,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.arrivals = append(p.arrivals, arrival{at: p.record.now(), attempt: attempt})
+	if !p.fallen && time.Now().Before(p.coldTill) && float64(p.lastSecond()) > fallsOverAbove {
+		p.fallen = true
+		p.record.write("%s in %s falls over", p.id, p.zone)
+		go p.stop()
+	}
 	if p.waiting >= slots+queue {
 		return false
 	}
@@ -158,6 +170,22 @@
 	return true
 }
 
+// lastSecond returns the number of requests that have arrived within the last second and since the replica turned cold. The caller must
+// hold mu.
+func (p *replica) lastSecond() (n int) {
+	from := max(p.record.now()-time.Second, p.coldFrom)
+	for i := len(p.arrivals) - 1; i >= 0 && p.arrivals[i].at >= from; i-- {
+		n++
+	}
+	return n
+}
+
+func (p *replica) hasFallen() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fallen
+}
+
 // leave ends a request and returns the value of X-Instance-Load.
 func (p *replica) leave() string {
 	p.mu.Lock()
