--- a/review/_rig/link.go
+++ b/review/_rig/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -30,7 +31,7 @@
 }
 
 func newLink(record *record, address, target string) (*link, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := listen(address)
 	if err != nil {
 		return nil, err
 	}
@@ -88,7 +89,7 @@
 	defer func() { _ = caller.Close() }() // both directions have ended
 	chunks := make(chan chunk, 64)
 	go receive(caller, chunks)
-	conn, err := net.Dial("tcp", l.target)
+	conn, err := new(net.Dialer).DialContext(context.Background(), "tcp", l.target) // a loopback address: it answers at once
 	if err != nil {
 		return
 	}
--- a/review/_rig/record.go
+++ b/review/_rig/record.go
@@ -32,7 +32,7 @@
 func (r *record) write(format string, arguments ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.out, "%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, arguments...))
+	_, _ = fmt.Fprintf(r.out, "%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, arguments...)) // see close
 }
 
 // close completes the file. A failure shows in the file, which then lacks its verdict.
--- a/review/_rig/replica.go
+++ b/review/_rig/replica.go
@@ -49,7 +49,7 @@
 
 // newReplica starts a replica without sending a beat.
 func newReplica(id, service, zone, ip string, work time.Duration, record *record) (*replica, error) {
-	listener, err := net.Listen("tcp", ip+":0")
+	listener, err := listen(ip + ":0")
 	if err != nil {
 		return nil, err
 	}
--- a/review/_rig/rig.go
+++ b/review/_rig/rig.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -161,7 +162,7 @@
 func freeNetwork() (string, error) {
 	for range 50 {
 		network := fmt.Sprintf("127.%d", 30+rand.IntN(200))
-		listener, err := net.Listen("tcp", network+".1.1:"+fmt.Sprint(controlPort))
+		listener, err := listen(network + ".1.1:" + strconv.Itoa(controlPort))
 		if err == nil {
 			_ = listener.Close() // it has accepted nothing
 			return network, nil
@@ -197,8 +198,8 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = log.Close() }() // the daemon has its own descriptor
-	m.process = exec.Command(arguments[0], arguments[1:]...)
+	defer func() { _ = log.Close() }()                                                    // the daemon has its own descriptor
+	m.process = exec.CommandContext(context.Background(), arguments[0], arguments[1:]...) // ended by stop
 	m.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "ZINCLOFT_NODE_FILE=" + file}
 	m.process.Stdout, m.process.Stderr = log, log
 	m.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -211,15 +212,9 @@
 
 // awaitReady waits until all gateways say that they are ready.
 func (r *rig) awaitReady() error {
-	client := &http.Client{Timeout: time.Second}
 	return r.await("the gateways are ready", func() bool {
 		for _, m := range r.gateways {
-			response, err := client.Get(fmt.Sprintf("http://%s:%d/api/readiness", m.ip, readinessPort))
-			if err != nil {
-				return false
-			}
-			_ = response.Body.Close() // only the status is needed
-			if response.StatusCode != http.StatusOK {
+			if !m.isReady() {
 				return false
 			}
 		}
@@ -227,6 +222,22 @@
 	})
 }
 
+// isReady asks a gateway whether it is ready, as the platform does.
+func (m *machine) isReady() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/api/readiness", m.ip, readinessPort), nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close() // only the status is needed
+	return response.StatusCode == http.StatusOK
+}
+
 func (r *rig) await(what string, done func() bool) error {
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
 		if done() {
@@ -237,6 +248,10 @@
 	return fmt.Errorf("not within %v: %s", readyTimeout, what)
 }
 
+func listen(address string) (net.Listener, error) {
+	return new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+}
+
 func accepts(address string) bool {
 	dialer := net.Dialer{Timeout: time.Second}
 	conn, err := dialer.DialContext(context.Background(), "tcp", address)
