review: the stand-ins look for free ports of all machines

Cause: a run looked at some of its ports only, so a second run at the same time could take the same addresses. Change: all ports of all machines are tried before a run takes its addresses.

--- a/review/_rig2/cluster.go
+++ b/review/_rig2/cluster.go
@@ -137,29 +137,45 @@
 	return value
 }
 
-// freePrefix returns two bytes of a loopback network on which all ports are free.
-func freePrefix() (string, error) {
+// freePrefix returns two bytes of a loopback network on which all ports that a run uses are free.
+func freePrefix(members, gateways int) (string, error) {
 	for second := 90 + os.Getpid()%60; second < 250; second++ {
 		prefix := fmt.Sprintf("127.%d", second)
-		free := true
-		for _, address := range []string{prefix + ".1.1:8544", prefix + ".1.2:8544", prefix + ".1.1:7540", prefix + ".2.1:8548", prefix + ".3.1:8080"} {
-			listener, err := net.Listen("tcp", address)
-			if err != nil {
-				free = false
-				break
+		var addresses []string
+		for i := range members {
+			for _, port := range []int{controlPort, internalFirst, 9465} {
+				addresses = append(addresses, fmt.Sprintf("%s.1.%d:%d", prefix, i+1, port))
 			}
-			_ = listener.Close()
 		}
-		if free {
+		for i := range gateways {
+			for _, port := range []int{frontPort, readinessPort, internalLast, 9464} {
+				addresses = append(addresses, fmt.Sprintf("%s.2.%d:%d", prefix, i+1, port))
+			}
+		}
+		for i := range 9 {
+			addresses = append(addresses, fmt.Sprintf("%s.3.%d:%d", prefix, i+1, replicaPort))
+		}
+		if allFree(addresses) {
 			return prefix, nil
 		}
 	}
 	return "", errCannotRun
 }
 
+func allFree(addresses []string) bool {
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	return true
+}
+
 // newCluster prepares machines without starting them.
 func newCluster(rec *record, members, gateways int) (*cluster, error) {
-	prefix, err := freePrefix()
+	prefix, err := freePrefix(members, gateways)
 	if err != nil {
 		return nil, err
 	}
