Silent voters are kept where the others could not lose the stated disks (CONFIG)

Cause: a pair of voters that was silent for 12 s was removed, down to three voters, which survive the loss of one disk. Silence was taken for a lost disk, and the stated fault tolerance did not enter.

Change: voters are removed, one of an even number or all failed ones of an odd number, only while those that stay tolerate the stated losses: 2m+1 for m machines, three at least, and the stated zones and regions if the voters did before. A leaver that is kept as a voter does not wait for its removal. The status counts by the stated tolerance.

Why it works: a quorum of the voters that stay is left after the stated losses, whoever was silent before, and every quorum meets the chain, which holds what was acknowledged. No file and no message changes; stored views of three voters of five are read and grow again.

Simulation: the family "overlaps" keeps more members away than tolerated and loses as many disks as tolerated; it finds the removal when that is planted. Its schedules are judged 15 s (recovery) after all are back.

--- a/controlplane/controller/controller.go
+++ b/controlplane/controller/controller.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/coordinator"
+	"zincloft.example/zincloft/controlplane/membership"
 	"zincloft.example/zincloft/controlplane/outlier"
 	"zincloft.example/zincloft/controlplane/registry"
 	"zincloft.example/zincloft/controlplane/weighting"
@@ -41,6 +42,8 @@
 	MaxInstances int `cbor:"10,keyasint,omitempty"`
 
 	MaxLease time.Duration `cbor:"11,keyasint,omitempty"` // longest lease of shard keys that replicas accept; 0 means no limit
+
+	FaultTolerance membership.FaultTolerance `cbor:"12,keyasint,omitempty"` // what the deployment may lose at the same time
 }
 
 // Controller is the state machine of one control-plane member. Its methods must not be called concurrently.
@@ -130,6 +133,7 @@
 	// If an evacuation ended while this member was down, updateEvacuations detects that from the next commit.
 	c.evacuatedZones = sortedKeys(persisted.Register.EvacuatedZones)
 	c.coordinator = coordinator.New(self, persisted, options.Seeds, rand.New(&c.random).Float64, instanceHints{c})
+	c.coordinator.SetFaultTolerance(options.FaultTolerance)
 	return c
 }
 
--- a/controlplane/coordinator/cluster_test.go
+++ b/controlplane/coordinator/cluster_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"zincloft.example/zincloft/controlplane/chainreplication"
+	"zincloft.example/zincloft/controlplane/membership"
 	"zincloft.example/zincloft/fleet"
 )
 
@@ -43,6 +44,7 @@
 	requestNames  map[string]map[uint64]string // by member and request ID
 	messageDelay  func(from, to string, message Message) time.Duration
 	writeDelay    time.Duration
+	tolerance     membership.FaultTolerance // in effect for members that are started from then on
 }
 
 // callerResponse is the response received by a caller. It is zero if there is none.
@@ -101,6 +103,7 @@
 	random := rand.New(rand.NewPCG(uint64(len(addr)), uint64(n.eventSequence)))
 	self := fleet.Member{ID: state.DiskID, Addr: addr, Zone: "z", APIAddr: addr}
 	member.coordinator = New(self, state, n.seeds, random.Float64, noHints{})
+	member.coordinator.SetFaultTolerance(n.tolerance)
 	raw, err := member.coordinator.EncodeState()
 	if err != nil {
 		n.t.Fatal(err)
--- a/controlplane/coordinator/coordinator.go
+++ b/controlplane/coordinator/coordinator.go
@@ -115,6 +115,11 @@
 // SetSeeds replaces the addresses of the members to contact.
 func (c *Coordinator) SetSeeds(addresses []string) { c.membership.SetSeeds(addresses) }
 
+// SetFaultTolerance sets what the deployment may lose at the same time.
+func (c *Coordinator) SetFaultTolerance(tolerance membership.FaultTolerance) {
+	c.membership.SetFaultTolerance(tolerance)
+}
+
 // ResetContact discards all contact with other members, which then has to be established again. It must be called when the
 // monotonic clock may have stopped because the machine was suspended.
 func (c *Coordinator) ResetContact(now time.Duration) { c.membership.ResetContact(now) }
--- a/controlplane/coordinator/leave.go
+++ b/controlplane/coordinator/leave.go
@@ -28,14 +28,14 @@
 
 // isReplaced reports whether the view has replaced this member: it is outside the chain and, if it is still a voter, knows of
 // no later view that may have been decided. A voter that remains at its address, with this or a former disk, is acceptable only
-// if the number of voters is odd and no learner is about to replace one of them.
+// if it will not be removed and no learner is about to replace one of the voters.
 func (c *Coordinator) isReplaced(view membership.View) bool {
 	self := c.membership.Self()
 	if view.Position(self.ID) >= 0 || view.HasVoter(self.ID) && !c.membership.ConfirmsLatestView(view.Number) {
 		return false
 	}
-	hasVoterAtAddress := slices.ContainsFunc(view.Voters, func(voter fleet.Member) bool { return voter.Addr == self.Addr })
-	return !hasVoterAtAddress || len(view.Voters)%2 != 0 && len(view.Learners) == 0
+	index := slices.IndexFunc(view.Voters, func(voter fleet.Member) bool { return voter.Addr == self.Addr })
+	return index < 0 || !c.membership.IsRemovableVoter(view.Voters[index].ID) && len(view.Learners) == 0
 }
 
 // countSyncedVoters counts the reachable chain voters that are synced in the view and have all that is committed here.
--- a/controlplane/coordinator/leave_test.go
+++ b/controlplane/coordinator/leave_test.go
@@ -83,3 +83,24 @@
 	cluster.advance(time.Second)
 	cluster.expectStatus("command", http.StatusOK)
 }
+
+// TestLeavingMemberStopsAsVoterThatIsNotRemoved guards against a leaving member waiting until it is killed: one of four voters is
+// not removed where three could not lose two disks.
+func TestLeavingMemberStopsAsVoterThatIsNotRemoved(t *testing.T) {
+	cluster := newTestCluster(t)
+	cluster.seeds, cluster.tolerance.Machines = []string{"a", "b", "c"}, 2
+	for _, addr := range cluster.seeds {
+		cluster.start(addr, true)
+	}
+	cluster.start("d", false)
+	cluster.advance(5 * time.Second)
+	a := cluster.members["a"]
+	a.coordinator.BeginLeave()
+	cluster.advance(2 * time.Second)
+	if !a.coordinator.LeaveComplete(cluster.localTime(a)) {
+		t.Errorf("not complete within 2 s; voters %v", cluster.voters("b"))
+	}
+	if voters := cluster.voters("b"); len(voters) != 4 {
+		t.Errorf("voters %v, want 4", voters)
+	}
+}
--- a/controlplane/coordinator/status.go
+++ b/controlplane/coordinator/status.go
@@ -72,7 +72,7 @@
 		}
 		status.Members = append(status.Members, memberStatus)
 	}
-	maxLosses := len(view.Voters) - view.Quorum()
+	maxLosses := max(len(view.Voters)-view.Quorum(), c.membership.FaultTolerance().Machines)
 	status.FaultTolerant = status.UpToDateDisks > maxLosses
 	if !status.FaultTolerant {
 		status.Shortfall = fmt.Sprintf("%d of %d disks are known to hold what is committed; %d may be lost at once",
--- a/controlplane/membership/cluster_test.go
+++ b/controlplane/membership/cluster_test.go
@@ -27,6 +27,7 @@
 	cut          map[[2]string]bool // Links that drop messages, by the addresses of sender and receiver.
 	inFlight     []inFlightMessage
 	decided      map[uint64]View
+	tolerance    FaultTolerance
 	delay        func() Time
 	dropsMessage func() bool
 }
@@ -68,10 +69,24 @@
 // start starts a node with the seeds a, b and c.
 func (c *cluster) start(m fleet.Member, state DurableState) *Node {
 	node := New(m, state, []string{"a", "b", "c"}, c.random.Float64)
+	node.SetFaultTolerance(c.tolerance)
 	c.nodes[m.ID], c.saved[m.ID] = node, state
 	return node
 }
 
+// tolerate states what the deployment may lose at the same time, for all nodes.
+func (c *cluster) tolerate(tolerance FaultTolerance) {
+	c.tolerance = tolerance
+	for _, node := range c.nodes {
+		node.SetFaultTolerance(tolerance)
+	}
+}
+
+// wipe restarts a stopped member with an empty disk.
+func (c *cluster) wipe(addr string) {
+	c.start(fleet.Member{ID: addr + "/1", Addr: addr}, DurableState{})
+}
+
 func (c *cluster) node(addr string) *Node {
 	c.t.Helper()
 	node := c.nodes[testMember(addr).ID]
--- a/controlplane/membership/node.go
+++ b/controlplane/membership/node.go
@@ -46,6 +46,7 @@
 	incarnation uint64 // Incarnation of this node's clock; drawn at random at each start.
 	random      func() float64
 	seeds       []string
+	tolerance   FaultTolerance
 
 	state         DurableState
 	peers         map[string]*peer // By ID.
--- a/controlplane/membership/replacement.go
+++ b/controlplane/membership/replacement.go
@@ -13,7 +13,8 @@
 // The voters change one at a time, or two if a failed pair is removed. A new machine joins the chain as a learner. Once a
 // commit has shown that it is synced, it replaces a failed or departed voter in a single view change, so that the number of
 // tolerated losses is not reduced in between. A leaving member stays in the chain until the remaining members suffice. An even
-// number of voters tolerates no more losses than one voter fewer, so a failed voter is removed from an even number. See
+// number of voters tolerates no more losses than one voter fewer, so a failed voter is removed from an even number. Voters are
+// removed only while the remaining ones tolerate the losses that the deployment states (tolerance.go). See
 // docs/design/control-plane.md, rules 3, 6, 13 and 15.
 
 const (
@@ -26,9 +27,6 @@
 	// pairRemovalTimeout is how long two voters must have been unavailable before both are removed without replacement.
 	pairRemovalTimeout = 12 * time.Second
 
-	// minVoters is the minimum number of voters that remain when voters are removed without replacement.
-	minVoters = 3
-
 	// noVoter is the index returned if there is no voter to replace.
 	noVoter = -1
 )
@@ -174,24 +172,34 @@
 	}
 }
 
-// removeFailedVoters removes one failed voter from an even number of voters, or two from an odd number, unless another
-// change of the voters is in progress.
+// removeFailedVoters removes one failed voter from an even number of voters, or all failed ones, at least two, from an odd
+// number, unless another change of the voters is in progress or the remaining voters would tolerate too few losses.
 func (plan *successorPlan) removeFailedVoters() {
 	next := &plan.next
 	changing := len(next.Learners) > 0 || !sameIdentities(next.Voters, plan.current().Voters)
-	if !plan.viewCommitted || changing || len(next.Voters) <= minVoters {
+	if !plan.viewCommitted || changing {
 		return
 	}
-	if len(next.Voters)%2 == 0 {
+	remaining := plan.remainingVoters()
+	if len(remaining) < len(next.Voters) && plan.node.allowsRemoval(next.Voters, remaining) {
+		next.Voters = remaining
+	}
+}
+
+// remainingVoters returns the voters without the failed ones that may be removed, subject to the fault tolerance.
+func (plan *successorPlan) remainingVoters() []fleet.Member {
+	voters := plan.next.Voters
+	if len(voters)%2 == 0 {
 		if index := plan.replaceableVoter(); index != noVoter {
-			next.Voters = slices.Delete(next.Voters, index, index+1)
+			return withoutVoter(voters, index)
 		}
-		return
+		return voters
 	}
-	remaining := slices.DeleteFunc(slices.Clone(next.Voters), plan.hasFailedFor(pairRemovalTimeout))
-	if len(remaining) <= len(next.Voters)-2 && len(remaining) >= minVoters {
-		next.Voters = remaining
+	remaining := slices.DeleteFunc(slices.Clone(voters), plan.hasFailedFor(pairRemovalTimeout))
+	if len(remaining) > len(voters)-2 {
+		return voters
 	}
+	return remaining
 }
 
 func (plan *successorPlan) current() View { return plan.node.state.View }
--- a/internal/daemons/controlserver/storage.go
+++ b/internal/daemons/controlserver/storage.go
@@ -13,7 +13,9 @@
 
 	"zincloft.example/zincloft/controlplane/controller"
 	"zincloft.example/zincloft/controlplane/coordinator"
+	"zincloft.example/zincloft/controlplane/membership"
 	"zincloft.example/zincloft/fleet"
+	"zincloft.example/zincloft/internal/daemons/nodesettings"
 	"zincloft.example/zincloft/internal/daemons/statestore"
 	"zincloft.example/zincloft/messages"
 )
@@ -106,6 +108,18 @@
 		RandomSeed:        mrand.Uint64(),
 		RegionByZone:      s.settings.ZoneRegions,
 		MaxInstances:      int(s.settings.MemoryMB) * maxInstancesPerMB,
+		FaultTolerance:    faultTolerance(s.settings),
+	}
+}
+
+// faultTolerance returns what the deployment may lose at the same time, as stated by the settings.
+func faultTolerance(settings *nodesettings.Settings) membership.FaultTolerance {
+	stated := settings.FaultTolerance
+	return membership.FaultTolerance{
+		Machines:     stated.Machines,
+		Zones:        stated.Zones,
+		Regions:      stated.Regions,
+		RegionByZone: settings.ZoneRegions,
 	}
 }
 
--- a/internal/testbeds/compatibility/encoding_test.go
+++ b/internal/testbeds/compatibility/encoding_test.go
@@ -138,6 +138,9 @@
 		"simulation.Schedule.ShardedReplicas": true,
 		"simulation.Schedule.LateCallRate":    true,
 	},
+	{
+		"simulation.Schedule.ExceedsTolerance": true,
+	},
 }
 
 // sampleValue is a value of a sample's type, and the name of its golden file.
--- a/internal/testbeds/simulation/cluster.go
+++ b/internal/testbeds/simulation/cluster.go
@@ -15,6 +15,7 @@
 const (
 	catchUpTime         = 4 * time.Second        // a restarted member counts as unavailable for this long
 	restartTime         = 300 * time.Millisecond // process start-up time
+	recoveryTime        = 15 * time.Second       // after losses beyond the tolerance, members recover within it once all are back
 	faultFreeBeforeCall = 6 * time.Second        // a call that starts after this long without faults must be answered
 	contactTimeout      = 3 * time.Second        // a member without quorum contact for this long must acknowledge nothing; gateways are checked after as long without faults
 
@@ -101,6 +102,10 @@
 		c.after(action.At, func() { c.startAction(i, action) })
 	}
 	end := schedule.endOfFaultsAndActions()
+	if schedule.ExceedsTolerance {
+		end += recoveryTime
+		c.faultActiveUntil = end - catchUpTime
+	}
 	if schedule.Tolerance > 0 {
 		c.controlPlaneHistory.initialize()
 		c.monitorControlPlane()
--- a/internal/testbeds/simulation/controlplanehistory.go
+++ b/internal/testbeds/simulation/controlplanehistory.go
@@ -75,6 +75,7 @@
 	switch call.action.Kind {
 	case PutConfig:
 		attempt.Kind, attempt.BodyID = AttemptPut, c.controlPlaneHistory.bodyID(call.body)
+		attempt.Unbounded = c.schedule.ExceedsTolerance
 	case EvacuateZone:
 		attempt.Kind, attempt.Key = AttemptEvacuate, c.zone(call)
 	case RestoreZone:
--- a/internal/testbeds/simulation/families.go
+++ b/internal/testbeds/simulation/families.go
@@ -7,7 +7,7 @@
 )
 
 // Families are the kinds of generated schedules with a Tolerance. Each covers one class of failures.
-var Families = []string{"cuts", "replaced", "twins", "storms", "long", "first"}
+var Families = []string{"cuts", "replaced", "twins", "storms", "long", "first", "overlaps"}
 
 // familyGenerators draw the faults and actions of a schedule, by family.
 var familyGenerators = map[string]func(*generator){
@@ -17,6 +17,7 @@
 	"storms":   (*generator).generateCommandStorms,
 	"long":     (*generator).generateLongHistory,
 	"first":    (*generator).generateFirstStart,
+	"overlaps": (*generator).generateOverlaps,
 }
 
 // toleranceByMembers is the number of members that may be lost at once, by cluster size.
@@ -44,7 +45,7 @@
 }
 
 // GenerateFamily draws a schedule of a family, which must be one of Families. At no time does it lose more members
-// than the tolerance allows.
+// than the tolerance allows, except for members that keep their disks in the family "overlaps".
 func GenerateFamily(family string, seed uint64, members int) Schedule {
 	g := &generator{
 		random: rand.New(rand.NewPCG(seed, familyStream)),
--- a/internal/testbeds/simulation/invariant_acknowledgement.go
+++ b/internal/testbeds/simulation/invariant_acknowledgement.go
@@ -103,10 +103,24 @@
 	return count
 }
 
-// toleratedDiskLosses returns how many disks may be lost at once.
+// toleratedDiskLosses returns how many disks may be lost at once. In a schedule that exceeds the tolerance, a disk that was lost
+// since the commit counts as one of them.
 func (c *cluster) toleratedDiskLosses() int {
+	if c.schedule.ExceedsTolerance {
+		return c.schedule.Tolerance - c.countLostDisks()
+	}
 	if c.controlPlaneHistory.initialViewComplete {
 		return c.schedule.Tolerance
 	}
 	return min((c.schedule.Members-1)/2, (c.schedule.InitialMembers-1)/2)
 }
+
+// countLostDisks counts the members whose disk was lost and that have not caught up since.
+func (c *cluster) countLostDisks() (count int) {
+	for _, m := range c.members {
+		if m.diskLost {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/testbeds/simulation/invariant_recovery.go
+++ b/internal/testbeds/simulation/invariant_recovery.go
@@ -42,7 +42,7 @@
 		if !m.isHealthy() || m.caughtUp || !slices.Contains(view.Chain, m.id()) || m.durableSequence() < c.controlPlaneHistory.newestSequence {
 			continue
 		}
-		m.caughtUp = true
+		m.caughtUp, m.diskLost = true, false
 		if took := c.now - m.startedAt; m.isSpare {
 			c.result.JoinTimes = append(c.result.JoinTimes, took)
 		} else {
--- a/internal/testbeds/simulation/member.go
+++ b/internal/testbeds/simulation/member.go
@@ -24,7 +24,8 @@
 	store      *statestore.Store
 	disk       *disk
 
-	wipeCount       int // makes disk IDs unique
+	wipeCount       int  // makes disk IDs unique
+	diskLost        bool // its disk was wiped, and it has not caught up since
 	wallClockOffset time.Duration
 
 	isSpare      bool // was added at a new address
@@ -39,6 +40,8 @@
 	waitingCalls map[uint64]*operatorCall             // operator calls among pendingCalls, by token
 	streams      map[uint64]*gatewayNode              // by stream token
 
+	callsInSocket int // calls among pendingCalls that the process has not read yet, because it was paused
+
 	messagesSent   int           // within messagesSecond
 	messagesSecond time.Duration // second of simulated time
 }
--- a/internal/testbeds/simulation/memberlifecycle.go
+++ b/internal/testbeds/simulation/memberlifecycle.go
@@ -6,6 +6,7 @@
 
 	"zincloft.example/zincloft/controlplane/controller"
 	"zincloft.example/zincloft/controlplane/coordinator"
+	"zincloft.example/zincloft/controlplane/membership"
 	"zincloft.example/zincloft/fleet"
 	"zincloft.example/zincloft/internal/daemons/statestore"
 )
@@ -42,6 +43,7 @@
 	c.extendFaultPeriod()
 	m.newestSequence, m.controller, m.caughtUp = 0, nil, first
 	m.pendingCalls, m.waitingCalls, m.streams = map[uint64]func(controller.Response){}, map[uint64]*operatorCall{}, map[uint64]*gatewayNode{}
+	m.callsInSocket = 0
 	state, ok := c.openStore(m)
 	if !ok {
 		return
@@ -95,6 +97,7 @@
 		DrainDeadline:     drainDeadline,
 		HeartbeatInterval: heartbeatInterval,
 		RandomSeed:        c.random.Uint64(),
+		FaultTolerance:    membership.FaultTolerance{Machines: c.schedule.toleratedLosses()},
 	}
 	self := fleet.Member{ID: state.DiskID, Addr: m.address, Zone: zone, APIAddr: m.address}
 	return controller.New(c.monotonicTime(&m.process), options, self, state)
@@ -151,6 +154,7 @@
 		m.disk.powerLost(c.random)
 	case diskWiped:
 		m.disk.wipe()
+		m.diskLost = true
 	}
 	c.history.disk(entryKill, c, m)
 	c.closeStore(m)
--- a/internal/testbeds/simulation/operator.go
+++ b/internal/testbeds/simulation/operator.go
@@ -160,7 +160,14 @@
 		c.step(m, event)
 		return
 	}
+	inSocket := m.paused
+	if inSocket {
+		m.callsInSocket++
+	}
 	c.runOn(&m.process, m.incarnation, func() {
+		if inSocket {
+			m.callsInSocket--
+		}
 		if c.hasBug(AcceptDelayedCalls) && c.now-m.resumedAt < delayedCallTime {
 			incarnation := m.incarnation
 			c.after(delayedCallTime, func() { c.runOn(&m.process, incarnation, func() { c.step(m, event) }) })
--- a/internal/testbeds/simulation/plantedbug.go
+++ b/internal/testbeds/simulation/plantedbug.go
@@ -34,6 +34,7 @@
 	HideConflict            PlantedBug = "the head does not say that a number belongs to another command"
 	DiscardClaimsOnRestart  PlantedBug = "numbers that were taken are forgotten at a restart"
 	ShutDownWithoutHandover PlantedBug = "a member that leaves ends without waiting for the others"
+	RemoveSilentVoters      PlantedBug = "silent voters are removed although the others tolerate too few losses of disks"
 )
 
 // hasBug reports whether the run contains a planted bug.
--- a/internal/testbeds/simulation/result.go
+++ b/internal/testbeds/simulation/result.go
@@ -87,6 +87,11 @@
 	Answered bool   // received a conclusive response
 	Call     time.Duration
 	Return   time.Duration // without a conclusive response, when the caller gave up
+
+	// Unbounded is set if the attempt may take effect at any time without a conclusive response: a configuration in a schedule
+	// that exceeds the tolerance. The head keeps what it accepted until the chain is whole again, and a later effect cannot undo
+	// a newer version. Evacuations stay bounded, because a late one could.
+	Unbounded bool
 }
 
 // add adds the measurements of another run.
--- a/internal/testbeds/simulation/schedule.go
+++ b/internal/testbeds/simulation/schedule.go
@@ -32,6 +32,10 @@
 	Tolerance     int           `json:",omitempty"`
 	MaxStartDelay time.Duration `json:"Spread,omitempty"` // initial members start at random times within it
 
+	// ExceedsTolerance is set if more members are unavailable at once than the tolerance allows, with their disks kept. Service may
+	// rest then: availability and recovery are checked once recoveryTime has passed since all members are back.
+	ExceedsTolerance bool `json:",omitempty"`
+
 	// UnconfirmedUpdates makes members send their state to each gateway that connects before a quorum has confirmed
 	// it. It tests the gateway's own protection against stale state.
 	UnconfirmedUpdates bool `json:"Unasked,omitempty"`
@@ -86,6 +90,17 @@
 	return end
 }
 
+// toleratedLosses returns the number of members that may be lost at once, as the members' settings state it.
+func (s Schedule) toleratedLosses() int {
+	switch {
+	case s.PlantedBug == RemoveSilentVoters:
+		return 0
+	case s.Tolerance > 0:
+		return s.Tolerance
+	}
+	return (s.Members - 1) / 2
+}
+
 // JSON returns the schedule in the indented form used under testdata.
 func (s Schedule) JSON() string {
 	text, err := json.MarshalIndent(s, "", " ")
