--- a/controlplane/controller/replication.go
+++ b/controlplane/controller/replication.go
@@ -18,11 +18,13 @@
 func (h instanceHints) Revision() uint64 { return h.controller.registry.Revision() }
 
 // Instances returns all instances. Those in an evacuated zone are marked as stale, because the write that includes them may also commit the end
-// of the evacuation, after which they may have to warm up. Those of unknown warm-up state are marked as stale instead.
+// of the evacuation, after which they may have to warm up. Those of unknown warm-up state, or that may be cold, are marked as stale instead.
 func (h instanceHints) Instances() []fleet.Instance {
-	instances := h.controller.registry.ChangesSince(h.controller.lastTickAt, registry.AllRevisions)
+	now, known := h.controller.lastTickAt, h.controller.registry
+	instances := known.ChangesSince(now, registry.AllRevisions)
 	for i, instance := range instances {
-		if instance.WarmupStateUnknown || slices.Contains(h.controller.evacuatedZones, instance.Zone) {
+		mayBeCold := instance.WarmupStateUnknown || known.MayBeCold(now, instance.ID)
+		if mayBeCold || slices.Contains(h.controller.evacuatedZones, instance.Zone) {
 			instances[i].WarmupStateUnknown = false
 			instances[i].Stale = true
 		}
@@ -119,13 +121,14 @@
 	}
 	c.config = config
 	c.owners.services = config.ShardedServices()
+	c.registry.SetWarmupDurations(config.WarmupDurations())
 	c.weights.Configure(now, config, c.gatewayCount())
 	c.weightsRevision = registry.AllRevisions
 	c.logInfo("config_committed", "version", register.Version, "sequence", register.Sequence, "routes", config.RouteCount)
 }
 
-// updateEvacuations updates the set of evacuated zones. When the evacuation of a zone ends, the zone's instances are treated as warming up until
-// their next heartbeats report their state.
+// updateEvacuations updates the set of evacuated zones. When the evacuation of a zone ends, the zone's instances are treated as warming up for as
+// long as they may be cold.
 func (c *Controller) updateEvacuations(now time.Duration, register chainreplication.Register) {
 	for _, zone := range c.evacuatedZones {
 		if !register.EvacuatedZones[zone] {
--- a/controlplane/controller/replication_test.go
+++ b/controlplane/controller/replication_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -43,3 +44,42 @@
 		}
 	})
 }
+
+// TestLateHeartbeatAfterEvacuation guards against gateways that send at full rate to replicas that became cold shortly before the end
+// of an evacuation: a heartbeat that was sent before arrives at one member after it, and the others hear of it. A member that crashes
+// meanwhile does not forget it.
+func TestLateHeartbeatAfterEvacuation(t *testing.T) {
+	c := newCluster()
+	c.sendHeartbeat(0, 1, 0)
+	c.run(2 * time.Second)
+	c.execute(chainreplication.Command{Zone: "a", Evacuated: true})
+	c.run(5 * time.Second)
+	restoredAt := c.now
+	c.execute(chainreplication.Command{Zone: "a"})
+	for i, late := range []time.Duration{1100 * time.Millisecond, 1500 * time.Millisecond, 2700 * time.Millisecond} {
+		c.run(late - (c.now - restoredAt))
+		c.sendHeartbeat(i, uint64(10*i+10), 0)
+		for j, member := range c.controllers {
+			instance, _ := member.registry.Get(c.now, "i1")
+			if !warmingUp(instance) {
+				t.Errorf("member %d considers the replica warm %v after the end of the evacuation", j, c.now-restoredAt)
+			}
+		}
+	}
+	persisted, err := coordinator.DecodePersistentState(c.writes[0][len(c.writes[0])-1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	restarted := New(0, c.controllers[0].options, c.controllers[0].Coordinator().Self(), persisted)
+	restarted.registry.SetWarmupDurations(c.controllers[0].config.WarmupDurations())
+	restarted.registry.Heartbeat(time.Second, fleet.Instance{ID: "i1", Service: "svc", Addr: "10.9.0.1:80", Zone: "a", Slots: 4, Sequence: 40})
+	if instance, _ := restarted.registry.Get(time.Second, "i1"); !warmingUp(instance) {
+		t.Error("a member that restarted considers the replica warm after a heartbeat")
+	}
+	c.run(time.Second)
+	for j, member := range c.controllers {
+		if instance, _ := member.registry.Get(c.now, "i1"); warmingUp(instance) {
+			t.Errorf("member %d: the replica still warms up %v after the end of the evacuation: %+v", j, c.now-restoredAt, instance)
+		}
+	}
+}
--- a/controlplane/registry/expiry.go
+++ b/controlplane/registry/expiry.go
@@ -50,14 +50,3 @@
 		}
 	}
 }
-
-// MarkWarmupStateUnknown is called when the evacuation of a zone ends. The zone's instances may have become cold and are treated as warming up
-// until a later heartbeat reports their state.
-func (r *Registry) MarkWarmupStateUnknown(now time.Duration, zone string) {
-	for _, id := range r.sortedIDs {
-		if known := r.records[id]; known.Zone == zone && !known.Deregistered {
-			known.markWarmupStateUnknown(now, known.Sequence)
-			r.markChanged(known)
-		}
-	}
-}
--- a/controlplane/registry/instance.go
+++ b/controlplane/registry/instance.go
@@ -16,17 +16,11 @@
 	lastHeartbeat              time.Duration
 	lastDirectHeartbeat        time.Duration // sent to this process
 	warmupUntil                time.Duration
+	warmupHeldUntil            time.Duration // as reported by others; see Registry.warmupHeldUntil
 	deregisteredAt             time.Duration
 	warmupStateUnknownSince    time.Duration
-	warmupStateUnknownSequence uint64 // sequence at the time the warm-up state became unknown
-}
-
-// snapshot returns the instance with its relative durations computed for now.
-func (r *record) snapshot(now time.Duration) fleet.Instance {
-	instance := r.Instance
-	instance.WarmupMillis = max((r.warmupUntil - now).Milliseconds(), 0)
-	instance.HeartbeatAgeMillis = max((now - r.lastHeartbeat).Milliseconds(), 0)
-	return instance
+	warmupStateUnknownSequence uint64        // sequence at the time the warm-up state became unknown
+	staleSince                 time.Duration // when a stale report added the instance; neverReceived if none did, or if others know better
 }
 
 // markWarmupStateUnknown records that the instance may have become cold after the heartbeat with the given sequence.
--- a/controlplane/registry/merge.go
+++ b/controlplane/registry/merge.go
@@ -50,6 +50,7 @@
 	heartbeat.HeartbeatAgeMillis = 0
 	heartbeat.WarmupStateUnknown = false
 	heartbeat.Stale = false
+	heartbeat.WarmupHeldMillis = 0
 	change := r.apply(&instanceReport{Instance: heartbeat, receivedAt: now, direct: true})
 	if known := r.records[heartbeat.ID]; known != nil {
 		known.lastDirectHeartbeat = now
@@ -92,10 +93,11 @@
 		return Change{Changed: true, Urgent: true}
 	}
 	startedDraining := known.startDraining(report)
+	held := r.holdWarmup(known, report)
 	refreshed := known.replaceStale(report)
-	advanced := report.Sequence > known.Sequence && known.advance(report, r.heartbeatTimeout)
+	advanced := report.Sequence > known.Sequence && r.advance(known, report)
 	invariant.Check(invariant.DeregistrationFinal, known.Draining || !report.Draining, func() string { return known.ID + ": reported as draining, but not marked as draining in the registry" })
-	change := Change{Changed: startedDraining || refreshed || advanced, Urgent: startedDraining}
+	change := Change{Changed: startedDraining || held || refreshed || advanced, Urgent: startedDraining}
 	if change.Changed {
 		r.markChanged(known)
 	}
@@ -111,7 +113,12 @@
 		warmupUntil:                report.warmupUntil(),
 		warmupStateUnknownSince:    report.receivedAt,
 		warmupStateUnknownSequence: report.Sequence,
+		staleSince:                 neverReceived,
 	}
+	if report.Stale {
+		added.staleSince = report.receivedAt
+	}
+	r.holdWarmup(added, report)
 	if report.Deregistered {
 		added.deregisteredAt = report.receivedAt
 		if report.direct {
@@ -151,11 +158,16 @@
 }
 
 // replaceStale updates a stale record from a report that is not stale and based on the same or a later heartbeat, and reports whether it did.
+// A member or gateway that reports the instance as not stale knows of the evacuations that this process may have missed. A replica's own
+// heartbeat may have been sent before their end.
 func (r *record) replaceStale(report *instanceReport) bool {
 	if !r.Stale || report.Stale || report.Sequence < r.Sequence {
 		return false
 	}
 	r.Stale = false
+	if !report.direct {
+		r.staleSince = neverReceived
+	}
 	r.warmupUntil = max(r.warmupUntil, report.warmupUntil())
 	if report.WarmupStateUnknown {
 		r.markWarmupStateUnknown(report.receivedAt, report.Sequence)
@@ -164,21 +176,21 @@
 }
 
 // advance applies a report with a higher sequence, and reports whether anything other than the heartbeat has changed.
-func (r *record) advance(report *instanceReport, heartbeatTimeout time.Duration) bool {
-	changed := r.mergeWarmupStateUnknown(report)
-	r.Sequence = report.Sequence
-	r.lastHeartbeat = max(r.lastHeartbeat, report.sentAt())
-	if r.HeartbeatTimedOut && report.receivedAt-r.lastHeartbeat < heartbeatTimeout {
-		r.HeartbeatTimedOut = false
+func (r *Registry) advance(known *record, report *instanceReport) bool {
+	changed := known.mergeWarmupStateUnknown(report)
+	known.Sequence = report.Sequence
+	known.lastHeartbeat = max(known.lastHeartbeat, report.sentAt())
+	if known.HeartbeatTimedOut && report.receivedAt-known.lastHeartbeat < r.heartbeatTimeout {
+		known.HeartbeatTimedOut = false
 		changed = true
 	}
-	if r.clearWarmupStateUnknown(report) {
+	if known.clearWarmupStateUnknown(report) {
 		changed = true
 	}
-	if r.updateWarmup(report) {
+	if known.updateWarmup(report, r.warmupHeldUntil(known)) {
 		changed = true
 	}
-	if r.updateEndpoint(report) {
+	if known.updateEndpoint(report) {
 		changed = true
 	}
 	return changed
@@ -207,16 +219,17 @@
 	return true
 }
 
-// updateWarmup updates the end of the warm-up if the reported one differs by more than heartbeat jitter.
-func (r *record) updateWarmup(report *instanceReport) bool {
-	until := report.warmupUntil()
-	later := report.WarmupMillis > 0 && until > r.warmupUntil+warmupLaterThreshold
+// updateWarmup updates the end of the warm-up if the reported one differs by more than heartbeat jitter, and reports whether that
+// changes the end, which is not before heldUntil.
+func (r *record) updateWarmup(report *instanceReport, heldUntil time.Duration) bool {
+	before, until := max(r.warmupUntil, heldUntil), report.warmupUntil()
+	later := report.WarmupMillis > 0 && until > before+warmupLaterThreshold
 	earlier := until < r.warmupUntil-warmupEarlierThreshold
 	if !later && !earlier {
 		return false
 	}
 	r.warmupUntil = until
-	return true
+	return max(until, heldUntil) != before
 }
 
 // updateEndpoint copies the service, address, slots and zone. Reports from DirectHeartbeats have none of them. A new field of
--- a/controlplane/registry/registry.go
+++ b/controlplane/registry/registry.go
@@ -21,6 +21,9 @@
 	revision         uint64
 	heartbeatTimeout time.Duration
 	deregistrations  []Deregistration // since TakeDeregistrations was called last
+
+	warmupDurations map[string]time.Duration // by service
+	zoneRestoredAt  map[string]time.Duration // when the evacuation of a zone was last seen to have ended
 }
 
 // Change describes the effect of a report on the registry.
@@ -31,7 +34,12 @@
 
 // New creates an empty registry. An instance without a heartbeat for heartbeatTimeout is marked as timed out.
 func New(heartbeatTimeout time.Duration) *Registry {
-	return &Registry{records: map[string]*record{}, heartbeatTimeout: heartbeatTimeout}
+	return &Registry{records: map[string]*record{}, heartbeatTimeout: heartbeatTimeout, zoneRestoredAt: map[string]time.Duration{}}
+}
+
+// SetWarmupDurations sets how long the instances of each service warm up.
+func (r *Registry) SetWarmupDurations(durations map[string]time.Duration) {
+	r.warmupDurations = durations
 }
 
 // AllRevisions precedes the first revision. ChangesSince returns all instances for it.
@@ -51,7 +59,7 @@
 	slices.SortFunc(changed, func(a, b *record) int { return cmp.Compare(a.revision, b.revision) })
 	instances := make([]fleet.Instance, len(changed))
 	for i, known := range changed {
-		instances[i] = known.snapshot(now)
+		instances[i] = r.snapshot(now, known)
 	}
 	return instances
 }
@@ -64,7 +72,7 @@
 		if known.lastDirectHeartbeat < since || known.Deregistered {
 			continue
 		}
-		current := known.snapshot(now)
+		current := r.snapshot(now, known)
 		instances = append(instances, fleet.Instance{
 			ID:                 id,
 			Sequence:           known.Sequence,
@@ -79,7 +87,7 @@
 // Get returns an instance and whether it is registered.
 func (r *Registry) Get(now time.Duration, id string) (fleet.Instance, bool) {
 	if known := r.records[id]; known != nil && !known.Deregistered {
-		return known.snapshot(now), true
+		return r.snapshot(now, known), true
 	}
 	return fleet.Instance{}, false
 }
@@ -94,7 +102,7 @@
 func (r *Registry) Each(now time.Duration, visit func(fleet.Instance)) {
 	for _, id := range r.sortedIDs {
 		if known := r.records[id]; !known.Deregistered {
-			visit(known.snapshot(now))
+			visit(r.snapshot(now, known))
 		}
 	}
 }
@@ -102,7 +110,7 @@
 // EachTracked is like Each, but includes the instances deregistered within deregisteredRetention.
 func (r *Registry) EachTracked(now time.Duration, visit func(fleet.Instance)) {
 	for _, id := range r.sortedIDs {
-		visit(r.records[id].snapshot(now))
+		visit(r.snapshot(now, r.records[id]))
 	}
 }
 
--- a/dataplane/loadbalancer/balancer.go
+++ b/dataplane/loadbalancer/balancer.go
@@ -29,6 +29,8 @@
 	byService map[string][]*Endpoint // sorted by ID
 
 	evacuatedZones   map[string]bool
+	zoneRestoredAt   map[string]time.Duration // when the last evacuation of a zone ended
+	warmupDurations  map[string]time.Duration // by service
 	warmupRates      map[string]float64       // requests per second, by endpoint ID
 	maxInFlight      map[string]int           // limit per endpoint, by service
 	minSendIntervals map[string]time.Duration // between requests to the same endpoint, by service
@@ -42,6 +44,7 @@
 		endpoints:      map[string]*Endpoint{},
 		byService:      map[string][]*Endpoint{},
 		evacuatedZones: map[string]bool{},
+		zoneRestoredAt: map[string]time.Duration{},
 		warmupRates:    map[string]float64{},
 		removedAt:      map[string]time.Duration{},
 	}
@@ -81,6 +84,11 @@
 	}
 }
 
+// SetWarmupDurations sets how long the endpoints of each service warm up.
+func (b *Balancer) SetWarmupDurations(durations map[string]time.Duration) {
+	b.warmupDurations = durations
+}
+
 // SetMaxInFlight sets the maximum number of this gateway's requests in flight at one endpoint, by service. The limit is the
 // gateway's share of the connections that a replica accepts.
 func (b *Balancer) SetMaxInFlight(limits map[string]int) { b.maxInFlight = limits }
--- a/dataplane/loadbalancer/endpoint.go
+++ b/dataplane/loadbalancer/endpoint.go
@@ -56,6 +56,7 @@
 
 // Instance returns the endpoint's state in the form that is reported to control-plane members.
 func (e *Endpoint) Instance(now time.Duration) fleet.Instance {
+	heldUntil := e.warmup.heldUntil
 	return fleet.Instance{
 		ID:                 e.ID,
 		Service:            e.Service,
@@ -66,7 +67,8 @@
 		Sequence:           e.warmup.sequence,
 		WarmupStateUnknown: e.warmup.unknown && now < e.warmup.unknownUntil,
 		Stale:              e.warmup.stale && now < e.warmup.unknownUntil,
-		WarmupMillis:       max((e.warmup.until - now).Milliseconds(), 0),
+		WarmupMillis:       max((max(e.warmup.until, heldUntil) - now).Milliseconds(), 0),
+		WarmupHeldMillis:   max((heldUntil - now).Milliseconds(), 0),
 	}
 }
 
--- a/dataplane/loadbalancer/instances.go
+++ b/dataplane/loadbalancer/instances.go
@@ -55,7 +55,8 @@
 		}
 		return endpoint != nil
 	}
-	if endpoint == nil {
+	added := endpoint == nil
+	if added {
 		if _, removed := b.removedAt[instance.ID]; removed || instance.Addr == "" {
 			return false
 		}
@@ -70,6 +71,9 @@
 		endpoint.Draining = true
 		ended = true
 	}
+	if added {
+		b.holdWarmup(endpoint)
+	}
 	endpoint.HeartbeatTimedOut = instance.HeartbeatTimedOut
 	endpoint.warmup.update(now, instance)
 	return ended
--- a/dataplane/loadbalancer/warmup.go
+++ b/dataplane/loadbalancer/warmup.go
@@ -22,9 +22,10 @@
 // Invariant: older information never overrides newer information. Members may know different heartbeats of an instance, in
 // particular after a restart from disk; see docs/design/staleness.md.
 type warmup struct {
-	until    time.Duration // end of the warm-up
-	sequence uint64        // sequence number of the newest heartbeat; 0 if none is known
-	stale    bool          // the state comes from a stale update
+	until     time.Duration // end of the warm-up
+	heldUntil time.Duration // the endpoint counts as warming up until then, whatever updates say
+	sequence  uint64        // sequence number of the newest heartbeat; 0 if none is known
+	stale     bool          // the state comes from a stale update
 
 	unknown      bool          // the endpoint may be warming up
 	unknownSince uint64        // heartbeats with a greater sequence number resolve the unknown warm-up state
@@ -37,7 +38,7 @@
 
 // isActive reports whether the endpoint is limited to its warm-up rate.
 func (w *warmup) isActive(now time.Duration) bool {
-	return now < w.until || (w.unknown || w.stale) && now < w.unknownUntil
+	return now < max(w.until, w.heldUntil) || (w.unknown || w.stale) && now < w.unknownUntil
 }
 
 // refill adds the tokens that have accrued since the last call.
@@ -61,9 +62,13 @@
 }
 
 // update applies an update of the instance. An update with an older heartbeat is ignored, one with the same heartbeat can only
-// extend the warm-up, and a stale one applies only if no fresh state is known. An unknown warm-up state is always applied.
+// extend the warm-up, and a stale one applies only if no fresh state is known. An unknown warm-up state is always applied, and so is
+// a held warm-up, which no update ends.
 func (w *warmup) update(now time.Duration, instance fleet.Instance) {
 	until := now + time.Duration(instance.WarmupMillis)*time.Millisecond
+	if instance.WarmupHeldMillis > 0 {
+		w.heldUntil = max(w.heldUntil, now+instance.WarmupHeld())
+	}
 	known := w.sequence > 0 && !w.stale
 	if known && instance.Stale {
 		w.until = max(w.until, until)
@@ -105,14 +110,24 @@
 // WarmupRate returns the rate, in requests per second, at which this gateway may send to an endpoint that is warming up.
 func (b *Balancer) WarmupRate(id string) float64 { return b.warmupRates[id] }
 
-// SetEvacuatedZones sets the zones whose endpoints receive no requests. Endpoints may have become cold during the evacuation
-// of their zone, so their warm-up state is unknown after its end, until their second new heartbeat. The balancer marks this itself,
+// SetEvacuatedZones sets the zones whose endpoints receive no requests. Endpoints may have become cold until shortly before the end of
+// the evacuation of their zone. After it they count as warming up for as long as a warm-up lasts, whatever heartbeats arrive
+// meanwhile, because these may have been sent before, and then until their second new heartbeat. The balancer marks this itself,
 // because a restarted member may not know of the evacuation.
 func (b *Balancer) SetEvacuatedZones(now time.Duration, zones []string) {
+	for zone := range b.evacuatedZones {
+		if !slices.Contains(zones, zone) {
+			b.zoneRestoredAt[zone] = now
+		}
+	}
 	for _, endpoint := range b.endpoints {
 		restored := b.evacuatedZones[endpoint.Zone] && !slices.Contains(zones, endpoint.Zone)
+		if !restored {
+			continue
+		}
+		b.holdWarmup(endpoint)
 		w := &endpoint.warmup
-		if restored && (!w.unknown || now >= w.unknownUntil) {
+		if !w.unknown || now >= w.unknownUntil {
 			w.markUnknown(w.sequence+1, now+restoredZoneWarmup)
 		}
 	}
@@ -121,3 +136,12 @@
 		b.evacuatedZones[zone] = true
 	}
 }
+
+// holdWarmup makes an endpoint count as warming up for the warm-up duration of its service from the end of the last evacuation of its
+// zone, if there was one.
+func (b *Balancer) holdWarmup(endpoint *Endpoint) {
+	if restoredAt, restored := b.zoneRestoredAt[endpoint.Zone]; restored {
+		w := &endpoint.warmup
+		w.heldUntil = max(w.heldUntil, restoredAt+b.warmupDurations[endpoint.Service])
+	}
+}
--- a/dataplane/loadbalancer/warmup_test.go
+++ b/dataplane/loadbalancer/warmup_test.go
@@ -109,3 +109,50 @@
 		})
 	})
 }
+
+// TestHeldWarmup guards against full load on cold endpoints: after the end of an evacuation no update ends their warm-up, since the
+// heartbeats that it rests on may have been sent before.
+func TestHeldWarmup(t *testing.T) {
+	newBalancer := func() *Balancer {
+		balancer := New("a")
+		balancer.SetWarmupDurations(map[string]time.Duration{"svc": 3 * s})
+		return balancer
+	}
+	reported := func(sequence uint64) fleet.Instance {
+		reported := instance("c1", "a")
+		reported.Service, reported.Sequence = "svc", sequence
+		return reported
+	}
+	expect := func(balancer *Balancer, now time.Duration, want bool) {
+		t.Helper()
+		if got := balancer.Get("c1").WarmingUp(now); got != want {
+			t.Errorf("at %v: warming up %v, want %v", now, got, want)
+		}
+	}
+	balancer := newBalancer()
+	balancer.UpdateInstances(0, false, []fleet.Instance{reported(5)})
+	balancer.SetEvacuatedZones(0, []string{"a"})
+	balancer.SetEvacuatedZones(10*s, nil)
+	balancer.UpdateInstances(11*s, false, []fleet.Instance{reported(7)})
+	balancer.UpdateInstances(12*s, false, []fleet.Instance{reported(9)})
+	expect(balancer, 13*s-1, true)
+	expect(balancer, 13*s, false)
+	if held := balancer.Get("c1").Instance(12 * s).WarmupHeldMillis; held != 1000 {
+		t.Errorf("reports %d ms to members, want 1000", held)
+	}
+
+	balancer = newBalancer() // an endpoint that was unknown when the evacuation ended
+	balancer.SetEvacuatedZones(0, []string{"a"})
+	balancer.SetEvacuatedZones(10*s, nil)
+	balancer.UpdateInstances(11*s, false, []fleet.Instance{reported(7)})
+	expect(balancer, 13*s-1, true)
+	expect(balancer, 13*s, false)
+
+	balancer = newBalancer() // a gateway that started later adopts it from one member, and another one does not know of it
+	held := reported(7)
+	held.WarmupMillis, held.WarmupHeldMillis = 2000, 2000
+	balancer.UpdateInstances(11*s, true, []fleet.Instance{held})
+	balancer.UpdateInstances(12*s, true, []fleet.Instance{reported(9)})
+	expect(balancer, 13*s-1, true)
+	expect(balancer, 13*s, false)
+}
--- a/dataplane/router/update.go
+++ b/dataplane/router/update.go
@@ -68,6 +68,7 @@
 		invariant.NotBelow(invariant.ConfigVersionMonotonic, config.Version, r.config.Version)
 	}
 	r.config = config
+	r.balancer.SetWarmupDurations(config.WarmupDurations())
 	return config, ""
 }
 
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -36,6 +36,15 @@
 	// gateway that was long disconnected from the control plane. Receivers that know the instance ignore a stale record; others
 	// treat the instance as warming up until a newer record arrives.
 	Stale bool `cbor:"13,keyasint,omitempty" json:"Old"`
+
+	// WarmupHeldMillis is how much longer, in milliseconds, the instance counts as warming up whatever its heartbeats report, because
+	// the evacuation of its zone ended less than a warm-up ago. Receivers keep the longest, whatever the sequence.
+	WarmupHeldMillis int64 `cbor:"14,keyasint,omitempty" json:"Held,omitempty"`
+}
+
+// WarmupHeld is how much longer the instance counts as warming up whatever its heartbeats report.
+func (i *Instance) WarmupHeld() time.Duration {
+	return time.Duration(i.WarmupHeldMillis) * time.Millisecond
 }
 
 // Warmup is the remaining warm-up time.
--- a/gatewayconfig/routing.go
+++ b/gatewayconfig/routing.go
@@ -4,8 +4,18 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 )
 
+// WarmupDurations returns how long the replicas of each service warm up, by service.
+func (c *Config) WarmupDurations() map[string]time.Duration {
+	durations := map[string]time.Duration{}
+	for name, service := range c.Services {
+		durations[name] = service.WarmupDuration
+	}
+	return durations
+}
+
 // ShardedServices returns the names of the sharded services, sorted.
 func (c *Config) ShardedServices() []string {
 	var names []string
--- a/internal/testbeds/compatibility/encoding_test.go
+++ b/internal/testbeds/compatibility/encoding_test.go
@@ -141,6 +141,11 @@
 	{
 		"simulation.Schedule.ExceedsTolerance": true,
 	},
+	{
+		"fleet.Instance.WarmupHeldMillis": true,
+
+		"simulation.Schedule.MaxHeartbeatDelay": true,
+	},
 }
 
 // sampleValue is a value of a sample's type, and the name of its golden file.
--- a/internal/testbeds/simulation/replica.go
+++ b/internal/testbeds/simulation/replica.go
@@ -84,7 +84,7 @@
 	}
 	instance := c.instance(r)
 	c.after(heartbeatTimeout, retry)
-	c.callFromReplica(m, controller.Event{Heartbeat: &instance}, func(response controller.Response) {
+	c.deliverHeartbeat(m, instance, func(response controller.Response) {
 		if answered {
 			return
 		}
@@ -100,6 +100,20 @@
 	})
 }
 
+// deliverHeartbeat has a member handle a heartbeat, after the time for which the network holds it up.
+func (c *cluster) deliverHeartbeat(m *member, heartbeat fleet.Instance, answered func(controller.Response)) {
+	deliver := func() { c.callFromReplica(m, controller.Event{Heartbeat: &heartbeat}, answered) }
+	if c.schedule.MaxHeartbeatDelay == 0 {
+		deliver()
+		return
+	}
+	c.after(c.randomBelow(c.schedule.MaxHeartbeatDelay), func() {
+		if m.isReachable() {
+			deliver()
+		}
+	})
+}
+
 // instance returns the instance that a heartbeat reports.
 func (c *cluster) instance(r *replica) fleet.Instance {
 	return fleet.Instance{
--- a/internal/testbeds/simulation/schedule.go
+++ b/internal/testbeds/simulation/schedule.go
@@ -25,6 +25,9 @@
 	ShardedReplicas int     `json:",omitempty"` // initial replicas of the sharded service; 0: there is none
 	LateCallRate    float64 `json:",omitempty"` // share of calls to replicas that the network holds up for up to maxLateCall, until the calm time at the end
 
+	// MaxHeartbeatDelay is the maximum time for which the network holds up a heartbeat of a replica. Heartbeats overtake each other.
+	MaxHeartbeatDelay time.Duration `json:",omitempty"`
+
 	PlantedBug PlantedBug `json:"Fault,omitempty"`
 
 	// Tolerance, if set, is the number of members that may be lost at once. Such a schedule may contain more kinds of
