A quorum recovers the latest register where no synced member is left

What callers would see: every call gets 503 for good, though a quorum of the disks is intact and one of them holds all that was acknowledged. Found by the model, not on real processes; in the coordinator's test every read gets 503.

Cause: only a member known to be synced in the present view may be head, and "unsynced" was taken to say that a register is worth nothing. Where the synced members of a chain lose their disks before the first commit of a view, beside members that have just joined it, the others waited for good. Two of three members waited also while the third was merely away. The family of the silent voters: the absence of a message taken for a fact about a disk.

Evidence: the model of reconfigurations, with machines down beside one lost disk, finds it in 3,686 states: 0 is killed; 1, 2 go on; 0 restarts, 1 is killed; 2 takes 0 in, unsynced, and loses its disk; 1 restarts.

Change: a quorum of the voters recovers the head, the voter with the latest register: last synced view, then number of commands. A voter accepts such a view only while its own register is not later, and takes no command and no forwarded register from then on until a view is installed. Heartbeats carry the position; the view is asked for by a message of its own. Former builds ignore both and count for no quorum of it (docs/design/control-plane.md, rule 17).

Why it works: what was acknowledged is on disk at a whole chain, which holds a quorum of the voters, so the latest register of any quorum has all of it; a decision and a commit share a voter, which compares before it accepts and takes nothing after.

Tests that failed before: TestSyncedMemberLosesDiskBesideUnsyncedMembers, TestUnsyncedMembersServeWithoutHead. TestRecoveredViewIsRefusedByLaterRegister states the two rules.

--- a/controlplane/membership/node.go
+++ b/controlplane/membership/node.go
@@ -52,8 +52,9 @@
 	peers         map[string]*peer // By ID.
 	diskUnhealthy bool
 	leaving       bool
-	committedView uint64 // Last view in which a commit was observed.
-	syncedView    uint64 // Last view in which this node was synced.
+	committedView uint64           // Last view in which a commit was observed.
+	syncedView    uint64           // Last view in which this node was synced.
+	position      *ReplicaPosition // Of the persisted register; nil until it is known.
 
 	lastTick          Time
 	nextHeartbeat     Time
@@ -114,7 +115,7 @@
 		node.handlePromise(m)
 	case Reject:
 		node.handleReject(now, m)
-	case Accept:
+	case Accept, AcceptRecovered:
 		node.handleAccept(m)
 	case Accepted:
 		node.handleAccepted(m)
