--- a/controlplane/chainreplication/register.go
+++ b/controlplane/chainreplication/register.go
@@ -10,11 +10,11 @@
 
 const (
 	// maxAppliedCommands bounds Register.AppliedCommands. It exceeds the number of commands that can be in flight while a
-	// command may still be retried.
+	// command may still be retried, which is half a second.
 	maxAppliedCommands = 64
 
 	// maxClaims bounds Register.Claims. The claims with the highest versions are kept; a command whose claim was discarded
-	// is treated as new.
+	// cannot be told from a new one and is treated as one.
 	maxClaims = 64
 
 	// maxRecentChanges bounds Record.RecentChanges.
--- a/controlplane/chainreplication/replica.go
+++ b/controlplane/chainreplication/replica.go
@@ -9,11 +9,12 @@
 )
 
 const (
-	// forwardRetryInterval is how long a forwarded register may stay uncommitted before it is forwarded again.
+	// forwardRetryInterval is how long a forwarded register may stay uncommitted before it is forwarded again, because a link
+	// that breaks loses what was in flight.
 	forwardRetryInterval = 300 * time.Millisecond
 
-	// transferTimePerByte extends the retry interval for large registers: an upper bound on the time to transmit and
-	// store one byte.
+	// transferTimePerByte extends the retry interval for large registers, so that they are not forwarded again while they are
+	// still on their way: an upper bound on the time to transmit and store one byte.
 	transferTimePerByte = 30 * time.Nanosecond
 
 	// catchUpRetryInterval is the minimum time between two CatchUp messages with the same register to the same member.
--- a/rules/health.go
+++ b/rules/health.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	smoothPeriods       = 12.0  // window over which load is smoothed, in periods
+	smoothPeriods       = 12.0  // window over which load is smoothed, in periods; 5 on the design page
 	speedPriorFlows     = 8.0   // flows after which a replica's own speed has the same weight as that of its kind
 	maxSpeedRatio       = 1.5   // limit of the measured speed, as a multiple of the speed that the latency suggests
 	maxLearningDrops    = 0.2   // share of dropped attempts above which no speed is measured
@@ -164,7 +164,7 @@
 
 // ejectUnresponsive ejects replicas with missing responses, once every zone that has reported the replica and still reports
 // others has completed a round without it. Missing responses alone are not sufficient, as a review may run when only part of a
-// round has arrived. A round is complete when the next one has begun, or when the collector pauses after about as many
+// round has arrived: with much traffic, hundreds of responses are missing after one missed review. A round is complete when the next one has begun, or when the collector pauses after about as many
 // replicas as in the previous round. Guards against hung replicas and paths that are cut for all proxies. Skipped on late
 // wake-ups, when the governor itself was stalled. Side effect: a governor that is always late ejects a hung replica only
 // when attempts at it are dropped.
--- a/rules/publish.go
+++ b/rules/publish.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	minRelativeChange = 0.1  // relative weight change below which nothing is sent
+	minRelativeChange = 0.1  // relative weight change below which nothing is sent; as on the design page
 	targetLoad        = 0.8  // load at which the fleet is kept by admission levels
 	fewWarmReplicas   = 3    // warm replicas of which proxies are unlikely to avoid all before statistics show failures
 	restartLevel      = 0.5  // admitted share after a restart, until the first statistics
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	pacedShare         = 1.0 / 3 // seconds of channel throughput that periodic changes may occupy
+	pacedShare         = 1.0 / 3 // seconds of channel throughput that periodic changes may occupy; as on the design page
 	coldOverloadShare  = 0.75    // share of a cold replica's overload limit that it may receive when other replicas are at their limit
 	minRoundPeriods    = 0.75    // shortest reporting round of a zone, in periods
 	completeRoundShare = 0.8     // a round is complete with this share of the previous round's replicas
--- a/rules/weigh.go
+++ b/rules/weigh.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	minSpareShare   = 0.35    // lowest share of a replica's size that counts as spare
-	rampStartShare  = 0.1     // share of its fair share that a new replica starts with
-	rampSpan        = 5.0 / 9 // duration of the ramp, as a share of the longest warm-up
+	minSpareShare   = 0.35    // lowest share of a replica's size that counts as spare; 0.05 on the design page
+	rampStartShare  = 0.1     // share of its fair share that a new replica starts with; as on the design page
+	rampSpan        = 5.0 / 9 // duration of the ramp, as a share of the longest warm-up; the design page has 10 s for a warm-up of 18 s
 	coldLoadShare   = 0.8     // share of its lowest capacity that a cold replica may receive
 	avoidShare      = 0.6     // share of dropped attempts at which a cold replica gets no entry; less in small subsets
 	avoidSpeedup    = 2.0     // proxies avoid replicas in half of the time until statistics show the failures
@@ -156,7 +156,7 @@
 // show the failures. Side effect: new replicas take over load late.
 //
 // A replica with more flows in flight than it answers within the shortest latency budget is limited by the square of that
-// ratio. Guards against replicas that slow down at full utilization, stolen CPU time and overestimated speeds. Side effect:
+// ratio, as what it is sent comes late. Guards against replicas that slow down at full utilization, stolen CPU time and overestimated speeds. Side effect:
 // the limit remains for some seconds after the queue is empty.
 func (g *Governor) shareLimit(now Time, r *replica) float64 {
 	if r.ejected {
