Two models share one breadth-first search

Cause: internal/testbeds/modelcheck/ownershipmodel and requestmodel had the same search and trace, line by line.

--- a/internal/testbeds/modelcheck/ownershipmodel/doc.go
+++ b/internal/testbeds/modelcheck/ownershipmodel/doc.go
@@ -12,6 +12,8 @@
 // exploration detects them.
 package ownershipmodel
 
+import "zincloft.example/zincloft/internal/testbeds/modelcheck/breadthfirst"
+
 // Fault is a bug that is injected into the model.
 type Fault int
 
@@ -43,14 +45,9 @@
 )
 
 // Result is the result of an exploration.
-type Result struct {
-	States    int
-	Complete  bool     // all states within the bounds were explored
-	Violation string   // the violated invariant, or ""
-	Trace     []string // the steps that lead to the violation
-}
+type Result = breadthfirst.Result
 
 // Explore explores all states within the bounds breadth first until an invariant is violated.
 func Explore(bounds Bounds, fault Fault) Result {
-	return newExplorer(bounds, fault).explore()
+	return breadthfirst.Explore(newExplorer(bounds, fault), bounds.MaxStates)
 }
--- a/internal/testbeds/modelcheck/ownershipmodel/explore.go
+++ b/internal/testbeds/modelcheck/ownershipmodel/explore.go
@@ -3,80 +3,47 @@
 import (
 	"fmt"
 	"hash/maphash"
-	"slices"
+
+	"zincloft.example/zincloft/internal/testbeds/modelcheck/breadthfirst"
 )
 
-// explorer explores the states within its bounds breadth first.
+// explorer is the model within its bounds.
 type explorer struct {
 	bounds     Bounds
 	fault      Fault
 	seed       maphash.Seed
-	successors []step              // result of successorsOf, reused
-	labeled    bool                // whether steps get labels; set only to build a trace, as formatting dominates the run time
+	successors []step              // result of Successors, reused
+	labeled    bool                // whether steps get labels
 	converging map[uint64]struct{} // states from which every range is known to get its holder
 }
 
 // step is a transition to a successor state.
-type step struct {
-	state state
-	label string
-}
-
-// node is a reached state with the index of its predecessor, or -1 for the initial state.
-type node struct {
-	state  state
-	parent int
-}
+type step = breadthfirst.Step[state]
 
 func newExplorer(bounds Bounds, fault Fault) *explorer {
 	return &explorer{bounds: bounds, fault: fault, seed: maphash.MakeSeed(), converging: map[uint64]struct{}{}}
 }
 
-func (e *explorer) explore() Result {
-	initial := e.initialState()
-	reached := []node{{state: initial, parent: -1}}
-	seen := map[uint64]struct{}{e.hash(&initial): {}}
-	for head := 0; head < len(reached); head++ {
-		if e.bounds.MaxStates > 0 && len(reached) > e.bounds.MaxStates {
-			return Result{States: len(reached)}
-		}
-		for _, next := range e.successorsOf(reached[head].state) {
-			h := e.hash(&next.state)
-			if _, ok := seen[h]; ok {
-				continue
-			}
-			seen[h] = struct{}{}
-			reached = append(reached, node{next.state, head})
-			if violated := e.check(&next.state); violated != noViolation {
-				return Result{States: len(reached), Violation: violated.String(), Trace: e.trace(reached)}
-			}
-		}
-	}
-	return Result{States: len(reached), Complete: true}
-}
+// Initial implements breadthfirst.Model.
+func (e *explorer) Initial() state { return e.initialState() }
 
-// trace returns the labels of the steps that lead to the last reached state.
-func (e *explorer) trace(reached []node) (labels []string) {
-	e.labeled = true
-	for i := len(reached) - 1; i > 0; i = reached[i].parent {
-		steps := e.successorsOf(reached[reached[i].parent].state)
-		taken := slices.IndexFunc(steps, func(s step) bool { return s.state == reached[i].state })
-		if taken >= 0 {
-			labels = append(labels, steps[taken].label)
-		}
+// Violation implements breadthfirst.Model.
+func (e *explorer) Violation(s *state) string {
+	if violated := e.check(s); violated != noViolation {
+		return violated.String()
 	}
-	slices.Reverse(labels)
-	return labels
+	return ""
 }
 
-// hash returns the same value for states that differ only in the numbering of the replicas' addresses.
-func (e *explorer) hash(s *state) uint64 {
+// Digest implements breadthfirst.Model. It returns the same value for states that differ only in the numbering of the replicas'
+// addresses.
+func (e *explorer) Digest(s *state) uint64 {
 	return min(maphash.Comparable(e.seed, *s), maphash.Comparable(e.seed, s.swapReplicas()))
 }
 
-// successorsOf returns all steps from a state. The result is valid until the next call.
-func (e *explorer) successorsOf(s state) []step {
-	e.successors = e.successors[:0]
+// Successors implements breadthfirst.Model.
+func (e *explorer) Successors(s state, labeled bool) []step {
+	e.successors, e.labeled = e.successors[:0], labeled
 	e.timeSteps(s)
 	e.crashSteps(s)
 	e.configurationSteps(s)
@@ -107,5 +74,5 @@
 	if e.labeled {
 		label = fmt.Sprintf(format, args...)
 	}
-	e.successors = append(e.successors, step{s, label})
+	e.successors = append(e.successors, step{State: s, Label: label})
 }
--- a/internal/testbeds/modelcheck/ownershipmodel/liveness.go
+++ b/internal/testbeds/modelcheck/ownershipmodel/liveness.go
@@ -12,7 +12,7 @@
 	for range maxRounds {
 		e.performRound(&current)
 		current.sortCalls()
-		digest := e.hash(&current)
+		digest := e.Digest(&current)
 		if _, known := e.converging[digest]; known || e.isSettled(&current) {
 			path = append(path, digest)
 			for _, digest := range path {
--- a/internal/testbeds/modelcheck/requestmodel/model.go
+++ b/internal/testbeds/modelcheck/requestmodel/model.go
@@ -9,6 +9,8 @@
 // The model assumes that replicas reject only requests that they do not execute.
 package requestmodel
 
+import "zincloft.example/zincloft/internal/testbeds/modelcheck/breadthfirst"
+
 // Fault is a bug that is injected into the model.
 type Fault int
 
@@ -36,14 +38,9 @@
 }
 
 // Result is the result of an exploration.
-type Result struct {
-	States    int
-	Complete  bool     // all states within the bounds were explored
-	Violation string   // the violated invariant, or ""
-	Trace     []string // the steps that lead to the violation
-}
+type Result = breadthfirst.Result
 
 // Explore explores all states within the bounds breadth first until an invariant is violated.
 func Explore(bounds Bounds, fault Fault) Result {
-	return newExplorer(bounds, fault).explore()
+	return breadthfirst.Explore(newExplorer(bounds, fault), bounds.MaxStates)
 }
