Comments and names of the change say what a newcomer would have to look up

Cause: read once more as by a newcomer: a field and a method of the registry shared a name, the registry was called "known", comments spoke of a pair where several voters may go, and of voters that remember. Change: comments and two names; no behaviour.

--- a/controlplane/controller/replication.go
+++ b/controlplane/controller/replication.go
@@ -18,12 +18,13 @@
 func (h instanceHints) Revision() uint64 { return h.controller.registry.Revision() }
 
 // Instances returns all instances. Those in an evacuated zone are marked as stale, because the write that includes them may also commit the end
-// of the evacuation, after which they may have to warm up. Those of unknown warm-up state, or that may be cold, are marked as stale instead.
+// of the evacuation, after which they may have to warm up. So are those that may be cold although
+// their heartbeats do not say so: the mark replaces an unknown warm-up state.
 func (h instanceHints) Instances() []fleet.Instance {
-	now, known := h.controller.lastTickAt, h.controller.registry
-	instances := known.ChangesSince(now, registry.AllRevisions)
+	now, tracked := h.controller.lastTickAt, h.controller.registry
+	instances := tracked.ChangesSince(now, registry.AllRevisions)
 	for i, instance := range instances {
-		mayBeCold := instance.WarmupStateUnknown || known.MayBeCold(now, instance.ID)
+		mayBeCold := instance.WarmupStateUnknown || tracked.MayBeCold(now, instance.ID)
 		if mayBeCold || slices.Contains(h.controller.evacuatedZones, instance.Zone) {
 			instances[i].WarmupStateUnknown = false
 			instances[i].Stale = true
--- a/controlplane/membership/cluster_test.go
+++ b/controlplane/membership/cluster_test.go
@@ -82,7 +82,7 @@
 	}
 }
 
-// wipe restarts a stopped member with an empty disk.
+// wipe restarts a stopped member with an empty disk, and so with another ID.
 func (c *cluster) wipe(addr string) {
 	c.start(fleet.Member{ID: addr + "/1", Addr: addr}, DurableState{})
 }
--- a/controlplane/membership/replacement.go
+++ b/controlplane/membership/replacement.go
@@ -10,7 +10,7 @@
 
 // This file determines the next view.
 //
-// The voters change one at a time, or two if a failed pair is removed. A new machine joins the chain as a learner. Once a
+// The voters change one at a time, except that all failed ones of an odd number are removed together. A new machine joins the chain as a learner. Once a
 // commit has shown that it is synced, it replaces a failed or departed voter in a single view change, so that the number of
 // tolerated losses is not reduced in between. A leaving member stays in the chain until the remaining members suffice. An even
 // number of voters tolerates no more losses than one voter fewer, so a failed voter is removed from an even number. Voters are
@@ -24,7 +24,8 @@
 	// replacementTimeout is how long a voter must have been unavailable before it may be replaced.
 	replacementTimeout = 2 * time.Second
 
-	// pairRemovalTimeout is how long two voters must have been unavailable before both are removed without replacement.
+	// pairRemovalTimeout is how long two or more voters of an odd number must have been unavailable before they are removed together
+	// without replacement.
 	pairRemovalTimeout = 12 * time.Second
 
 	// noVoter is the index returned if there is no voter to replace.
@@ -186,7 +187,8 @@
 	}
 }
 
-// remainingVoters returns the voters without the failed ones that may be removed, subject to the fault tolerance.
+// remainingVoters returns the voters without those that have failed for long enough to be removed. The fault tolerance is not
+// considered.
 func (plan *successorPlan) remainingVoters() []fleet.Member {
 	voters := plan.next.Voters
 	if len(voters)%2 == 0 {
--- a/controlplane/membership/replacement_test.go
+++ b/controlplane/membership/replacement_test.go
@@ -172,8 +172,8 @@
 			c.kill(addr)
 		}
 		c.run(pairRemovalTimeout - time.Second)
-		if test.members%2 != 0 && len(c.node("a").View().Voters) != test.members {
-			t.Errorf("%+v: voters removed early: %+v", test, c.node("a").View())
+		if test.members%2 != 0 { // one of an even number is removed sooner
+			c.wantView(test.chain, test.chain, "abcdefg"[:test.members])
 		}
 		c.run(3 * time.Second)
 		c.wantView(test.chain, test.chain, test.voters)
--- a/controlplane/membership/tolerance.go
+++ b/controlplane/membership/tolerance.go
@@ -14,14 +14,15 @@
 // FaultTolerance states what the deployment may lose at the same time, disks included, without losing anything that was
 // acknowledged: a number of machines, or of zones, or of regions.
 //
-// A silent voter counts as a voter that remembers: silence shows that a machine cannot be reached, not that its disk is lost.
-// The voters that remain after a removal must therefore tolerate these losses by themselves. See
+// Silence shows that a machine cannot be reached, not that its disk is lost. So the disks that are lost may be others than those of
+// the silent voters, and the voters that remain after a removal must tolerate the losses by themselves. See
 // docs/design/control-plane.md, rule 3.
 type FaultTolerance struct {
 	Machines int `cbor:"1,keyasint,omitempty"`
 	Zones    int `cbor:"2,keyasint,omitempty"`
 	Regions  int `cbor:"3,keyasint,omitempty"`
 
+	// RegionByZone is needed only if Regions is set.
 	RegionByZone map[string]string `cbor:"4,keyasint,omitempty"`
 }
 
--- a/controlplane/registry/instance.go
+++ b/controlplane/registry/instance.go
@@ -16,7 +16,7 @@
 	lastHeartbeat              time.Duration
 	lastDirectHeartbeat        time.Duration // sent to this process
 	warmupUntil                time.Duration
-	warmupHeldUntil            time.Duration // as reported by others; see Registry.warmupHeldUntil
+	reportedHeldUntil          time.Duration // latest end of a held warm-up that others reported; see Registry.warmupHeldUntil
 	deregisteredAt             time.Duration
 	warmupStateUnknownSince    time.Duration
 	warmupStateUnknownSequence uint64        // sequence at the time the warm-up state became unknown
--- a/controlplane/registry/warmup.go
+++ b/controlplane/registry/warmup.go
@@ -40,14 +40,14 @@
 	if report.WarmupHeldMillis == 0 || until <= before {
 		return false
 	}
-	known.warmupHeldUntil = until
+	known.reportedHeldUntil = until
 	return until > max(before, report.receivedAt)+warmupEarlierThreshold
 }
 
 // warmupHeldUntil returns until when an instance is treated as warming up whatever its heartbeats say, by the local clock. A stale
 // instance may have become cold before it was added, as this process may have missed the end of an evacuation.
 func (r *Registry) warmupHeldUntil(known *record) time.Duration {
-	until, duration := known.warmupHeldUntil, r.warmupDurations[known.Service]
+	until, duration := known.reportedHeldUntil, r.warmupDurations[known.Service]
 	if known.staleSince != neverReceived {
 		until = max(until, known.staleSince+duration)
 	}
--- a/internal/testbeds/simulation/disklosssweep_test.go
+++ b/internal/testbeds/simulation/disklosssweep_test.go
@@ -23,6 +23,7 @@
 	wiped   [2]int
 }
 
+// schedule returns the schedule of the case: absences, then the acknowledgement of version 2, then the lost disks.
 func (s sweepCase) schedule(seed uint64) Schedule {
 	end := sweepAbsenceStart + s.absence
 	schedule := Schedule{Seed: seed, Members: 5, InitialMembers: maxInitialMembers, Tolerance: 2, ExceedsTolerance: true, Zones: generatedZones,
--- a/internal/testbeds/simulation/schedule.go
+++ b/internal/testbeds/simulation/schedule.go
@@ -93,7 +93,8 @@
 	return end
 }
 
-// toleratedLosses returns the number of members that may be lost at once, as the members' settings state it.
+// toleratedLosses returns the number of members that may be lost at once, as the members' settings state it. Members that are told of
+// no losses remove silent voters as RemoveSilentVoters describes.
 func (s Schedule) toleratedLosses() int {
 	switch {
 	case s.PlantedBug == RemoveSilentVoters:
